Add workspace frame, message and settings schema, generator and design

The message types come from JSON Schema through typify rather than from protobuf definitions, because the same types travel as MessagePack and JSON through serde.

--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Workload bench, load tool and capacity measurements.
--- /dev/null
+++ b/crates/celeryhinge/src/lib.rs
@@ -0,0 +1,1 @@
+//! A dispatcher for sub-second tasks: coordination parts and thin daemons.
--- /dev/null
+++ b/crates/client/src/lib.rs
@@ -0,0 +1,1 @@
+//! The callers' client with resubmission rules.
--- /dev/null
+++ b/crates/codegen/src/main.rs
@@ -0,0 +1,51 @@
+//! Command line of the generator.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use hinge_codegen::{Output, generate};
+
+/// Generate the committed code and documentation tables from schema/.
+#[derive(FromArgs)]
+struct Args {
+    /// compare with the files in the tree instead of writing them; exit status 1 when they differ
+    #[argh(switch)]
+    check: bool,
+    /// root of the repository
+    #[argh(option, default = "PathBuf::from(\".\")")]
+    root: PathBuf,
+}
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    let outputs = match generate(&args.root) {
+        Ok(outputs) => outputs,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(2);
+        }
+    };
+    if args.check {
+        return check(&args, &outputs);
+    }
+    for output in &outputs {
+        if let Err(error) = std::fs::write(args.root.join(&output.path), &output.content) {
+            eprintln!("cannot write {}: {error}", output.path.display());
+            return ExitCode::from(2);
+        }
+    }
+    ExitCode::SUCCESS
+}
+
+fn check(args: &Args, outputs: &[Output]) -> ExitCode {
+    let mut status = ExitCode::SUCCESS;
+    for output in outputs {
+        let current = std::fs::read_to_string(args.root.join(&output.path)).unwrap_or_default();
+        if current != output.content {
+            eprintln!("{} differs from the schema; run cargo run -p hinge-codegen", output.path.display());
+            status = ExitCode::from(1);
+        }
+    }
+    status
+}
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,1 @@
+//! The dispatcher's decision code: events in, actions out.
--- /dev/null
+++ b/crates/ledger/src/lib.rs
@@ -0,0 +1,1 @@
+//! Submission keys, at-most-once records and answer retention.
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Instance membership within a data centre.
--- /dev/null
+++ b/crates/obs/src/lib.rs
@@ -0,0 +1,1 @@
+//! Numbered log events, metrics and per-team histograms.
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Upstream placement, health, slot loans and retry budgets.
--- /dev/null
+++ b/crates/sched/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission, class shares, team fairness, shedding and run time estimates.
--- /dev/null
+++ b/crates/wire/src/codec.rs
@@ -0,0 +1,76 @@
+//! JSON towards callers, operators and the platform; MessagePack between entry instances.
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+
+use crate::ResultCode;
+
+/// Version of the messages between entry instances, sent in the header `x-hinge-version`.
+pub const WIRE_VERSION: u32 = 1;
+
+/// Why bytes could not be turned into a message or a message into bytes.
+#[derive(Debug, Error)]
+pub enum CodecError {
+    /// The bytes are not JSON of the expected shape.
+    #[error("not valid JSON for this message: {0}")]
+    Json(#[from] serde_json::Error),
+    /// The bytes are not MessagePack of the expected shape.
+    #[error("not valid MessagePack for this message: {0}")]
+    MsgpackDecode(#[from] rmp_serde::decode::Error),
+    /// The message cannot be encoded.
+    #[error("cannot encode the message: {0}")]
+    MsgpackEncode(#[from] rmp_serde::encode::Error),
+    /// Bytes follow the message.
+    #[error("{0} bytes follow the message")]
+    TrailingBytes(usize),
+}
+
+impl CodecError {
+    /// Result code that reports the error.
+    #[must_use]
+    pub const fn code(&self) -> ResultCode {
+        ResultCode::Malformed
+    }
+}
+
+/// Decodes a message from JSON.
+///
+/// # Errors
+///
+/// Fails when the bytes are not JSON of the message's shape, or when anything but white space follows.
+pub fn from_json<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, CodecError> {
+    Ok(serde_json::from_slice(bytes)?)
+}
+
+/// Encodes a message as JSON.
+///
+/// # Errors
+///
+/// Fails when the message holds a value that JSON cannot express.
+pub fn to_json<T: Serialize>(message: &T) -> Result<Vec<u8>, CodecError> {
+    Ok(serde_json::to_vec(message)?)
+}
+
+/// Decodes a message from MessagePack.
+///
+/// # Errors
+///
+/// Fails when the bytes are not MessagePack of the message's shape, or when bytes follow it.
+pub fn from_msgpack<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, CodecError> {
+    let mut rest = bytes;
+    let message = rmp_serde::from_read(&mut rest)?;
+    if !rest.is_empty() {
+        return Err(CodecError::TrailingBytes(rest.len()));
+    }
+    Ok(message)
+}
+
+/// Encodes a message as MessagePack with field names, so that fields can be added later.
+///
+/// # Errors
+///
+/// Fails when the message holds a value that MessagePack cannot express.
+pub fn to_msgpack<T: Serialize>(message: &T) -> Result<Vec<u8>, CodecError> {
+    Ok(rmp_serde::to_vec_named(message)?)
+}
