--- /dev/null
+++ b/crates/celeryhinge/src/bin/hinge-entry.rs
@@ -0,0 +1,64 @@
+//! The entry daemon: settings, logs and signals around [`celeryhinge::entry::Entry`].
+
+use std::process::ExitCode;
+
+use celeryhinge::conf::{EntrySettings, Flags};
+use celeryhinge::entry::Entry;
+use celeryhinge::obs::{emit, init_logs};
+use celeryhinge::wire::LogEvent;
+use serde::Serialize;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// Exit status for settings that are not valid.
+const STATUS_USAGE: u8 = 2;
+/// Exit status when the instance cannot start or its planned stop lost work.
+const STATUS_FAILED: u8 = 1;
+
+#[derive(Serialize)]
+struct Rejected {
+    error: String,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let flags: Flags = argh::from_env();
+    let settings = match EntrySettings::from_flags(&flags, |name| std::env::var(name).ok()) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(STATUS_USAGE);
+        }
+    };
+    if let Err(error) = init_logs(&settings.instance, settings.log_level.into()) {
+        eprintln!("{error}");
+        return ExitCode::from(STATUS_FAILED);
+    }
+    match run(settings).await {
+        Ok(status) => status,
+        Err(error) => {
+            emit(LogEvent::SettingRejected, &Rejected { error: error.to_string() });
+            ExitCode::from(STATUS_FAILED)
+        }
+    }
+}
+
+async fn run(settings: EntrySettings) -> Result<ExitCode, Box<dyn std::error::Error>> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let entry = Entry::start(settings).await?;
+    println!("listening {} {}", entry.address(), entry.peer_address());
+    tokio::select! {
+        () = next_signal(&mut terminate, &mut interrupt) => {}
+        () = entry.drain_requested() => {}
+    }
+    let report = entry.drain(next_signal(&mut terminate, &mut interrupt)).await;
+    let lost = report.lost_submissions > 0 || report.lost_tasks > 0;
+    Ok(ExitCode::from(if lost { STATUS_FAILED } else { 0 }))
+}
+
+async fn next_signal(terminate: &mut Signal, interrupt: &mut Signal) {
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
--- a/crates/celeryhinge/src/lib.rs
+++ b/crates/celeryhinge/src/lib.rs
@@ -1,1 +1,23 @@
 //! A dispatcher for sub-second tasks: coordination parts and thin daemons.
+//!
+//! Callers submit urgent requests and jobs of many short tasks to small diskless entry instances; these choose
+//! upstreams and answer each caller once, whole and promptly. Each part is a crate of its own, re-exported here:
+//!
+//! - [`client`]: submit from a program, with the rules of resubmission built in.
+//! - [`entry`]: run an entry instance inside a tokio runtime.
+//! - [`dispatch`]: the decision code that an entry instance drives, without I/O.
+//! - [`ledger`], [`sched`], [`route`], [`member`]: its parts, for use on their own.
+//! - [`store`], [`conf`]: the platform's key-value store and the operators' configuration.
+//! - [`obs`], [`wire`]: logs, metrics, messages and result codes.
+
+pub use hinge_client as client;
+pub use hinge_conf as conf;
+pub use hinge_dispatch as dispatch;
+pub use hinge_entry as entry;
+pub use hinge_ledger as ledger;
+pub use hinge_member as member;
+pub use hinge_obs as obs;
+pub use hinge_route as route;
+pub use hinge_sched as sched;
+pub use hinge_store as store;
+pub use hinge_wire as wire;
--- /dev/null
+++ b/crates/dispatch/src/tasks.rs
@@ -0,0 +1,111 @@
+//! Ends of task starts: completion, failure, retry.
+
+use std::time::Duration;
+
+use hinge_ledger::TaskEnd;
+use hinge_route::EndKind;
+use hinge_wire::{ResultCode, StartId, TaskId};
+use tokio::time::Instant;
+
+use crate::dispatcher::Running;
+use crate::{Dispatcher, Refusal, TaskResult};
+
+impl Dispatcher {
+    pub(crate) fn task_ended(
+        &mut self,
+        now: Instant,
+        start: StartId,
+        result: TaskResult,
+        run_time: Duration,
+    ) {
+        let Some(running) = self.running.remove(&start) else {
+            self.totals.late_ends += 1;
+            return;
+        };
+        let service = running.service.clone();
+        self.running_tasks.remove(&running.queued.id);
+        let kind = if running.stopping { EndKind::Stopped } else { end_kind(&result) };
+        self.router.ended(now, &running.slot, kind, run_time, running.expected);
+        match result {
+            TaskResult::Refused(_) | TaskResult::NotSent if !running.stopping => {
+                self.place_again(now, running, &result);
+            }
+            result => self.end_started(now, running, result, run_time),
+        }
+        self.pump(now, &service);
+    }
+
+    /// Queues a task that provably did not start, until its deadline.
+    fn place_again(&mut self, now: Instant, running: Running, result: &TaskResult) {
+        let task = running.queued.id;
+        match result {
+            TaskResult::NotSent => self.totals.not_sent += 1,
+            _ => self.totals.busy_refusals += 1,
+        }
+        self.ledger.not_started(task);
+        if running.queued.start_by <= now {
+            self.release(&running, Duration::ZERO);
+            self.end_unstarted(now, task, ResultCode::NoUpstream);
+        } else if let Some(scheduler) = self.schedulers.get_mut(&running.service) {
+            scheduler.requeue(now, running.queued);
+        }
+    }
+
+    fn end_started(&mut self, now: Instant, running: Running, result: TaskResult, run_time: Duration) {
+        let task = running.queued.id;
+        self.release(&running, run_time);
+        let end = match result {
+            TaskResult::Done(text) => {
+                self.estimates.observe(&running.service, running.queued.class, run_time);
+                TaskEnd::Done(text)
+            }
+            _ if self.retry(now, &running) => return,
+            TaskResult::Failed(detail) => TaskEnd::Failed(detail),
+            TaskResult::TimedOut => TaskEnd::TimedOut,
+            TaskResult::Lost | TaskResult::NotSent | TaskResult::Refused(_) => TaskEnd::Lost,
+        };
+        if let Some(completion) = self.ledger.end(now, task, end) {
+            self.complete(completion);
+        }
+    }
+
+    /// Queues an idempotent request again when its attempts and the retry budget allow it.
+    fn retry(&mut self, now: Instant, running: &Running) -> bool {
+        let Some(job) = self.jobs.get(&running.queued.id.sequence) else { return false };
+        let allowed = job.repeatable
+            && u64::from(job.attempts) < self.policy.max_attempts
+            && running.queued.start_by > now
+            && self.retry_budget.take();
+        if !allowed {
+            return false;
+        }
+        let Some(scheduler) = self.schedulers.get_mut(&running.service) else { return false };
+        self.totals.retries += 1;
+        scheduler.push(now, running.queued.clone());
+        true
+    }
+
+    fn release(&mut self, running: &Running, run_time: Duration) {
+        if let Some(scheduler) = self.schedulers.get_mut(&running.service) {
+            scheduler.ended(running.queued.class, &running.queued.team, run_time);
+        }
+    }
+
+    pub(crate) fn end_unstarted(&mut self, now: Instant, task: TaskId, code: ResultCode) {
+        if let Some(completion) = self.ledger.end(now, task, TaskEnd::NotStarted(code)) {
+            self.complete(completion);
+        }
+    }
+}
+
+fn end_kind(result: &TaskResult) -> EndKind {
+    match result {
+        TaskResult::Done(_) => EndKind::Done,
+        TaskResult::Failed(_) => EndKind::Failed,
+        TaskResult::Lost => EndKind::Lost,
+        TaskResult::NotSent => EndKind::NotSent,
+        TaskResult::Refused(Refusal::Busy) => EndKind::Busy,
+        TaskResult::Refused(Refusal::Leaving) => EndKind::Leaving,
+        TaskResult::TimedOut => EndKind::TimedOut,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/callers.rs
@@ -0,0 +1,145 @@
+//! HTTP interface for callers: JSON.
+
+use std::sync::Arc;
+
+use hinge_wire::{CancelRequest, KeysReply, KeysRequest, LogEvent, ResultCode, Submission, from_json};
+use hyper::{Method, StatusCode};
+use serde::Serialize;
+
+use crate::reply::{Encoding, HttpResponse, Rejection, submission_response};
+use crate::server::{Handler, WholeRequest};
+use crate::shared::Shared;
+use crate::state_page;
+use crate::submissions::{MAX_KEYS, parse_key, parse_keys};
+
+const SUBMISSION_PREFIX: &str = "/v1/submissions/";
+
+/// Serves callers.
+#[derive(Clone)]
+pub(crate) struct CallerHandler(pub(crate) Arc<Shared>);
+
+#[derive(Serialize)]
+struct Health {
+    reason: Option<&'static str>,
+    ready: bool,
+}
+
+impl Handler for CallerHandler {
+    const ENCODING: Encoding = Encoding::Json;
+
+    async fn handle(&self, request: WholeRequest) -> HttpResponse {
+        let shared = &self.0;
+        let result = match (request.parts.method.clone(), request.parts.uri.path()) {
+            (Method::POST, "/v1/keys") => issue_keys(shared, &request.body),
+            (Method::POST, "/v1/submissions") => submit(shared, &request.body).await,
+            (Method::POST, "/v1/cancellations") => cancel(shared, &request.body).await,
+            (Method::GET, "/healthz") => Ok(Encoding::Json.response(StatusCode::OK, &"ok")),
+            (Method::GET, "/readyz") => Ok(ready(shared)),
+            (Method::GET, "/state") => {
+                Ok(Encoding::Json.response(StatusCode::OK, &state_page::build(shared)))
+            }
+            (method, path) if path.starts_with(SUBMISSION_PREFIX) => {
+                let key = &path[SUBMISSION_PREFIX.len()..];
+                one_submission(shared, &method, key, request.parts.uri.query()).await
+            }
+            (_, path) => Err(unknown_endpoint(path)),
+        };
+        result.unwrap_or_else(|rejection| reject(shared, &rejection))
+    }
+}
+
+fn reject(shared: &Shared, rejection: &Rejection) -> HttpResponse {
+    shared.count_rejection(rejection);
+    Encoding::Json.rejection(rejection)
+}
+
+fn unknown_endpoint(path: &str) -> Rejection {
+    let known = ["/v1/keys", "/v1/submissions", "/v1/cancellations", "/healthz", "/readyz", "/state"];
+    if known.contains(&path) {
+        return ResultCode::MethodNotAllowed.into();
+    }
+    ResultCode::NotFound.into()
+}
+
+fn ready(shared: &Shared) -> HttpResponse {
+    let reason = shared.unready_reason();
+    let status = if reason.is_none() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    Encoding::Json.response(status, &Health { reason, ready: reason.is_none() })
+}
+
+fn issue_keys(shared: &Arc<Shared>, body: &[u8]) -> Result<HttpResponse, Rejection> {
+    let request: KeysRequest = from_json(body)?;
+    if request.count == 0 || request.count as usize > MAX_KEYS {
+        return Err(Rejection::new(ResultCode::InvalidField, format!("count must be 1 to {MAX_KEYS}")));
+    }
+    if let Some(reason) = shared.unready_reason() {
+        return Err(Rejection::new(ResultCode::NotReady, reason));
+    }
+    let keys = shared.decide(|dispatcher, now| dispatcher.issue_keys(now, request.count))?;
+    let reply = KeysReply {
+        keys: keys.iter().map(ToString::to_string).collect(),
+        valid_for_ms: shared.config.current().policy.key_validity_ms,
+    };
+    Ok(Encoding::Json.response(StatusCode::OK, &reply))
+}
+
+async fn submit(shared: &Arc<Shared>, body: &[u8]) -> Result<HttpResponse, Rejection> {
+    let submission: Submission = from_json(body)?;
+    let status = shared.submit(submission).await?;
+    Ok(submission_response(&status))
+}
+
+async fn cancel(shared: &Arc<Shared>, body: &[u8]) -> Result<HttpResponse, Rejection> {
+    let request: CancelRequest = from_json(body)?;
+    let reply = shared.cancel(&parse_keys(&request.keys)?).await;
+    Ok(Encoding::Json.response(StatusCode::OK, &reply))
+}
+
+async fn one_submission(
+    shared: &Arc<Shared>,
+    method: &Method,
+    key: &str,
+    query: Option<&str>,
+) -> Result<HttpResponse, Rejection> {
+    let key = parse_key(key)?;
+    match *method {
+        Method::GET => {
+            let wait = shared.wait_time(Some(query_wait_ms(query)?));
+            let status = shared.look_up(&key, wait).await?;
+            Ok(Encoding::Json.response(StatusCode::OK, &status))
+        }
+        Method::DELETE => {
+            let reply = shared.cancel(&[key]).await;
+            Ok(Encoding::Json.response(StatusCode::OK, &reply))
+        }
+        _ => Err(ResultCode::MethodNotAllowed.into()),
+    }
+}
+
+/// Value of `wait_ms` in a query; 0 when it is absent.
+fn query_wait_ms(query: Option<&str>) -> Result<u64, Rejection> {
+    let Some(text) =
+        query.unwrap_or_default().split('&').find_map(|parameter| parameter.strip_prefix("wait_ms="))
+    else {
+        return Ok(0);
+    };
+    text.parse().map_err(|_| {
+        Rejection::new(ResultCode::InvalidField, "wait_ms must be a whole number of milliseconds")
+    })
+}
+
+/// Details of a rejected input.
+#[derive(Serialize)]
+struct RejectedInput<'a> {
+    code: u16,
+    message: &'a str,
+}
+
+impl Shared {
+    /// Counts and logs a rejected input.
+    pub(crate) fn count_rejection(&self, rejection: &Rejection) {
+        self.metrics.count(rejection.code.name(), 1);
+        let details = RejectedInput { code: rejection.code.number(), message: &rejection.message };
+        hinge_obs::emit(LogEvent::InputRejected, &details);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/connections.rs
@@ -0,0 +1,120 @@
+//! HTTP/1.1 client with a connection pool that tells whether a request was written.
+//!
+//! A request is never repeated here: a retry that the caller cannot see would break at-most-once.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hinge_wire::FastMap;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout, timeout_at};
+
+type Sender = SendRequest<Full<Bytes>>;
+
+/// Why a request has no usable response.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub(crate) enum SendError {
+    /// The request was written and the connection failed or the response was not usable.
+    #[error("the request was written and no usable response came")]
+    Lost,
+    /// Nothing of the request was written.
+    #[error("the request could not be sent")]
+    NotSent,
+    /// The response did not arrive in time.
+    #[error("no response came in time")]
+    TimedOut,
+}
+
+/// Limits of a pool.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Limits {
+    pub(crate) connect_timeout: Duration,
+    pub(crate) idle_per_address: usize,
+    pub(crate) max_response_bytes: usize,
+}
+
+/// Pool of idle connections by address.
+pub(crate) struct Connections {
+    idle: Mutex<FastMap<SocketAddr, Vec<Sender>>>,
+    limits: Limits,
+}
+
+impl Connections {
+    pub(crate) fn new(limits: Limits) -> Self {
+        Self { idle: Mutex::default(), limits }
+    }
+
+    /// Sends a request once and reads the whole response within `time`.
+    pub(crate) async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        time: Duration,
+    ) -> Result<Response<Bytes>, SendError> {
+        let deadline = Instant::now() + time;
+        let mut sender = self.connection(address).await?;
+        let response = match timeout_at(deadline, sender.try_send_request(request)).await {
+            Err(_) => return Err(SendError::TimedOut),
+            Ok(Ok(response)) => response,
+            // hyper hands the request back exactly when no byte of it was written.
+            Ok(Err(mut error)) if error.take_message().is_some() => return Err(SendError::NotSent),
+            Ok(Err(_)) => return Err(SendError::Lost),
+        };
+        let (parts, body) = response.into_parts();
+        let body = Limited::new(body, self.limits.max_response_bytes);
+        let body = match timeout_at(deadline, body.collect()).await {
+            Err(_) => return Err(SendError::TimedOut),
+            Ok(Err(_)) => return Err(SendError::Lost),
+            Ok(Ok(body)) => body.to_bytes(),
+        };
+        self.put_back(address, sender);
+        Ok(Response::from_parts(parts, body))
+    }
+
+    /// Drops connections that the other side has closed.
+    pub(crate) fn prune(&self) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        for senders in idle.values_mut() {
+            senders.retain(|sender| !sender.is_closed());
+        }
+        idle.retain(|_, senders| !senders.is_empty());
+    }
+
+    async fn connection(&self, address: SocketAddr) -> Result<Sender, SendError> {
+        while let Some(sender) = self.take_idle(address) {
+            if sender.is_ready() {
+                return Ok(sender);
+            }
+        }
+        let stream = timeout(self.limits.connect_timeout, TcpStream::connect(address))
+            .await
+            .map_err(|_| SendError::NotSent)?
+            .map_err(|_| SendError::NotSent)?;
+        // Small requests must not wait for the acknowledgement of earlier ones.
+        let _ = stream.set_nodelay(true);
+        let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(|_| SendError::NotSent)?;
+        tokio::spawn(async move {
+            let _ = connection.await;
+        });
+        Ok(sender)
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner).get_mut(&address)?.pop()
+    }
+
+    fn put_back(&self, address: SocketAddr, sender: Sender) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let senders = idle.entry(address).or_default();
+        if senders.len() < self.limits.idle_per_address && !sender.is_closed() {
+            senders.push(sender);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/entry.rs
@@ -0,0 +1,222 @@
+//! Start and stop of an entry instance.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hinge_conf::{EntrySettings, Policy};
+use hinge_dispatch::{Dispatcher, Origin};
+use hinge_member::Members;
+use hinge_obs::{Metrics, MetricsError};
+use hinge_store::{Claims, ConfigSync, HttpStore};
+use hinge_wire::{Incarnation, InstanceState, LogEvent, MemberInfo};
+use rand::Rng;
+use serde::Serialize;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+use crate::callers::CallerHandler;
+use crate::connections::{Connections, Limits};
+use crate::life::LifeEvent;
+use crate::loops;
+use crate::peer_server::PeerHandler;
+use crate::server::{ServerLimits, serve};
+use crate::shared::{Shared, SharedParts};
+
+/// Why an entry instance could not start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// A listen address cannot be used.
+    #[error("cannot listen on {address}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// Metrics cannot be sent.
+    #[error(transparent)]
+    Metrics(#[from] MetricsError),
+}
+
+/// What a planned stop left undone.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct StopReport {
+    /// Submissions that were not final.
+    pub lost_submissions: usize,
+    /// Tasks whose end was not seen.
+    pub lost_tasks: usize,
+}
+
+/// A running entry instance.
+pub struct Entry {
+    address: SocketAddr,
+    peer_address: SocketAddr,
+    servers: JoinSet<()>,
+    shared: Arc<Shared>,
+    stop_servers: watch::Sender<bool>,
+    tasks: JoinSet<()>,
+}
+
+#[derive(Serialize)]
+struct Started {
+    address: SocketAddr,
+    incarnation: String,
+    peer_address: SocketAddr,
+}
+
+impl Entry {
+    /// Starts an instance: binds its listeners and begins to follow the platform and its peers.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be bound.
+    pub async fn start(mut settings: EntrySettings) -> Result<Self, StartError> {
+        let listener = bind(settings.listen).await?;
+        let peer_listener = bind(settings.peer_listen).await?;
+        let address = listener.local_addr().unwrap_or(settings.listen);
+        let peer_address = peer_listener.local_addr().unwrap_or(settings.peer_listen);
+        settings.advertise = settings.advertise.or(Some(peer_address));
+        let shared = Arc::new(Shared::new(build_parts(settings)?));
+        let (stop_servers, stop) = watch::channel(false);
+        let mut servers = JoinSet::new();
+        let limits = server_limits(&shared.settings);
+        servers.spawn(serve(listener, CallerHandler(shared.clone()), limits, stop.clone()));
+        servers.spawn(serve(peer_listener, PeerHandler(shared.clone()), limits, stop));
+        let tasks = spawn_loops(&shared);
+        let incarnation = format!("{:016x}", shared.incarnation);
+        hinge_obs::emit(LogEvent::Started, &Started { address, incarnation, peer_address });
+        Ok(Self { address, peer_address, servers, shared, stop_servers, tasks })
+    }
+
+    /// Address for callers.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Address for peers and operators.
+    #[must_use]
+    pub const fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
+    /// Whether the instance takes submissions.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.shared.unready_reason().is_none()
+    }
+
+    /// Waits until an operator asks for a planned stop.
+    pub async fn drain_requested(&self) {
+        let mut requested = self.shared.drain_requested.subscribe();
+        let _ = requested.wait_for(|requested| *requested).await;
+    }
+
+    /// Stops as planned: takes no new submissions, finishes what is held, keeps answers available for
+    /// `drain_linger`, and ends at the latest after `drain_timeout` or when `abort` completes.
+    pub async fn drain(mut self, abort: impl Future<Output = ()>) -> StopReport {
+        self.shared.begin_drain();
+        let settings = &self.shared.settings;
+        let finish = async {
+            let mut drained = self.shared.drained.subscribe();
+            let _ = drained.wait_for(|drained| *drained).await;
+            sleep(settings.drain_linger).await;
+        };
+        let finished = tokio::select! {
+            finished = timeout(settings.drain_timeout, finish) => finished.is_ok(),
+            () = abort => false,
+        };
+        let report = self.report();
+        let event = if finished { LogEvent::Drained } else { LogEvent::DrainTimedOut };
+        hinge_obs::emit(event, &report);
+        self.stop_servers.send_replace(true);
+        if finished {
+            let wait = async { while self.servers.join_next().await.is_some() {} };
+            let _ = timeout(Duration::from_secs(1), wait).await;
+        }
+        self.shared.change_life(LifeEvent::Stop);
+        self.shared.metrics.flush();
+        self.tasks.shutdown().await;
+        report
+    }
+
+    fn report(&self) -> StopReport {
+        let (lost_submissions, lost_tasks) =
+            self.shared.decide(|dispatcher, _| (dispatcher.in_progress(), dispatcher.running()));
+        StopReport { lost_submissions, lost_tasks }
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).await.map_err(|source| StartError::Listen { address, source })
+}
+
+fn build_parts(settings: EntrySettings) -> Result<SharedParts, StartError> {
+    let policy = Policy::default();
+    let incarnation: Incarnation = rand::rng().random();
+    let seed = if settings.seed == 0 { rand::rng().random() } else { settings.seed };
+    let origin = Origin {
+        data_centre: settings.data_centre.as_str().into(),
+        incarnation,
+        instance: settings.instance.as_str().into(),
+    };
+    let metrics = match settings.statsd {
+        Some(address) => Metrics::statsd(address, &settings.instance)?,
+        None => Metrics::disabled(),
+    };
+    let store = settings.store.map(HttpStore::new);
+    Ok(SharedParts {
+        claims: store.clone().map(|store| Claims::new(store, &origin.instance, incarnation, &policy)),
+        config: ConfigSync::new(store, origin.data_centre.clone(), &policy),
+        connections: Connections::new(Limits {
+            connect_timeout: settings.connect_timeout,
+            idle_per_address: settings.upstream_connections,
+            max_response_bytes: settings.max_result_bytes,
+        }),
+        dispatcher: Dispatcher::new(origin, &policy, seed),
+        incarnation,
+        members: Members::new(own_info(&settings, incarnation), settings.peers.clone(), &policy, seed),
+        metrics,
+        settings,
+    })
+}
+
+fn own_info(settings: &EntrySettings, incarnation: Incarnation) -> MemberInfo {
+    MemberInfo {
+        config_revision: 0,
+        counter: 0,
+        data_centre: settings.data_centre.clone(),
+        free_slots: 0,
+        incarnation,
+        instance: settings.instance.clone(),
+        peer_address: settings.advertise.unwrap_or(settings.peer_listen).to_string(),
+        queued_tasks: 0,
+        state: InstanceState::Starting,
+    }
+}
+
+fn server_limits(settings: &EntrySettings) -> ServerLimits {
+    ServerLimits {
+        idle_timeout: settings.idle_timeout,
+        max_body_bytes: settings.max_body_bytes,
+        max_connections: settings.max_connections,
+        max_header_bytes: settings.max_header_bytes,
+    }
+}
+
+fn spawn_loops(shared: &Arc<Shared>) -> JoinSet<()> {
+    let mut tasks = JoinSet::new();
+    tasks.spawn(loops::tick(shared.clone()));
+    tasks.spawn(loops::follow_peer_config(shared.clone()));
+    tasks.spawn(loops::flush_metrics(shared.clone()));
+    if let Some(address) = shared.settings.list {
+        tasks.spawn(loops::follow_list(shared.clone(), address));
+    }
+    let config = shared.config.clone();
+    tasks.spawn(async move { config.run().await });
+    tasks
+}
--- /dev/null
+++ b/crates/entry/src/operators.rs
@@ -0,0 +1,117 @@
+//! HTTP interface for operators: JSON.
+
+use std::sync::Arc;
+
+use hinge_store::ChangeFailure;
+use hinge_wire::{
+    ChangeRequest, ConfigReply, ConflictReply, DrainRequest, LogEvent, MemberInfo, ResultCode,
+    RevisionsReply, UpstreamsReply, from_json,
+};
+use hyper::{Method, StatusCode};
+use serde::Serialize;
+
+use crate::life::LifeEvent;
+use crate::reply::{Encoding, HttpResponse, Rejection};
+use crate::server::WholeRequest;
+use crate::shared::{Shared, lock};
+
+#[derive(Serialize)]
+struct ConfigChanged<'a> {
+    author: &'a str,
+    operation_id: &'a str,
+    revision: u64,
+}
+
+/// Answers an operator's request.
+pub(crate) async fn handle(shared: &Arc<Shared>, request: &WholeRequest) -> HttpResponse {
+    let path = request.parts.uri.path();
+    let result = match (&request.parts.method, path) {
+        (&Method::GET, "/admin/v1/config") => Ok(config(shared)),
+        (&Method::GET, "/admin/v1/revisions" | "/admin/v1/instances") => Ok(revisions(shared)),
+        (&Method::GET, "/admin/v1/upstreams") => Ok(upstreams(shared)),
+        (&Method::POST, "/admin/v1/changes") => change(shared, &request.body).await,
+        (&Method::POST, "/admin/v1/drain") => drain(shared, &request.body),
+        (
+            _,
+            "/admin/v1/config"
+            | "/admin/v1/revisions"
+            | "/admin/v1/instances"
+            | "/admin/v1/upstreams"
+            | "/admin/v1/changes"
+            | "/admin/v1/drain",
+        ) => Err(ResultCode::MethodNotAllowed.into()),
+        _ => Err(ResultCode::NotFound.into()),
+    };
+    result.unwrap_or_else(|rejection| {
+        shared.count_rejection(&rejection);
+        Encoding::Json.rejection(&rejection)
+    })
+}
+
+fn ok<T: Serialize>(message: &T) -> HttpResponse {
+    Encoding::Json.response(StatusCode::OK, message)
+}
+
+fn config(shared: &Shared) -> HttpResponse {
+    let (revision, document) = shared.config.document();
+    ok(&ConfigReply { document, revision })
+}
+
+fn revisions(shared: &Shared) -> HttpResponse {
+    let members = known_members(shared);
+    let latest_revision = members.iter().map(|member| member.config_revision).max().unwrap_or_default();
+    ok(&RevisionsReply { latest_revision, members })
+}
+
+/// The own instance and its peers.
+pub(crate) fn known_members(shared: &Shared) -> Vec<MemberInfo> {
+    let mut members = lock(&shared.members);
+    let own = members.own_mut().clone();
+    std::iter::once(own).chain(members.peers().cloned()).collect()
+}
+
+fn upstreams(shared: &Arc<Shared>) -> HttpResponse {
+    let upstreams = shared.decide(|dispatcher, _| dispatcher.upstreams());
+    ok(&UpstreamsReply { upstreams })
+}
+
+async fn change(shared: &Arc<Shared>, body: &[u8]) -> Result<HttpResponse, Rejection> {
+    let request: ChangeRequest = from_json(body)?;
+    match shared.config.change(&request).await {
+        Ok(reply) => {
+            let details = ConfigChanged {
+                author: &request.author,
+                operation_id: &request.operation_id,
+                revision: reply.revision,
+            };
+            hinge_obs::emit(LogEvent::ConfigChanged, &details);
+            Ok(ok(&reply))
+        }
+        Err(ChangeFailure::Conflict { last_operation, revision }) => {
+            let code = ResultCode::ConfigConflict;
+            let reply =
+                ConflictReply { code: code.number(), last_operation, name: code.name().to_owned(), revision };
+            Ok(Encoding::Json.response(StatusCode::CONFLICT, &reply))
+        }
+        Err(ChangeFailure::Rejected { code, message }) => Err(Rejection::new(code, message)),
+    }
+}
+
+fn drain(shared: &Arc<Shared>, body: &[u8]) -> Result<HttpResponse, Rejection> {
+    let request: DrainRequest = from_json(body)?;
+    if request.instance != shared.settings.instance {
+        let message = format!("this instance is {}", shared.settings.instance);
+        return Err(Rejection::new(ResultCode::InvalidField, message));
+    }
+    shared.begin_drain();
+    Ok(ok(&"draining"))
+}
+
+impl Shared {
+    /// Begins a planned stop; repeated calls have no effect.
+    pub(crate) fn begin_drain(self: &Arc<Self>) {
+        self.change_life(LifeEvent::Drain);
+        self.report(hinge_dispatch::Event::Drain);
+        self.drain_requested.send_replace(true);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/peer_server.rs
@@ -0,0 +1,137 @@
+//! HTTP interface for peers (MessagePack) and, on the same listener, for operators (JSON).
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hinge_dispatch::Event;
+use hinge_wire::{
+    CancelReply, ConfigFetch, ConfigReply, ForwardRequest, Heartbeat, Incarnation, LoanRequest, LoanReturn,
+    LookupRequest, PeerCancelRequest, ResultCode, WIRE_VERSION, from_msgpack,
+};
+use hyper::{Method, StatusCode};
+use serde::Serialize;
+use tokio::time::Instant;
+
+use crate::operators;
+use crate::peers::VERSION_HEADER;
+use crate::reply::{Encoding, HttpResponse, Rejection};
+use crate::server::{Handler, WholeRequest};
+use crate::shared::{Shared, lock};
+use crate::submissions::{parse_key, parse_keys};
+
+/// Serves peers and operators.
+#[derive(Clone)]
+pub(crate) struct PeerHandler(pub(crate) Arc<Shared>);
+
+impl Handler for PeerHandler {
+    const ENCODING: Encoding = Encoding::Msgpack;
+
+    async fn handle(&self, request: WholeRequest) -> HttpResponse {
+        let shared = &self.0;
+        if request.parts.uri.path().starts_with("/admin/") {
+            return operators::handle(shared, &request).await;
+        }
+        let result = match check_version(&request) {
+            Ok(()) => route(shared, &request).await,
+            Err(rejection) => Err(rejection),
+        };
+        result.unwrap_or_else(|rejection| {
+            shared.count_rejection(&rejection);
+            Encoding::Msgpack.rejection(&rejection)
+        })
+    }
+}
+
+async fn route(shared: &Arc<Shared>, request: &WholeRequest) -> Result<HttpResponse, Rejection> {
+    if request.parts.method != Method::POST {
+        return Err(ResultCode::MethodNotAllowed.into());
+    }
+    let body = &request.body;
+    match request.parts.uri.path() {
+        "/peer/v1/heartbeat" => heartbeat(shared, body),
+        "/peer/v1/forward" => forward(shared, body).await,
+        "/peer/v1/lookup" => lookup(shared, body).await,
+        "/peer/v1/cancel" => cancel(shared, body),
+        "/peer/v1/loan" => loan(shared, body),
+        "/peer/v1/loan-return" => loan_return(shared, body),
+        "/peer/v1/config" => config(shared, body),
+        _ => Err(ResultCode::NotFound.into()),
+    }
+}
+
+fn check_version(request: &WholeRequest) -> Result<(), Rejection> {
+    let version = request.parts.headers.get(VERSION_HEADER).and_then(|value| value.to_str().ok());
+    if version.and_then(|text| text.parse().ok()) == Some(WIRE_VERSION) {
+        return Ok(());
+    }
+    let message = format!("{VERSION_HEADER} must be {WIRE_VERSION}");
+    Err(Rejection::new(ResultCode::UnsupportedVersion, message))
+}
+
+/// Rejects a message for an earlier process at this address.
+fn check_incarnation(shared: &Shared, target: Incarnation) -> Result<(), Rejection> {
+    if target == shared.incarnation {
+        return Ok(());
+    }
+    Err(Rejection::new(ResultCode::WrongIncarnation, "the message is for an earlier process"))
+}
+
+fn ok<T: Serialize>(message: &T) -> Result<HttpResponse, Rejection> {
+    Ok(Encoding::Msgpack.response(StatusCode::OK, message))
+}
+
+fn heartbeat(shared: &Arc<Shared>, body: &[u8]) -> Result<HttpResponse, Rejection> {
+    let heartbeat: Heartbeat = from_msgpack(body)?;
+    let reply = lock(&shared.members).on_heartbeat(Instant::now(), &heartbeat)?;
+    let peer = heartbeat.from.instance.as_str().into();
+    shared.report(Event::PeerDemand { demand: heartbeat.demand, peer });
+    ok(&reply)
+}
+
+async fn forward(shared: &Arc<Shared>, body: &[u8]) -> Result<HttpResponse, Rejection> {
+    let request: ForwardRequest = from_msgpack(body)?;
+    check_incarnation(shared, request.target_incarnation)?;
+    let key = parse_key(request.submission.key.as_deref().unwrap_or_default())?;
+    check_incarnation(shared, key.incarnation)?;
+    let wait = shared.wait_time(Some(request.wait_ms));
+    ok(&shared.submit_here(&key, request.submission, wait).await?)
+}
+
+async fn lookup(shared: &Arc<Shared>, body: &[u8]) -> Result<HttpResponse, Rejection> {
+    let request: LookupRequest = from_msgpack(body)?;
+    check_incarnation(shared, request.target_incarnation)?;
+    let wait = Duration::from_millis(request.wait_ms).min(shared.settings.max_wait);
+    ok(&shared.wait_here(&parse_key(&request.key)?, wait).await?)
+}
+
+fn cancel(shared: &Arc<Shared>, body: &[u8]) -> Result<HttpResponse, Rejection> {
+    let request: PeerCancelRequest = from_msgpack(body)?;
+    check_incarnation(shared, request.target_incarnation)?;
+    let mut reply = CancelReply { cancelled: 0, ignored: 0 };
+    for key in parse_keys(&request.keys)? {
+        let cancelled = key.incarnation == shared.incarnation && shared.cancel_here(&key);
+        reply.cancelled += u32::from(cancelled);
+        reply.ignored += u32::from(!cancelled);
+    }
+    ok(&reply)
+}
+
+fn loan(shared: &Arc<Shared>, body: &[u8]) -> Result<HttpResponse, Rejection> {
+    let request: LoanRequest = from_msgpack(body)?;
+    check_incarnation(shared, request.target_incarnation)?;
+    ok(&shared.decide(|dispatcher, now| dispatcher.lend(now, &request)))
+}
+
+fn loan_return(shared: &Arc<Shared>, body: &[u8]) -> Result<HttpResponse, Rejection> {
+    let request: LoanReturn = from_msgpack(body)?;
+    check_incarnation(shared, request.target_incarnation)?;
+    shared.report(Event::LoanReturned(request));
+    ok(&())
+}
+
+fn config(shared: &Arc<Shared>, body: &[u8]) -> Result<HttpResponse, Rejection> {
+    let request: ConfigFetch = from_msgpack(body)?;
+    let (revision, document) = shared.config.document();
+    let document = document.filter(|_| revision > request.above_revision);
+    ok(&ConfigReply { document, revision })
+}
--- /dev/null
+++ b/crates/entry/src/peers.rs
@@ -0,0 +1,114 @@
+//! Requests to other entry instances: MessagePack over HTTP.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hinge_dispatch::Event;
+use hinge_member::Outgoing;
+use hinge_wire::{
+    ErrorReply, HeartbeatReply, InstanceId, LoanReply, LoanRequest, LoanReturn, ResultCode, WIRE_VERSION,
+    from_msgpack, to_msgpack,
+};
+use hyper::header::{CONTENT_TYPE, HOST};
+use hyper::{Method, Request};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+
+use crate::connections::SendError;
+use crate::reply::Rejection;
+use crate::shared::{Shared, lock};
+use crate::upstreams::with_body;
+
+/// Header with the version of peer messages.
+pub(crate) const VERSION_HEADER: &str = "x-hinge-version";
+
+/// Why a peer gave no reply.
+#[derive(Debug, Error)]
+pub(crate) enum PeerError {
+    /// The peer rejected the request.
+    #[error(transparent)]
+    Rejected(#[from] Rejection),
+    /// The peer cannot be reached or its reply is not usable.
+    #[error("the peer cannot be reached: {0}")]
+    Unreachable(#[from] SendError),
+}
+
+/// Sends a message to a peer and decodes its reply.
+pub(crate) async fn call<Q: Serialize, R: DeserializeOwned>(
+    shared: &Shared,
+    address: SocketAddr,
+    path: &str,
+    message: &Q,
+    time: Duration,
+) -> Result<R, PeerError> {
+    let body = to_msgpack(message).map_err(Rejection::from)?;
+    shared.metrics.count("peer_messages_sent", 1);
+    shared.metrics.count("peer_bytes_sent", body.len() as u64);
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(path)
+        .header(HOST, address.to_string())
+        .header(CONTENT_TYPE, "application/msgpack")
+        .header(VERSION_HEADER, WIRE_VERSION);
+    let request = with_body(request, Bytes::from(body)).ok_or(SendError::NotSent)?;
+    let response = shared.connections.send(address, request, time).await?;
+    if response.status().is_success() {
+        return Ok(from_msgpack(response.body()).map_err(|_| SendError::Lost)?);
+    }
+    let reply: ErrorReply = from_msgpack(response.body()).map_err(|_| SendError::Lost)?;
+    let code = ResultCode::from_number(reply.code).unwrap_or(ResultCode::Internal);
+    Err(Rejection::new(code, reply.message).into())
+}
+
+/// Sends a heartbeat and takes the reply into account.
+pub(crate) async fn send_heartbeat(shared: Arc<Shared>, outgoing: Outgoing) {
+    let time = shared.settings.peer_timeout;
+    let Outgoing { address, heartbeat } = outgoing;
+    let reply: Result<HeartbeatReply, _> =
+        call(&shared, address, "/peer/v1/heartbeat", &heartbeat, time).await;
+    match reply {
+        Ok(reply) => lock(&shared.members).on_reply(tokio::time::Instant::now(), &reply),
+        Err(_) => shared.metrics.count("heartbeats_failed", 1),
+    }
+}
+
+/// Asks a peer for slots and reports its answer.
+pub(crate) async fn request_loan(shared: Arc<Shared>, lender: InstanceId, request: LoanRequest) {
+    let event = match shared.peer_address(&lender) {
+        Some(address) => {
+            let time = shared.settings.peer_timeout;
+            let reply: Result<LoanReply, _> = call(&shared, address, "/peer/v1/loan", &request, time).await;
+            match reply {
+                Ok(reply) => Event::LoanGranted {
+                    lender,
+                    lender_incarnation: request.target_incarnation,
+                    reply,
+                    service: request.service.as_str().into(),
+                },
+                Err(_) => Event::LoanFailed { lender },
+            }
+        }
+        None => Event::LoanFailed { lender },
+    };
+    shared.report(event);
+}
+
+/// Returns slots to a peer; a lost message only means that the loan lapses by time.
+pub(crate) async fn return_loan(shared: Arc<Shared>, lender: InstanceId, request: LoanReturn) {
+    if let Some(address) = shared.peer_address(&lender) {
+        let time = shared.settings.peer_timeout;
+        let _: Result<(), _> = call(&shared, address, "/peer/v1/loan-return", &request, time).await;
+    }
+}
+
+impl Shared {
+    fn peer_address(&self, instance: &InstanceId) -> Option<SocketAddr> {
+        lock(&self.members)
+            .peers()
+            .find(|peer| *peer.instance == **instance)
+            .and_then(|peer| peer.peer_address.parse().ok())
+    }
+}
--- /dev/null
+++ b/crates/entry/src/reply.rs
@@ -0,0 +1,95 @@
+//! HTTP responses and the errors behind them.
+
+use bytes::Bytes;
+use hinge_wire::{CodecError, ErrorReply, ResultCode, SubmissionStatus, to_json, to_msgpack};
+use http_body_util::Full;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Response, StatusCode};
+use serde::Serialize;
+use thiserror::Error;
+
+pub(crate) type HttpResponse = Response<Full<Bytes>>;
+
+/// A request that ends with a result code instead of a reply.
+#[derive(Clone, Debug, Error)]
+#[error("{}: {message}", code.name())]
+pub(crate) struct Rejection {
+    pub(crate) code: ResultCode,
+    pub(crate) message: String,
+}
+
+impl Rejection {
+    pub(crate) fn new(code: ResultCode, message: impl Into<String>) -> Self {
+        Self { code, message: message.into() }
+    }
+
+    pub(crate) fn to_reply(&self) -> ErrorReply {
+        ErrorReply {
+            code: self.code.number(),
+            message: self.message.clone(),
+            name: self.code.name().to_owned(),
+            outcome: self.code.outcome(),
+        }
+    }
+}
+
+impl From<ResultCode> for Rejection {
+    fn from(code: ResultCode) -> Self {
+        Self::new(code, "")
+    }
+}
+
+impl From<CodecError> for Rejection {
+    fn from(error: CodecError) -> Self {
+        Self::new(error.code(), error.to_string())
+    }
+}
+
+/// Encoding of a response body.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Encoding {
+    Json,
+    Msgpack,
+}
+
+impl Encoding {
+    const fn content_type(self) -> &'static str {
+        match self {
+            Self::Json => "application/json",
+            Self::Msgpack => "application/msgpack",
+        }
+    }
+
+    pub(crate) fn response<T: Serialize>(self, status: StatusCode, message: &T) -> HttpResponse {
+        let encoded = match self {
+            Self::Json => to_json(message),
+            Self::Msgpack => to_msgpack(message),
+        };
+        let (status, body) = match encoded {
+            Ok(body) => (status, Bytes::from(body)),
+            Err(_) => (StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
+        };
+        let mut response = Response::new(Full::new(body));
+        *response.status_mut() = status;
+        response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(self.content_type()));
+        response
+    }
+
+    pub(crate) fn rejection(self, rejection: &Rejection) -> HttpResponse {
+        self.response(status_of(rejection.code), &rejection.to_reply())
+    }
+}
+
+fn status_of(code: ResultCode) -> StatusCode {
+    StatusCode::from_u16(code.http_status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
+}
+
+/// Response to a submission: its answer, an error with the answer's code, or its progress.
+pub(crate) fn submission_response(status: &SubmissionStatus) -> HttpResponse {
+    let Some(answer) = &status.answer else { return Encoding::Json.response(StatusCode::ACCEPTED, status) };
+    let code = ResultCode::from_number(answer.code).unwrap_or(ResultCode::Internal);
+    if code.http_status() == StatusCode::OK.as_u16() {
+        return Encoding::Json.response(StatusCode::OK, answer);
+    }
+    Encoding::Json.rejection(&Rejection::new(code, answer.message.clone()))
+}
--- /dev/null
+++ b/crates/entry/src/submissions.rs
@@ -0,0 +1,238 @@
+//! Takes submissions, lookups and cancellations to the owner of their key, here or at a peer.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hinge_member::Owner;
+use hinge_store::Settlement;
+use hinge_wire::{
+    CancelReply, FastMap, ForwardRequest, InstanceState, LookupRequest, Outcome, PeerCancelRequest,
+    ResultCode, Submission, SubmissionKey, SubmissionState, SubmissionStatus, is_valid_id,
+};
+use tokio::time::{Instant, timeout_at};
+
+use crate::peers::{PeerError, call};
+use crate::reply::Rejection;
+use crate::shared::{Shared, lock};
+
+/// Keys that one request may ask for or cancel.
+pub(crate) const MAX_KEYS: usize = 1000;
+
+impl Shared {
+    /// Takes a submission from a caller and waits for its answer within the caller's wait time.
+    pub(crate) async fn submit(
+        self: &Arc<Self>,
+        mut submission: Submission,
+    ) -> Result<SubmissionStatus, Rejection> {
+        check_fields(&submission)?;
+        let wait = self.wait_time(submission.wait_ms);
+        let key = match &submission.key {
+            Some(text) => parse_key(text)?,
+            None => self.issue_key()?,
+        };
+        submission.key = Some(key.to_string());
+        match self.owner(&key) {
+            Owner::Own => self.submit_here(&key, submission, wait).await,
+            Owner::Peer { address, incarnation } => {
+                let request =
+                    ForwardRequest { submission, target_incarnation: incarnation, wait_ms: as_millis(wait) };
+                self.metrics.count("submissions_forwarded", 1);
+                self.ask_owner(address, "/peer/v1/forward", &request, wait).await
+            }
+            Owner::Gone => self.settle(&key, submission.definite).await,
+            Owner::Unknown => Err(unreachable()),
+        }
+    }
+
+    /// Takes a submission whose owner is this process.
+    pub(crate) async fn submit_here(
+        self: &Arc<Self>,
+        key: &SubmissionKey,
+        submission: Submission,
+        wait: Duration,
+    ) -> Result<SubmissionStatus, Rejection> {
+        if self.life_state() == InstanceState::Starting {
+            return Err(Rejection::new(ResultCode::NotReady, self.unready_reason().unwrap_or_default()));
+        }
+        let submission = Arc::new(submission);
+        self.decide(|dispatcher, now| dispatcher.submit(now, key, submission))?;
+        self.wait_here(key, wait).await
+    }
+
+    /// Waits for the end of a submission of this process.
+    pub(crate) async fn wait_here(
+        self: &Arc<Self>,
+        key: &SubmissionKey,
+        wait: Duration,
+    ) -> Result<SubmissionStatus, Rejection> {
+        let until = Instant::now() + wait;
+        loop {
+            let waiter = self.waiter(key.sequence);
+            let mut notified = std::pin::pin!(waiter.notified());
+            notified.as_mut().enable();
+            let status = self.decide(|dispatcher, now| dispatcher.status(now, key));
+            let settled = !matches!(&status, Ok(status) if status.state != SubmissionState::Done);
+            if settled || timeout_at(until, notified).await.is_err() {
+                self.release_waiter(key.sequence);
+                return if settled { Ok(status?) } else { self.status_here(key) };
+            }
+        }
+    }
+
+    fn status_here(self: &Arc<Self>, key: &SubmissionKey) -> Result<SubmissionStatus, Rejection> {
+        Ok(self.decide(|dispatcher, now| dispatcher.status(now, key))?)
+    }
+
+    /// Status of any submission.
+    pub(crate) async fn look_up(
+        self: &Arc<Self>,
+        key: &SubmissionKey,
+        wait: Duration,
+    ) -> Result<SubmissionStatus, Rejection> {
+        match self.owner(key) {
+            Owner::Own => self.wait_here(key, wait).await,
+            Owner::Peer { address, incarnation } => {
+                let request = LookupRequest {
+                    key: key.to_string(),
+                    target_incarnation: incarnation,
+                    wait_ms: as_millis(wait),
+                };
+                self.ask_owner(address, "/peer/v1/lookup", &request, wait).await
+            }
+            Owner::Gone => self.settle(key, true).await,
+            Owner::Unknown => Err(unreachable()),
+        }
+    }
+
+    /// Cancels submissions at their owners, with one message to each owner.
+    pub(crate) async fn cancel(self: &Arc<Self>, keys: &[SubmissionKey]) -> CancelReply {
+        let mut reply = CancelReply { cancelled: 0, ignored: 0 };
+        let mut remote: FastMap<(SocketAddr, u64), Vec<String>> = FastMap::default();
+        for key in keys {
+            match self.owner(key) {
+                Owner::Own => {
+                    let cancelled = self.cancel_here(key);
+                    reply.cancelled += u32::from(cancelled);
+                    reply.ignored += u32::from(!cancelled);
+                }
+                Owner::Peer { address, incarnation } => {
+                    remote.entry((address, incarnation)).or_default().push(key.to_string());
+                }
+                Owner::Gone | Owner::Unknown => reply.ignored += 1,
+            }
+        }
+        for ((address, target_incarnation), keys) in remote {
+            let count = u32::try_from(keys.len()).unwrap_or(u32::MAX);
+            let request = PeerCancelRequest { keys, target_incarnation };
+            let time = self.settings.peer_timeout;
+            match call::<_, CancelReply>(self, address, "/peer/v1/cancel", &request, time).await {
+                Ok(peer) => {
+                    reply.cancelled += peer.cancelled;
+                    reply.ignored += peer.ignored;
+                }
+                Err(_) => reply.ignored += count,
+            }
+        }
+        reply
+    }
+
+    /// Cancels a submission of this process; false when it is final or unknown.
+    pub(crate) fn cancel_here(self: &Arc<Self>, key: &SubmissionKey) -> bool {
+        self.decide(|dispatcher, now| dispatcher.cancel(now, key.sequence))
+    }
+
+    fn issue_key(self: &Arc<Self>) -> Result<SubmissionKey, Rejection> {
+        let keys = self.decide(|dispatcher, now| dispatcher.issue_keys(now, 1))?;
+        keys.into_iter().next().ok_or_else(|| ResultCode::RecordsFull.into())
+    }
+
+    fn owner(&self, key: &SubmissionKey) -> Owner {
+        lock(&self.members).owner(key)
+    }
+
+    pub(crate) fn wait_time(&self, wait_ms: Option<u64>) -> Duration {
+        wait_ms.map_or(self.settings.max_wait, Duration::from_millis).min(self.settings.max_wait)
+    }
+
+    async fn ask_owner<Q: serde::Serialize>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        request: &Q,
+        wait: Duration,
+    ) -> Result<SubmissionStatus, Rejection> {
+        let time = wait + self.settings.peer_timeout;
+        match call(self, address, path, request, time).await {
+            Ok(status) => Ok(status),
+            Err(PeerError::Rejected(rejection)) if rejection.code == ResultCode::WrongIncarnation => {
+                Err(owner_gone())
+            }
+            Err(PeerError::Rejected(rejection)) => Err(rejection),
+            Err(PeerError::Unreachable(_)) => Err(unreachable()),
+        }
+    }
+
+    /// Answers for an owner that has ended. A definite submission has a claim that tells whether it ran.
+    async fn settle(&self, key: &SubmissionKey, definite: bool) -> Result<SubmissionStatus, Rejection> {
+        let (true, Some(claims)) = (definite, &self.claims) else { return Err(owner_gone()) };
+        match claims.settle(key).await {
+            Ok(Settlement::NeverRan) => Err(Rejection::new(
+                ResultCode::OwnerGoneNotRun,
+                "the owner has ended before any task started",
+            )),
+            Ok(Settlement::Finished(outcome)) => Err(finished_at_gone_owner(outcome)),
+            Ok(Settlement::MayHaveRun) => Err(owner_gone()),
+            Err(_) => Err(Rejection::new(
+                ResultCode::OwnerUnreachable,
+                "the owner has ended and the store does not answer; ask again with the same key",
+            )),
+        }
+    }
+}
+
+fn finished_at_gone_owner(outcome: Outcome) -> Rejection {
+    match outcome {
+        Outcome::Complete | Outcome::FailedRan => Rejection::new(
+            ResultCode::AnswerEvicted,
+            format!("the outcome was {outcome}; the owner has ended and the results are lost"),
+        ),
+        Outcome::FailedNotRun => Rejection::new(ResultCode::OwnerGoneNotRun, "no task was started"),
+        Outcome::FailedMayHaveRun => owner_gone(),
+    }
+}
+
+fn owner_gone() -> Rejection {
+    Rejection::new(ResultCode::OwnerGone, "the instance that owned the submission has ended")
+}
+
+fn unreachable() -> Rejection {
+    Rejection::new(ResultCode::OwnerUnreachable, "the owner cannot be reached; ask again with the same key")
+}
+
+/// Parses a key given by a caller or peer.
+pub(crate) fn parse_key(text: &str) -> Result<SubmissionKey, Rejection> {
+    text.parse().map_err(|error: hinge_wire::KeyError| Rejection::new(error.code(), error.to_string()))
+}
+
+/// Parses a bounded list of keys.
+pub(crate) fn parse_keys(texts: &[String]) -> Result<Vec<SubmissionKey>, Rejection> {
+    if texts.len() > MAX_KEYS {
+        return Err(Rejection::new(ResultCode::TooLarge, format!("more than {MAX_KEYS} keys")));
+    }
+    texts.iter().map(|text| parse_key(text)).collect()
+}
+
+fn check_fields(submission: &Submission) -> Result<(), Rejection> {
+    for (field, value) in [("service", &submission.service), ("team", &submission.team)] {
+        if !is_valid_id(value) {
+            let message = format!("{field} must be 1 to 64 letters, digits, `-` or `_`");
+            return Err(Rejection::new(ResultCode::InvalidField, message));
+        }
+    }
+    Ok(())
+}
+
+fn as_millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/entry/src/upstreams.rs
@@ -0,0 +1,114 @@
+//! Runs and stops tasks on upstreams over HTTP.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hinge_dispatch::{Event, Refusal, TaskResult};
+use hinge_wire::{LogEvent, StartId, UpstreamId};
+use http_body_util::Full;
+use hyper::header::{CONTENT_LENGTH, HOST};
+use hyper::http::request::Builder;
+use hyper::{Method, Request, Response, StatusCode};
+use serde::Serialize;
+use tokio::time::Instant;
+
+use crate::connections::SendError;
+use crate::shared::{PreparedStart, Shared};
+
+/// Time after the lease's end in which the upstream's own report may still arrive.
+const LEASE_GRACE: Duration = Duration::from_millis(500);
+/// Time for an upstream to confirm that it stops a task.
+const STOP_TIMEOUT: Duration = Duration::from_secs(2);
+
+#[derive(Serialize)]
+struct DroppedAnswer<'a> {
+    reason: &'static str,
+    upstream: &'a str,
+}
+
+/// Sends a task to its upstream and reports how it ended.
+pub(crate) async fn run(shared: Arc<Shared>, prepared: PreparedStart) {
+    let begun = Instant::now();
+    let result = send(&shared, &prepared).await;
+    let event = Event::TaskEnded { result, run_time: begun.elapsed(), start: prepared.start.start };
+    shared.report(event);
+}
+
+async fn send(shared: &Shared, prepared: &PreparedStart) -> TaskResult {
+    let start = &prepared.start;
+    let payload = prepared.submission.tasks.get(start.task.index as usize).map(|task| task.payload.clone());
+    let (Some(address), Some(payload)) = (shared.upstream_address(&start.upstream), payload) else {
+        return TaskResult::NotSent;
+    };
+    let task_id = task_id(shared, start.start);
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri("/tasks")
+        .header(HOST, address.to_string())
+        .header("x-task-id", &task_id)
+        .header("x-service", &*start.service)
+        .header("x-lease-ms", start.timeout.as_millis().to_string());
+    let Some(request) = with_body(request, Bytes::from(payload)) else { return TaskResult::NotSent };
+    match shared.connections.send(address, request, start.timeout + LEASE_GRACE).await {
+        Ok(response) => read_response(shared, &response, &task_id, &start.upstream),
+        Err(SendError::NotSent) => TaskResult::NotSent,
+        Err(SendError::Lost) => TaskResult::Lost,
+        Err(SendError::TimedOut) => TaskResult::TimedOut,
+    }
+}
+
+fn read_response(
+    shared: &Shared,
+    response: &Response<Bytes>,
+    task_id: &str,
+    upstream: &UpstreamId,
+) -> TaskResult {
+    let header = |name| response.headers().get(name).and_then(|value| value.to_str().ok());
+    if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+        match header("x-not-started") {
+            Some("busy") => return TaskResult::Refused(Refusal::Busy),
+            Some("leaving") => return TaskResult::Refused(Refusal::Leaving),
+            _ => {}
+        }
+    }
+    let text = std::str::from_utf8(response.body());
+    if response.status() != StatusCode::OK {
+        let detail: String = text.unwrap_or_default().chars().take(200).collect();
+        return TaskResult::Failed(format!("status {}: {detail}", response.status().as_u16()));
+    }
+    if header("x-task-id") != Some(task_id) {
+        return drop_answer(shared, "the answer is for another task", upstream);
+    }
+    match text {
+        Ok(text) => TaskResult::Done(text.to_owned()),
+        Err(_) => drop_answer(shared, "the result is not UTF-8", upstream),
+    }
+}
+
+fn drop_answer(shared: &Shared, reason: &'static str, upstream: &UpstreamId) -> TaskResult {
+    shared.metrics.count("answers_dropped", 1);
+    hinge_obs::emit(LogEvent::AnswerDropped, &DroppedAnswer { reason, upstream });
+    TaskResult::Lost
+}
+
+/// Asks an upstream to stop a task; the end of the task's own request reports the result.
+pub(crate) async fn stop(shared: Arc<Shared>, start: StartId, upstream: UpstreamId) {
+    let Some(address) = shared.upstream_address(&upstream) else { return };
+    let request = Request::builder()
+        .method(Method::DELETE)
+        .uri(format!("/tasks/{}", task_id(&shared, start)))
+        .header(HOST, address.to_string());
+    if let Some(request) = with_body(request, Bytes::new()) {
+        let _ = shared.connections.send(address, request, STOP_TIMEOUT).await;
+    }
+}
+
+/// Id of a start, unique over all entries and their restarts.
+fn task_id(shared: &Shared, start: StartId) -> String {
+    format!("{}-{:016x}-{start}", shared.settings.instance, shared.incarnation)
+}
+
+pub(crate) fn with_body(request: Builder, body: Bytes) -> Option<Request<Full<Bytes>>> {
+    request.header(CONTENT_LENGTH, body.len()).body(Full::new(body)).ok()
+}
