conf: add checked process settings and the configuration document

Cause: instances need checked settings at start, and operators' changes need rules that every instance applies alike. Change: EntrySettings::from_flags checks flags and environment variables; validate, apply and resolve check, change and resolve the configuration document without I/O.

--- /dev/null
+++ b/crates/conf/src/document.rs
@@ -0,0 +1,295 @@
+//! Checks of the configuration document and its resolution for one data centre.
+
+use std::collections::BTreeMap;
+
+use hinge_wire::{
+    ConfigDocument, ConfigException, DataCentreId, FastMap, FastSet, ResultCode, Scope, ScopeKind,
+    SettingValue, TeamId, is_valid_id, to_json,
+};
+use thiserror::Error;
+
+use crate::{POLICY, Policy, PolicyKind, PolicySpec};
+
+/// Version of the document format that this build reads and writes.
+pub const FORMAT_VERSION: u32 = 1;
+/// Largest document in bytes. The store accepts values up to 1 MB, taken as the decimal unit.
+pub const MAX_DOCUMENT_BYTES: usize = 1_000_000;
+/// Applied changes that a document remembers.
+pub const MAX_OPERATIONS: usize = 64;
+/// Longest reason of an exception in bytes.
+pub const MAX_REASON_BYTES: usize = 500;
+/// Longest operator name in bytes.
+pub const MAX_AUTHOR_BYTES: usize = 64;
+
+const QUOTA: &str = "team_quota_per_s";
+const WEIGHT: &str = "team_weight";
+
+/// Why a configuration document is not valid.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum DocumentError {
+    /// An author, reason, id or operation list is malformed.
+    #[error("{field} {value:?} is not allowed; allowed: {allowed}")]
+    Field {
+        /// What is allowed.
+        allowed: String,
+        /// The field.
+        field: &'static str,
+        /// The rejected text, shortened.
+        value: String,
+    },
+    /// Two settings contradict each other after resolution.
+    #[error("{place}: {message}")]
+    Inconsistent {
+        /// What contradicts.
+        message: String,
+        /// The fleet defaults or a data centre.
+        place: String,
+    },
+    /// The setting allows no exception for this kind of scope.
+    #[error("{setting} allows no exception for a {kind}")]
+    ScopeNotAllowed {
+        /// Kind of the scope.
+        kind: ScopeKind,
+        /// The setting.
+        setting: String,
+    },
+    /// The encoded document is larger than the store accepts.
+    #[error("the document has {bytes} bytes; allowed: at most {MAX_DOCUMENT_BYTES}")]
+    TooLarge {
+        /// Its size.
+        bytes: usize,
+    },
+    /// No setting has this name.
+    #[error("unknown setting {0:?}")]
+    UnknownSetting(String),
+    /// The value has the wrong type or is out of range.
+    #[error("{setting} is {value}; allowed: {allowed}")]
+    Value {
+        /// What is allowed.
+        allowed: String,
+        /// The setting.
+        setting: String,
+        /// The value.
+        value: String,
+    },
+}
+
+impl DocumentError {
+    /// Result code that reports the error.
+    #[must_use]
+    pub const fn code(&self) -> ResultCode {
+        match self {
+            Self::TooLarge { .. } => ResultCode::TooLarge,
+            _ => ResultCode::ConfigInvalid,
+        }
+    }
+
+    fn field(field: &'static str, value: &str, allowed: impl Into<String>) -> Self {
+        Self::Field { allowed: allowed.into(), field, value: value.chars().take(80).collect() }
+    }
+}
+
+/// Configuration in force in one data centre.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Resolved {
+    /// Policy settings.
+    pub policy: Policy,
+    /// Quotas in task starts per second of the teams that do not have the default.
+    pub quotas: FastMap<TeamId, u64>,
+    /// Store revision; 0 for the built-in defaults.
+    pub revision: u64,
+    /// Weights of the teams that do not have the default.
+    pub weights: FastMap<TeamId, u32>,
+}
+
+impl Resolved {
+    /// The same settings with the store revision they come from.
+    #[must_use]
+    pub fn with_revision(self, revision: u64) -> Self {
+        Self { revision, ..self }
+    }
+}
+
+/// A document in which every setting has its built-in default.
+#[must_use]
+pub fn empty_document() -> ConfigDocument {
+    ConfigDocument {
+        defaults: BTreeMap::new(),
+        exceptions: Vec::new(),
+        format_version: FORMAT_VERSION,
+        operations: Vec::new(),
+        team_quotas_per_s: BTreeMap::new(),
+    }
+}
+
+/// Checks a whole document.
+///
+/// # Errors
+///
+/// Fails on the first part of the document that is not allowed.
+pub fn validate(document: &ConfigDocument) -> Result<(), DocumentError> {
+    if document.format_version != FORMAT_VERSION {
+        let version = document.format_version.to_string();
+        return Err(DocumentError::field("format_version", &version, FORMAT_VERSION.to_string()));
+    }
+    check_size(document)?;
+    for (setting, value) in &document.defaults {
+        check_value(setting, value)?;
+    }
+    let mut scopes = FastSet::default();
+    for exception in &document.exceptions {
+        check_exception(exception)?;
+        let Scope { kind, name } = &exception.scope;
+        if !scopes.insert((*kind, name, &exception.setting)) {
+            return Err(DocumentError::field("scope", name, "one exception per scope and setting"));
+        }
+    }
+    for (team, quota) in &document.team_quotas_per_s {
+        check_id("team", team)?;
+        check_value(QUOTA, &SettingValue::Number(*quota))?;
+    }
+    check_operations(document)?;
+    check_consistency(document)
+}
+
+/// Resolves the fleet defaults and exceptions for one data centre.
+///
+/// An exception for a team goes before the team's quota in `team_quotas_per_s`. Ranges are not checked here: the
+/// document must have passed [`validate`].
+#[must_use]
+pub fn resolve(document: &ConfigDocument, data_centre: &DataCentreId) -> Resolved {
+    let mut resolved = Resolved { policy: defaults(document), ..Resolved::default() };
+    for (team, quota) in &document.team_quotas_per_s {
+        resolved.quotas.insert(team.as_str().into(), *quota);
+    }
+    for ConfigException { scope, setting, value, .. } in &document.exceptions {
+        match (scope.kind, setting.as_str(), value) {
+            (ScopeKind::DataCentre, _, _) if *scope.name == **data_centre => {
+                resolved.policy.set(setting, value);
+            }
+            (ScopeKind::Team, QUOTA, SettingValue::Number(quota)) => {
+                resolved.quotas.insert(scope.name.as_str().into(), *quota);
+            }
+            (ScopeKind::Team, WEIGHT, SettingValue::Number(weight)) => {
+                let weight = u32::try_from(*weight).unwrap_or(u32::MAX);
+                resolved.weights.insert(scope.name.as_str().into(), weight);
+            }
+            _ => {}
+        }
+    }
+    resolved
+}
+
+fn defaults(document: &ConfigDocument) -> Policy {
+    let mut policy = Policy::default();
+    for (setting, value) in &document.defaults {
+        policy.set(setting, value);
+    }
+    policy
+}
+
+fn find(setting: &str) -> Result<&'static PolicySpec, DocumentError> {
+    let unknown = || DocumentError::UnknownSetting(setting.chars().take(80).collect());
+    POLICY.iter().find(|spec| spec.name == setting).ok_or_else(unknown)
+}
+
+pub(crate) fn check_value(setting: &str, value: &SettingValue) -> Result<(), DocumentError> {
+    let allowed = match (find(setting)?.kind, value) {
+        (PolicyKind::Flag { .. }, SettingValue::Flag(_)) => return Ok(()),
+        (PolicyKind::Number { max, min, .. }, SettingValue::Number(number))
+            if (min..=max).contains(number) =>
+        {
+            return Ok(());
+        }
+        (PolicyKind::Flag { .. }, _) => "true or false".to_owned(),
+        (PolicyKind::Number { max, min, .. }, _) => format!("a whole number from {min} to {max}"),
+    };
+    Err(DocumentError::Value { allowed, setting: setting.to_owned(), value: value.to_string() })
+}
+
+pub(crate) fn check_setting(setting: &str) -> Result<(), DocumentError> {
+    find(setting).map(|_| ())
+}
+
+pub(crate) fn check_id(field: &'static str, id: &str) -> Result<(), DocumentError> {
+    if is_valid_id(id) {
+        return Ok(());
+    }
+    Err(DocumentError::field(field, id, "letters, digits, `-` and `_`, 1 to 64 characters"))
+}
+
+pub(crate) fn check_text(field: &'static str, text: &str, max_bytes: usize) -> Result<(), DocumentError> {
+    let usable = !text.trim().is_empty() && text.len() <= max_bytes && !text.chars().any(char::is_control);
+    if usable {
+        return Ok(());
+    }
+    Err(DocumentError::field(field, text, format!("1 to {max_bytes} bytes without control characters")))
+}
+
+pub(crate) fn check_exception(exception: &ConfigException) -> Result<(), DocumentError> {
+    let ConfigException { author, reason, scope, setting, value } = exception;
+    check_value(setting, value)?;
+    if !find(setting)?.scopes.contains(&scope.kind) {
+        return Err(DocumentError::ScopeNotAllowed { kind: scope.kind, setting: setting.clone() });
+    }
+    check_id("scope", &scope.name)?;
+    check_text("author", author, MAX_AUTHOR_BYTES)?;
+    check_text("reason", reason, MAX_REASON_BYTES)
+}
+
+fn check_operations(document: &ConfigDocument) -> Result<(), DocumentError> {
+    let count = document.operations.len();
+    if count > MAX_OPERATIONS {
+        return Err(DocumentError::field(
+            "operations",
+            &count.to_string(),
+            format!("at most {MAX_OPERATIONS}"),
+        ));
+    }
+    let mut ids = FastSet::default();
+    for operation in &document.operations {
+        check_id("operation_id", &operation.operation_id)?;
+        check_text("author", &operation.author, MAX_AUTHOR_BYTES)?;
+        if !ids.insert(&operation.operation_id) {
+            return Err(DocumentError::field("operation_id", &operation.operation_id, "each id once"));
+        }
+    }
+    Ok(())
+}
+
+fn check_size(document: &ConfigDocument) -> Result<(), DocumentError> {
+    let bytes = to_json(document).map_or(usize::MAX, |text| text.len());
+    if bytes > MAX_DOCUMENT_BYTES { Err(DocumentError::TooLarge { bytes }) } else { Ok(()) }
+}
+
+/// Checks the defaults and every data centre that has an exception, in one pass over the exceptions.
+fn check_consistency(document: &ConfigDocument) -> Result<(), DocumentError> {
+    let fleet = defaults(document);
+    let mut policies: BTreeMap<&str, Policy> = BTreeMap::new();
+    for exception in
+        document.exceptions.iter().filter(|exception| exception.scope.kind == ScopeKind::DataCentre)
+    {
+        let policy = policies.entry(&exception.scope.name).or_insert_with(|| fleet.clone());
+        policy.set(&exception.setting, &exception.value);
+    }
+    check_policy("fleet defaults", &fleet)?;
+    policies.iter().try_for_each(|(name, policy)| check_policy(&format!("data centre {name}"), policy))
+}
+
+fn check_policy(place: &str, policy: &Policy) -> Result<(), DocumentError> {
+    let fail = |message| Err(DocumentError::Inconsistent { message, place: place.to_owned() });
+    let shares = policy.urgent_share_percent
+        + policy.booking_share_percent
+        + policy.query_share_percent
+        + policy.batch_share_percent;
+    if shares > 100 {
+        return fail(format!("the shares of all classes sum to {shares} percent; allowed: at most 100"));
+    }
+    if policy.suspect_after_ms > policy.dead_after_ms {
+        return fail("suspect_after_ms is above dead_after_ms".to_owned());
+    }
+    if policy.eject_base_ms > policy.eject_limit_ms {
+        return fail("eject_base_ms is above eject_limit_ms".to_owned());
+    }
+    Ok(())
+}
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -1,5 +1,32 @@
 //! Process settings and the operators' configuration document.
+//!
+//! - [`EntrySettings`] holds the checked process settings of an entry, read from [`Flags`] and the environment.
+//! - [`validate`] checks a configuration document, [`apply`] makes a changed one, and [`resolve`] gives the
+//!   [`Resolved`] settings in force in one data centre. All three are pure functions; reading and writing the document
+//!   is the job of `hinge-store`.
+//! - [`FLAGS`] and [`POLICY`] describe every setting, and are generated from `schema/settings.json`.
+//!
+//! ```
+//! use hinge_conf::{EntrySettings, Flags, apply, empty_document, resolve};
+//! use hinge_wire::{Change, ChangeRequest};
+//!
+//! let flags = Flags { data_centre: Some("dc1".into()), instance: Some("entry-1".into()), ..Flags::default() };
+//! let settings = EntrySettings::from_flags(&flags, |name| std::env::var(name).ok())?;
+//!
+//! let request = ChangeRequest {
+//!     author: "ops".into(),
+//!     change: Change::SetDefault { setting: "max_attempts".into(), value: 2.into() },
+//!     expect_revision: 0,
+//!     operation_id: "op-1".into(),
+//! };
+//! let document = apply(&empty_document(), &request)?;
+//! assert_eq!(resolve(&document, &settings.data_centre).policy.max_attempts, 2);
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
 
+mod change;
+mod document;
+mod entry;
 #[rustfmt::skip]
 mod flags;
 #[rustfmt::skip]
@@ -7,6 +34,12 @@
 mod policy;
 mod setting;
 
+pub use change::{ChangeError, apply, find_operation, operation_record};
+pub use document::{
+    DocumentError, FORMAT_VERSION, MAX_AUTHOR_BYTES, MAX_DOCUMENT_BYTES, MAX_OPERATIONS, MAX_REASON_BYTES,
+    Resolved, empty_document, resolve, validate,
+};
+pub use entry::{EntrySettings, LogLevel, SettingError};
 pub use flags::{FLAGS, Flags};
 pub use policy::{POLICY, Policy};
 pub use setting::{FlagKind, FlagSpec, PolicyKind, PolicySpec};
