Add stand-ins for the platform's store, list and upstreams

Change: crate hinge-fakes with plain state under tokio's clock, an HTTP/1.1 server for each and the binary hinge-fakes.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -1,1 +1,47 @@
 //! Stand-ins for the platform's store, instance list and upstreams.
+//!
+//! - [`FakeStore`], [`FakeList`] and [`FakeUpstream`] are plain state; their methods take the time.
+//! - [`Shared`] adds the calls that wait (watches, long polls, running tasks), which follow tokio's clock and so
+//!   work under a paused one.
+//! - [`serve`] offers any of them, or a [`Platform`] of store and list, over HTTP/1.1. The binary `hinge-fakes` does
+//!   the same as a process of its own.
+//!
+//! Faults are switched on by `POST /control` with [`StoreControl`], [`ListControl`] or [`UpstreamFaults`], or by the
+//! methods of the same purpose. `GET /counts` of the store returns [`StoreCounts`], `GET /starts` of an upstream
+//! [`StartsReply`].
+//!
+//! ```
+//! use hinge_fakes::{FakeStore, Shared, StoreCaps, serve};
+//! use hinge_wire::StorePut;
+//!
+//! # #[tokio::main(flavor = "current_thread")]
+//! # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+//! let store = Shared::new(FakeStore::new(StoreCaps::default()));
+//! let put = StorePut { expect_revision: 0, lease: 0, value: "one".to_owned() };
+//! assert_eq!(store.put("config/current", &put).await?.revision, 1);
+//!
+//! let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+//! let server = serve(listener, store)?;
+//! println!("GET http://{}/kv/config/current", server.address());
+//! server.shutdown().await;
+//! # Ok(())
+//! # }
+//! ```
+
+mod http;
+mod list;
+mod platform;
+mod shared;
+mod store;
+mod store_server;
+mod upstream;
+mod upstream_server;
+
+pub use crate::http::{Closed, Handler, Reply, ServerHandle, serve};
+pub use list::{FakeList, ListControl};
+pub use platform::Platform;
+pub use shared::Shared;
+pub use store::{FakeStore, MAX_VALUE_BYTES, StoreCaps, StoreControl, StoreCounts, StoreRefusal};
+pub use upstream::{
+    FakeUpstream, StartRecord, StartsReply, TaskCall, TaskEnd, TaskPayload, UpstreamFaults, UpstreamOptions,
+};
--- /dev/null
+++ b/crates/fakes/src/platform.rs
@@ -0,0 +1,29 @@
+//! Store and list behind one address.
+
+use bytes::Bytes;
+use http::{Request, Response};
+
+use crate::http::{Closed, Handler, Reply};
+use crate::list::FakeList;
+use crate::shared::Shared;
+use crate::store::FakeStore;
+
+/// The platform's store and list in one process.
+///
+/// `/instances` and `/control/list` belong to the list, everything else to the store.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    /// The list.
+    pub list: Shared<FakeList>,
+    /// The store.
+    pub store: Shared<FakeStore>,
+}
+
+impl Handler for Platform {
+    async fn handle(&self, request: Request<Bytes>) -> Result<Response<Reply>, Closed> {
+        match request.uri().path() {
+            "/control/list" | "/instances" => self.list.handle(request).await,
+            _ => self.store.handle(request).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/upstream_server.rs
@@ -0,0 +1,96 @@
+//! HTTP endpoints of the stand-in upstream.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, Response, StatusCode};
+use tokio::time::Instant;
+
+use crate::http::{Closed, Handler, Reply, error_reply, json_reply, percent_decode, query_number};
+use crate::shared::Shared;
+use crate::store_server::{body, invalid};
+use crate::upstream::{FakeUpstream, TaskCall, TaskEnd, UpstreamFaults};
+
+/// Lease of a task whose request states none.
+const DEFAULT_LEASE: Duration = Duration::from_secs(60);
+const NOT_STARTED: &str = "x-not-started";
+const TASK_ID: &str = "x-task-id";
+
+impl Handler for Shared<FakeUpstream> {
+    async fn handle(&self, request: Request<Bytes>) -> Result<Response<Reply>, Closed> {
+        let path = request.uri().path();
+        match (request.method(), path) {
+            (&Method::POST, "/tasks") => match task_call(&request) {
+                Ok(call) => answer(&call, self.run(&call).await),
+                Err(error) => Ok(error_reply(StatusCode::BAD_REQUEST, error)),
+            },
+            (&Method::GET, "/starts") => {
+                let after = query_number(&request, "after").unwrap_or(0);
+                Ok(json_reply(StatusCode::OK, &self.with(|upstream| upstream.starts(after))))
+            }
+            (&Method::POST, "/control") => match body::<UpstreamFaults>(&request) {
+                Ok(faults) => {
+                    self.update(|upstream| upstream.set_faults(faults));
+                    Ok(json_reply(StatusCode::OK, &faults))
+                }
+                Err(error) => Ok(invalid(&error)),
+            },
+            (&Method::DELETE, path) => {
+                let id = path.strip_prefix("/tasks/").and_then(percent_decode).unwrap_or_default();
+                match self.update(|upstream| upstream.stop(Instant::now(), &id)) {
+                    true => Ok(json_reply(StatusCode::OK, &())),
+                    false => Ok(error_reply(StatusCode::NOT_FOUND, "no such task")),
+                }
+            }
+            _ => Ok(error_reply(StatusCode::NOT_FOUND, "no such endpoint")),
+        }
+    }
+}
+
+/// Reads a task request; the message of a failure names the header.
+fn task_call(request: &Request<Bytes>) -> Result<TaskCall, &'static str> {
+    let header = |name| request.headers().get(name).map(HeaderValue::to_str).transpose();
+    let task_id = header(TASK_ID).ok().flatten().ok_or("x-task-id is missing or not text")?;
+    let service = header("x-service").map_err(|_| "x-service is not text")?;
+    let lease_ms = header("x-lease-ms").map_err(|_| "x-lease-ms is not text")?;
+    let lease = match lease_ms.map(str::parse) {
+        Some(Ok(lease_ms)) => Duration::from_millis(lease_ms),
+        Some(Err(_)) => return Err("x-lease-ms is not a number"),
+        None => DEFAULT_LEASE,
+    };
+    let payload = std::str::from_utf8(request.body()).map_err(|_| "the payload is not UTF-8")?;
+    Ok(TaskCall {
+        lease,
+        payload: payload.to_owned(),
+        service: service.unwrap_or_default().to_owned(),
+        task_id: task_id.to_owned(),
+    })
+}
+
+fn answer(call: &TaskCall, end: TaskEnd) -> Result<Response<Reply>, Closed> {
+    let (status, name, value, body) = match end {
+        TaskEnd::Busy => (StatusCode::SERVICE_UNAVAILABLE, NOT_STARTED, "busy".to_owned(), Reply::whole("")),
+        TaskEnd::Leaving => {
+            (StatusCode::SERVICE_UNAVAILABLE, NOT_STARTED, "leaving".to_owned(), Reply::whole(""))
+        }
+        TaskEnd::Died => return Err(Closed),
+        TaskEnd::Done { task_id, result, truncated } => {
+            let body = if truncated { Reply::truncated(result) } else { Reply::whole(result) };
+            (StatusCode::OK, TASK_ID, task_id, body)
+        }
+        TaskEnd::Failed => failure(call, "the task failed"),
+        TaskEnd::LeaseEnded => failure(call, "the lease ended"),
+        TaskEnd::Stopped => failure(call, "the task was stopped"),
+    };
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    // The value comes from a header or is constant, so the conversion cannot fail.
+    if let Ok(value) = HeaderValue::from_str(&value) {
+        response.headers_mut().insert(name, value);
+    }
+    Ok(response)
+}
+
+fn failure(call: &TaskCall, detail: &'static str) -> (StatusCode, &'static str, String, Reply) {
+    (StatusCode::INTERNAL_SERVER_ERROR, TASK_ID, call.task_id.clone(), Reply::whole(detail))
+}
