Test the stand-ins and keep their servers accepting after errors

Cause: the accept loop stopped after a failed accept without other events, and crossed answers could echo the own id when a task was sent twice.

--- a/crates/fakes/src/http.rs
+++ b/crates/fakes/src/http.rs
@@ -24,6 +24,8 @@
 
 /// Largest request body; a value of 1 MB can take up to six times its size as JSON.
 const MAX_BODY_BYTES: usize = 7 << 20;
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// Connections beyond this number are closed at once, so that a test with a fault cannot exhaust the process.
 const MAX_CONNECTIONS: usize = 4096;
 /// Time that a shutdown gives requests in progress; requests that never end (frozen, long polls) are cut after it.
@@ -154,10 +156,13 @@
         tokio::select! {
             how = &mut stopped => break how.unwrap_or(Stop::Abort),
             Some(_) = connections.join_next() => {}
-            Ok((stream, _)) = listener.accept() => {
-                if connections.len() < MAX_CONNECTIONS {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) if connections.len() < MAX_CONNECTIONS => {
                     connections.spawn(connection(stream, state.clone(), graceful.watcher()));
                 }
+                Ok(_) => {}
+                // Errors such as the limit of open files last; without the pause the loop would spin.
+                Err(_) => sleep(ACCEPT_PAUSE).await,
             }
         }
     };
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -43,5 +43,6 @@
 pub use shared::Shared;
 pub use store::{FakeStore, MAX_VALUE_BYTES, StoreCaps, StoreControl, StoreCounts, StoreRefusal};
 pub use upstream::{
-    FakeUpstream, StartRecord, StartsReply, TaskCall, TaskEnd, TaskPayload, UpstreamFaults, UpstreamOptions,
+    FakeUpstream, Run, StartRecord, StartsReply, TaskCall, TaskEnd, TaskPayload, UpstreamFaults,
+    UpstreamOptions,
 };
--- a/crates/fakes/src/upstream.rs
+++ b/crates/fakes/src/upstream.rs
@@ -5,7 +5,7 @@
 
 use hinge_wire::FastMap;
 use serde::{Deserialize, Serialize};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::Instant;
 
 use crate::shared::{Shared, Wait};
 use crate::store::MAX_WAIT;
@@ -135,13 +135,16 @@
     Stopped,
 }
 
-/// A started task: when it ends and how.
+/// A started task.
 #[derive(Clone, Debug)]
-struct Run {
+pub struct Run {
     end: TaskEnd,
-    ends_at: Instant,
-    frozen: bool,
-    number: u64,
+    /// When the run ends unless it is stopped.
+    pub ends_at: Instant,
+    /// Whether the caller is never answered.
+    pub frozen: bool,
+    /// Number of the start, from 1.
+    pub number: u64,
 }
 
 #[derive(Debug)]
@@ -205,14 +208,21 @@
     /// Starts a task, or tells why it is not started.
     ///
     /// The slot is held until the run's end even when the caller disconnects, as on a real worker.
-    fn start(&mut self, now: Instant, call: &TaskCall) -> Result<Run, TaskEnd> {
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`TaskEnd::Busy`] or [`TaskEnd::Leaving`].
+    pub fn start(&mut self, now: Instant, call: &TaskCall) -> Result<Run, TaskEnd> {
         let faults = self.take_faults();
         let full = self.running(now) >= self.options.slots;
         if faults.leave || faults.refuse || full {
             self.refused += 1;
             return Err(if faults.leave { TaskEnd::Leaving } else { TaskEnd::Busy });
         }
-        let other = self.starts.back().map_or_else(|| "0.0".to_owned(), |start| start.task_id.clone());
+        let other = match self.starts.back() {
+            Some(start) if start.task_id != call.task_id => start.task_id.clone(),
+            _ => format!("{}-other", call.task_id),
+        };
         let number = self.record(now, call);
         let (run_time, end) = self.plan(&faults, call, other);
         let lease_ends = now + call.lease.min(MAX_WAIT);
@@ -271,16 +281,15 @@
         self.total
     }
 
-    /// One look of the request that waits for a run.
-    fn poll(&mut self, now: Instant, run: &Run) -> Wait<TaskEnd> {
+    /// How a run ended; `None` while it goes on.
+    ///
+    /// A frozen run ends as well, because its slot becomes free, but its caller must not be told.
+    pub fn ended(&mut self, now: Instant, run: &Run) -> Option<TaskEnd> {
         if now >= run.ends_at {
             self.running.remove(&run.number);
-            Wait::Ready(run.end.clone())
-        } else if self.running.contains_key(&run.number) {
-            Wait::Until(run.ends_at)
-        } else {
-            Wait::Ready(TaskEnd::Stopped)
+            return Some(run.end.clone());
         }
+        (!self.running.contains_key(&run.number)).then_some(TaskEnd::Stopped)
     }
 }
 
@@ -292,9 +301,12 @@
             Err(refusal) => return refusal,
         };
         if run.frozen {
-            sleep_until(run.ends_at).await;
-            std::future::pending::<()>().await;
+            return std::future::pending().await;
         }
-        self.wait_until(|upstream, now| upstream.poll(now, &run)).await
+        self.wait_until(|upstream, now| match upstream.ended(now, &run) {
+            Some(end) => Wait::Ready(end),
+            None => Wait::Until(run.ends_at),
+        })
+        .await
     }
 }
--- /dev/null
+++ b/crates/fakes/tests/store.rs
@@ -0,0 +1,122 @@
+//! Stand-in store: rules that the store client and the claims rely on.
+
+use std::time::Duration;
+
+use hinge_fakes::{FakeStore, MAX_VALUE_BYTES, Shared, StoreCaps, StoreControl, StoreRefusal};
+use hinge_wire::{LeaseGrant, StorePut};
+use tokio::time::{Instant, advance};
+
+const NO_CAPS: StoreCaps = StoreCaps { reads_per_s: 0, writes_per_s: 0 };
+
+fn put(value: &str, expect_revision: u64) -> StorePut {
+    StorePut { expect_revision, lease: 0, value: value.to_owned() }
+}
+
+/// Guards against a lost update: a second writer with an old revision must not overwrite the first.
+#[tokio::test(start_paused = true)]
+async fn put_compares_revisions() {
+    let mut store = FakeStore::new(NO_CAPS);
+    let now = Instant::now();
+    let first = store.put(now, "a", &put("one", 0)).unwrap();
+    assert_eq!(store.put(now, "a", &put("two", 0)), Err(StoreRefusal::Conflict(first.clone())));
+    let other = store.put(now, "b", &put("one", 0)).unwrap();
+    assert!(other.revision > first.revision, "revisions are global");
+    let second = store.put(now, "a", &put("two", first.revision)).unwrap();
+    assert!(second.revision > other.revision);
+    assert_eq!(store.get(now, "a"), Ok(second));
+    assert_eq!(store.get(now, "absent").unwrap().revision, 0);
+    let large = "x".repeat(MAX_VALUE_BYTES + 1);
+    assert_eq!(store.put(now, "c", &put(&large, 0)), Err(StoreRefusal::TooLarge));
+}
+
+/// Guards against keys that outlive their lease, and against leases that end although renewed.
+#[tokio::test(start_paused = true)]
+async fn keys_vanish_with_their_lease() {
+    let mut store = FakeStore::new(NO_CAPS);
+    let start = Instant::now();
+    let lease = store.grant_lease(start, &LeaseGrant { ttl_ms: 1000 }).unwrap().lease;
+    let bound = StorePut { lease, ..put("held", 0) };
+    store.put(start, "claim", &bound).unwrap();
+    let later = start + Duration::from_millis(900);
+    store.renew_lease(later, lease).unwrap();
+    assert_eq!(store.get(later + Duration::from_millis(900), "claim").unwrap().value, "held");
+    let lapsed = later + Duration::from_millis(1000);
+    assert_eq!(store.get(lapsed, "claim").unwrap().revision, 0);
+    assert_eq!(store.renew_lease(lapsed, lease), Err(StoreRefusal::NoLease));
+    assert_eq!(store.put(lapsed, "claim", &bound), Err(StoreRefusal::NoLease));
+}
+
+/// Guards against watches that miss a write, a lapse or the end of their wait.
+#[tokio::test(start_paused = true)]
+async fn watch_returns_on_change_lapse_and_timeout() {
+    let store = Shared::new(FakeStore::new(NO_CAPS));
+    let start = Instant::now();
+    let wait = Duration::from_secs(30);
+    let watching = tokio::spawn({
+        let store = store.clone();
+        async move { store.watch("a", 0, wait).await }
+    });
+    advance(Duration::from_secs(1)).await;
+    let lease = store.grant_lease(&LeaseGrant { ttl_ms: 2000 }).await.unwrap().lease;
+    let written = store.put("a", &StorePut { lease, ..put("one", 0) }).await.unwrap();
+    assert_eq!(watching.await.unwrap(), Ok(written.clone()));
+    assert_eq!(start.elapsed(), Duration::from_secs(1));
+
+    assert_eq!(store.watch("a", written.revision, wait).await.unwrap().revision, 0);
+    assert_eq!(start.elapsed(), Duration::from_secs(3));
+
+    assert_eq!(store.watch("a", 0, wait).await.unwrap().revision, 0);
+    assert_eq!(start.elapsed(), Duration::from_secs(33));
+    assert_eq!(store.update(|store| store.counts()).watches, 3, "a watch that waits counts once");
+}
+
+/// Guards against faults that do something else than they claim: a down store must not apply a write, a lost answer
+/// must, and a slow store must answer late.
+#[tokio::test(start_paused = true)]
+async fn faults_apply_for_the_given_number_of_calls() {
+    let store = Shared::new(FakeStore::new(NO_CAPS));
+    store.update(|store| store.control(&StoreControl::Down { times: Some(1) }));
+    assert_eq!(store.put("a", &put("one", 0)).await, Err(StoreRefusal::Down));
+    assert_eq!(store.get("a").await.unwrap().revision, 0);
+
+    store.update(|store| store.control(&StoreControl::LoseAnswer { times: Some(1) }));
+    assert_eq!(store.put("a", &put("one", 0)).await, Err(StoreRefusal::Lost));
+    let kept = store.get("a").await.unwrap();
+    assert_eq!(kept.value, "one");
+
+    let start = Instant::now();
+    store.update(|store| store.control(&StoreControl::Slow { delay_ms: 70, times: None }));
+    store.put("a", &put("two", kept.revision)).await.unwrap();
+    assert_eq!(start.elapsed(), Duration::from_millis(70));
+    store.update(|store| store.control(&StoreControl::Clear {}));
+    store.get("a").await.unwrap();
+    assert_eq!(start.elapsed(), Duration::from_millis(70));
+}
+
+/// Guards against a watch that waits through an outage, which a real store would have cut.
+#[tokio::test(start_paused = true)]
+async fn an_outage_ends_waiting_watches() {
+    let store = Shared::new(FakeStore::new(NO_CAPS));
+    let watching = tokio::spawn({
+        let store = store.clone();
+        async move { store.watch("a", 0, Duration::from_secs(30)).await }
+    });
+    advance(Duration::from_secs(1)).await;
+    store.update(|store| store.control(&StoreControl::Down { times: None }));
+    assert_eq!(watching.await.unwrap(), Err(StoreRefusal::Down));
+}
+
+/// Guards against caps that let too many calls pass or never allow calls again.
+#[tokio::test(start_paused = true)]
+async fn caps_refuse_calls_within_a_second() {
+    let mut store = FakeStore::new(StoreCaps { reads_per_s: 2, writes_per_s: 1 });
+    let now = Instant::now();
+    store.get(now, "a").unwrap();
+    store.get(now, "a").unwrap();
+    assert_eq!(store.get(now, "a"), Err(StoreRefusal::TooMany));
+    store.put(now, "a", &put("one", 0)).unwrap();
+    assert_eq!(store.grant_lease(now, &LeaseGrant { ttl_ms: 1 }), Err(StoreRefusal::TooMany));
+    store.get(now + Duration::from_secs(1), "a").unwrap();
+    let counts = store.counts();
+    assert_eq!((counts.reads, counts.writes, counts.leases, counts.refused_caps), (4, 1, 1, 2));
+}
