Add upstream routing: placement, loans, health and retry budget

Cause: the dispatcher needs to know where a task may start, and must keep work away from failing and leaving upstreams.

Change: `Router` holds the upstream table with rendezvous leadership, slot accounting, loans in both directions, busy rejections and the health state machine; `RetryBudget` limits retries. Indexes ordered by load and grouped by rack make a pick independent of the number of upstreams but for a logarithm.

--- /dev/null
+++ b/crates/route/src/lending.rs
@@ -0,0 +1,280 @@
+//! Loans of slots between entries, both ways.
+
+use std::time::Duration;
+
+use hinge_wire::{Incarnation, InstanceId, LoanId, LoanReply, LoanRequest, LoanReturn, LoanSlots, ServiceId};
+use tokio::time::Instant;
+
+use crate::router::Router;
+use crate::timers::Timer;
+use crate::upstream::Part;
+
+/// Longest loan that is accepted from a peer; the largest value that `loan_duration_ms` may have.
+const MAX_LOAN: Duration = Duration::from_secs(60);
+
+/// A borrowed slot that was idle for this part of the loan is returned.
+const IDLE_FRACTION: u32 = 4;
+
+/// A loan from a peer.
+#[derive(Debug)]
+pub(crate) struct BorrowedLoan {
+    duration: Duration,
+    lender: InstanceId,
+    lender_incarnation: Incarnation,
+    /// Id at the lender.
+    loan: LoanId,
+    upstreams: Vec<usize>,
+}
+
+/// A loan to a peer.
+#[derive(Debug)]
+pub(crate) struct LentLoan {
+    borrower: String,
+    /// Upstreams with the number of slots lent there.
+    parts: Vec<(usize, u32)>,
+}
+
+impl Router {
+    /// Lends free slots of led upstreams, but for a reserve that is kept for the own urgent work.
+    ///
+    /// Lent slots count as in use until they are returned or the loan lapses. The caller checks that the request is
+    /// for this incarnation.
+    pub fn lend(&mut self, now: Instant, request: &LoanRequest) -> LoanReply {
+        self.advance(now);
+        let mut reply = LoanReply { duration_ms: 0, loan: 0, slots: Vec::new() };
+        let Some(service) = self.table.service(&request.service) else { return reply };
+        if !self.policy.loans_enabled || *request.borrower == *self.own {
+            return reply;
+        }
+        let offer = self.table.pools[service].offer;
+        let reserve = (u64::from(offer.led_slots) * self.policy.reserve_percent).div_ceil(100);
+        let lendable = u64::from(offer.led_free).saturating_sub(reserve);
+        let count = lendable.min(u64::from(request.slots)).min(self.policy.max_loan_slots);
+        let mut parts: Vec<(usize, u32)> = Vec::new();
+        for _ in 0..count {
+            let Some(position) = self.table.pools[service].led.find(|_| false, |_| false) else { break };
+            self.table.upstreams[position].lent += 1;
+            self.refresh(position);
+            match parts.iter_mut().find(|(upstream, _)| *upstream == position) {
+                Some((_, slots)) => *slots += 1,
+                None => parts.push((position, 1)),
+            }
+        }
+        if parts.is_empty() {
+            return reply;
+        }
+        self.next_loan += 1;
+        reply.loan = self.next_loan;
+        reply.duration_ms = self.policy.loan_duration_ms;
+        reply.slots = parts.iter().map(|part| self.loan_slots(*part)).collect();
+        let lapses = now + Duration::from_millis(reply.duration_ms);
+        self.timers.add(lapses, Timer::LentLapses { loan: reply.loan });
+        self.lent.insert(reply.loan, LentLoan { borrower: request.borrower.clone(), parts });
+        reply
+    }
+
+    fn loan_slots(&self, (position, slots): (usize, u32)) -> LoanSlots {
+        LoanSlots { slots, upstream: self.table.upstreams[position].entry.id.clone() }
+    }
+
+    /// Takes back slots of a loan to a peer; returns for unknown or lapsed loans are ignored.
+    pub fn returned(&mut self, now: Instant, request: &LoanReturn) {
+        self.advance(now);
+        let Some(loan) = self.lent.get_mut(&request.loan).filter(|loan| loan.borrower == request.borrower)
+        else {
+            return;
+        };
+        let mut freed = Vec::new();
+        for returned in &request.slots {
+            let position = self.table.get(&returned.upstream);
+            let part = loan.parts.iter_mut().find(|(upstream, _)| Some(*upstream) == position);
+            if let Some((upstream, slots)) = part {
+                let count = returned.slots.min(*slots);
+                *slots -= count;
+                freed.push((*upstream, count));
+            }
+        }
+        loan.parts.retain(|(_, slots)| *slots > 0);
+        if loan.parts.is_empty() {
+            self.lent.remove(&request.loan);
+        }
+        self.free_lent(&freed);
+    }
+
+    pub(crate) fn lapse_lent(&mut self, loan: LoanId) {
+        if let Some(loan) = self.lent.remove(&loan) {
+            self.free_lent(&loan.parts);
+        }
+    }
+
+    fn free_lent(&mut self, parts: &[(usize, u32)]) {
+        for (position, slots) in parts {
+            self.table.upstreams[*position].lent -= slots;
+            self.refresh(*position);
+            self.table.remove_if_unused(*position);
+        }
+    }
+
+    /// Notes that a loan was requested from a peer now, so that its time counts from the request.
+    ///
+    /// The lender counts from the arrival of the request. A borrower that counted from the reply would use lapsed
+    /// slots after a pause between the two.
+    pub fn loan_requested(&mut self, now: Instant, lender: &InstanceId) {
+        self.loan_requests.insert(lender.clone(), now);
+    }
+
+    /// Adds the slots of a loan from a peer. Repeated replies, unknown upstreams and slots beyond an upstream's
+    /// number are ignored.
+    pub fn borrowed(
+        &mut self,
+        now: Instant,
+        lender: &InstanceId,
+        lender_incarnation: Incarnation,
+        reply: &LoanReply,
+    ) {
+        self.advance(now);
+        let start = self.loan_requests.remove(lender).unwrap_or(now);
+        let duration = Duration::from_millis(reply.duration_ms).min(MAX_LOAN);
+        let known = |loan: &BorrowedLoan| {
+            loan.loan == reply.loan && loan.lender == *lender && loan.lender_incarnation == lender_incarnation
+        };
+        if start + duration <= now || *lender == self.own || self.borrowed.values().any(known) {
+            return;
+        }
+        let id = self.new_id();
+        let mut left = u32::try_from(self.policy.max_loan_slots).unwrap_or(u32::MAX);
+        let mut upstreams = Vec::new();
+        for slots in &reply.slots {
+            let Some(position) = self.table.get(&slots.upstream) else { continue };
+            let added = self.add_part(now, position, id, slots.slots.min(left));
+            left -= added;
+            if added > 0 {
+                upstreams.push(position);
+                self.refresh(position);
+            }
+        }
+        if upstreams.is_empty() {
+            return;
+        }
+        self.timers.add(start + duration, Timer::BorrowLapses { loan: id });
+        let lender = lender.clone();
+        self.borrowed
+            .insert(id, BorrowedLoan { duration, lender, lender_incarnation, loan: reply.loan, upstreams });
+    }
+
+    /// Adds up to `count` borrowed slots to an upstream; returns how many.
+    fn add_part(&mut self, now: Instant, position: usize, loan: u64, count: u32) -> u32 {
+        let upstream = &mut self.table.upstreams[position];
+        let borrowed: u32 = upstream.parts.iter().map(|part| part.total).sum();
+        let count = count.min(upstream.slots().saturating_sub(borrowed));
+        if count == 0 || upstream.part(loan).is_some() {
+            return 0;
+        }
+        upstream.parts.push(Part { free: count, loan, min_free: count, total: count, window_start: now });
+        count
+    }
+
+    /// Ends a loan from a peer. Tasks that still run on its slots stay counted at their upstreams.
+    pub(crate) fn lapse_borrowed(&mut self, id: u64) {
+        let Some(loan) = self.borrowed.remove(&id) else { return };
+        for position in loan.upstreams {
+            self.table.upstreams[position].parts.retain(|part| part.loan != id);
+            self.refresh(position);
+            self.table.remove_if_unused(position);
+        }
+    }
+
+    /// Sums over the borrowed slots of a service whose loan has lapsed without the router having noticed yet.
+    pub(crate) fn lapsed(&self, now: Instant, service: &ServiceId, count: impl Fn(&Part) -> u32) -> u32 {
+        let ids = self.timers.due(now).filter_map(|timer| match timer {
+            Timer::BorrowLapses { loan } => Some(*loan),
+            _ => None,
+        });
+        let loans = ids.filter_map(|id| Some((id, self.borrowed.get(&id)?)));
+        loans
+            .flat_map(|(id, loan)| {
+                loan.upstreams.iter().map(move |position| (id, &self.table.upstreams[*position]))
+            })
+            .filter(|(_, upstream)| *upstream.entry.service == **service)
+            .flat_map(|(id, upstream)| upstream.parts.iter().filter(move |part| part.loan == id))
+            .map(count)
+            .sum()
+    }
+
+    /// Borrowed slots that were idle for a quarter of their duration, to be returned early.
+    pub fn idle_loans(&mut self, now: Instant) -> Vec<(InstanceId, LoanReturn)> {
+        self.advance(now);
+        self.return_slots(|part, duration| {
+            if now.saturating_duration_since(part.window_start) < duration / IDLE_FRACTION {
+                return 0;
+            }
+            let idle = part.min_free;
+            (part.min_free, part.window_start) = (part.free - idle, now);
+            idle
+        })
+    }
+
+    /// All borrowed slots that are free, to be returned because this entry drains.
+    pub fn return_loans(&mut self, now: Instant) -> Vec<(InstanceId, LoanReturn)> {
+        self.advance(now);
+        self.return_slots(|part, _| {
+            part.min_free = 0;
+            part.free
+        })
+    }
+
+    /// Removes from each part the number of free slots that `idle` says.
+    fn return_slots(
+        &mut self,
+        mut idle: impl FnMut(&mut Part, Duration) -> u32,
+    ) -> Vec<(InstanceId, LoanReturn)> {
+        let mut returns = Vec::new();
+        let mut ids: Vec<u64> = self.borrowed.keys().copied().collect();
+        ids.sort_unstable();
+        for id in ids {
+            let Some(loan) = self.borrowed.get(&id) else { continue };
+            let (duration, upstreams) = (loan.duration, loan.upstreams.clone());
+            let mut slots = Vec::new();
+            for position in upstreams {
+                let Some(part) = self.table.upstreams[position].part(id) else { continue };
+                let count = idle(part, duration).min(part.free);
+                if count > 0 {
+                    part.free -= count;
+                    part.total -= count;
+                    slots.push(self.loan_slots((position, count)));
+                    self.drop_empty_part(id, position);
+                }
+            }
+            if !slots.is_empty() {
+                returns.extend(self.loan_return(id, slots));
+            }
+        }
+        returns
+    }
+
+    fn drop_empty_part(&mut self, id: u64, position: usize) {
+        let upstream = &mut self.table.upstreams[position];
+        let before = upstream.parts.len();
+        upstream.parts.retain(|part| part.loan != id || part.total > 0);
+        if upstream.parts.len() < before
+            && let Some(loan) = self.borrowed.get_mut(&id)
+        {
+            loan.upstreams.retain(|other| *other != position);
+        }
+        self.refresh(position);
+        self.table.remove_if_unused(position);
+    }
+
+    /// The message that returns slots; forgets the loan when none are left.
+    fn loan_return(&mut self, id: u64, slots: Vec<LoanSlots>) -> Option<(InstanceId, LoanReturn)> {
+        let loan = self.borrowed.get(&id)?;
+        let target_incarnation = loan.lender_incarnation;
+        let message =
+            LoanReturn { borrower: self.own.to_string(), loan: loan.loan, slots, target_incarnation };
+        let lender = loan.lender.clone();
+        if loan.upstreams.is_empty() {
+            self.borrowed.remove(&id);
+        }
+        Some((lender, message))
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,1 +1,66 @@
 //! Upstream placement, health, slot loans and retry budgets.
+//!
+//! [`Router`] keeps the upstreams of the own data centre and decides where a task starts:
+//!
+//! - Each upstream is led by one entry, chosen by rendezvous hash over the live entries ([`Router::set_entries`]).
+//! - [`Router::pick`] takes a slot on the least loaded suitable upstream, [`Router::ended`] frees it and learns.
+//! - [`Router::lend`], [`Router::borrowed`], [`Router::returned`] and [`Router::idle_loans`] move unused slots
+//!   between entries for a limited time.
+//! - Each upstream has a health state ([`HealthState`]); changes are reported as [`Notice`] values.
+//! - [`RetryBudget`] limits retries and hedges to a percentage of the starts.
+//!
+//! The crate is decision code: it performs no I/O, reads no clock and draws randomness from a seed.
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use hinge_conf::Policy;
+//! use hinge_route::{EndKind, Need, Router};
+//! use hinge_wire::{Class, InstanceKind, ListEntry, ListState};
+//! use tokio::time::Instant;
+//!
+//! let now = Instant::now();
+//! let mut router = Router::new("entry-1".into(), &Policy::default(), 7);
+//! router.set_entries(&["entry-1".into()]);
+//! router.set_upstreams(now, &[ListEntry {
+//!     address: "127.0.0.1:9000".into(),
+//!     data_centre: "dc1".into(),
+//!     id: "worker-1".into(),
+//!     kind: InstanceKind::Upstream,
+//!     memory_mb: 32_000,
+//!     peer_address: String::new(),
+//!     rack: "rack-1".into(),
+//!     service: "solve".into(),
+//!     slots: 8,
+//!     state: ListState::Live,
+//! }]);
+//! let service = "solve".into();
+//! let need =
+//!     Need { avoid_racks: &[], avoid_upstreams: &[], class: Class::Urgent, idempotent: true, service: &service };
+//! let slot = router.pick(now, &need).ok_or("no free slot")?;
+//! assert_eq!(&*slot.upstream, "worker-1");
+//! assert_eq!(router.free_slots(now, &service), 7);
+//! let run_time = Duration::from_millis(50);
+//! router.ended(now + run_time, &slot, EndKind::Done, run_time, run_time);
+//! assert_eq!(router.free_slots(now + run_time, &service), 8);
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod budget;
+mod health;
+mod index;
+mod intern;
+mod lending;
+mod notice;
+mod observe;
+mod rendezvous;
+mod router;
+mod samples;
+mod table;
+mod timers;
+mod upstream;
+
+pub use budget::RetryBudget;
+pub use health::HealthState;
+pub use notice::{EjectionCause, Notice};
+pub use router::{EndKind, Need, Router, Slot};
--- /dev/null
+++ b/crates/route/src/samples.rs
@@ -0,0 +1,96 @@
+//! Statistics of the ends of tasks at one upstream, and their medians over its peers.
+
+use std::time::Duration;
+
+/// Latency ratios kept; the median of this many is insensitive to a few tasks with wrong estimates.
+const RATIOS: usize = 15;
+
+/// Samples below which an upstream is not compared with its peers.
+const MIN_SAMPLES: u32 = 10;
+
+/// Upstreams with enough samples below which medians over them are not used.
+const MIN_PEERS: usize = 3;
+
+/// Weight of the newest result in the error rate.
+const ERROR_WEIGHT: f32 = 1.0 / 16.0;
+
+/// Error rate of the peers up to which `eject_consecutive` applies unchanged.
+const NORMAL_ERROR_RATE: f32 = 0.01;
+
+/// Results of tasks at one upstream since its last change of state.
+#[derive(Debug, Default)]
+pub(crate) struct Samples {
+    pub(crate) failures_in_row: u32,
+    error_rate: f32,
+    ends: u32,
+    ratios: [f32; RATIOS],
+    ratios_seen: u32,
+}
+
+/// Run time relative to its estimate; estimates below 1 ms count as 1 ms because timing noise dominates there.
+pub(crate) fn latency_ratio(run_time: Duration, expected: Duration) -> f32 {
+    run_time.as_secs_f32() / expected.as_secs_f32().max(0.001)
+}
+
+impl Samples {
+    pub(crate) fn success(&mut self, ratio: f32) {
+        self.failures_in_row = 0;
+        self.count(0.0);
+        self.ratios[self.ratios_seen as usize % RATIOS] = ratio;
+        self.ratios_seen = self.ratios_seen.wrapping_add(1);
+    }
+
+    pub(crate) fn failure(&mut self) {
+        self.failures_in_row = self.failures_in_row.saturating_add(1);
+        self.count(1.0);
+    }
+
+    fn count(&mut self, error: f32) {
+        self.ends = self.ends.saturating_add(1);
+        // A plain mean at first, so that the first results do not dominate the rate.
+        let weight = ERROR_WEIGHT.max(1.0 / self.ends as f32);
+        self.error_rate += weight * (error - self.error_rate);
+    }
+
+    pub(crate) fn error_rate(&self) -> Option<f32> {
+        (self.ends >= MIN_SAMPLES).then_some(self.error_rate)
+    }
+
+    pub(crate) fn latency(&self) -> Option<f32> {
+        if self.ratios_seen < MIN_SAMPLES {
+            return None;
+        }
+        let mut ratios = self.ratios;
+        median(&mut ratios[..RATIOS.min(self.ratios_seen as usize)])
+    }
+}
+
+/// Medians over the healthy upstreams of a service.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct PeerStats {
+    pub(crate) error_rate: Option<f32>,
+    pub(crate) latency: Option<f32>,
+}
+
+impl PeerStats {
+    pub(crate) fn new(error_rates: &mut [f32], latencies: &mut [f32]) -> Self {
+        let enough = |values: &mut [f32]| if values.len() < MIN_PEERS { None } else { median(values) };
+        Self { error_rate: enough(error_rates), latency: enough(latencies) }
+    }
+
+    /// Failures in a row that are as improbable at the peers' error rate as `base` are at the normal one.
+    ///
+    /// Without this scaling a fault that all upstreams share, such as one team's broken tasks, ejects them in turn.
+    pub(crate) fn consecutive_limit(&self, base: u64) -> u32 {
+        let rate = self.error_rate.unwrap_or(0.0).clamp(NORMAL_ERROR_RATE, 0.999);
+        (base as f32 * NORMAL_ERROR_RATE.ln() / rate.ln()).ceil() as u32
+    }
+}
+
+fn median(values: &mut [f32]) -> Option<f32> {
+    let middle = values.len() / 2;
+    if values.is_empty() {
+        return None;
+    }
+    Some(*values.select_nth_unstable_by(middle, f32::total_cmp).1)
+}
