--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -212,6 +212,17 @@
 }
 
 impl Totals {
+    /// Adds the counters of another dispatcher.
+    pub const fn add(&mut self, other: &Self) {
+        self.busy_refusals += other.busy_refusals;
+        self.empty_loans += other.empty_loans;
+        self.late_ends += other.late_ends;
+        self.loan_requests += other.loan_requests;
+        self.not_sent += other.not_sent;
+        self.retries += other.retries;
+        self.starts += other.starts;
+    }
+
     /// Messages that advanced no task.
     #[must_use]
     pub const fn wasted_messages(&self) -> u64 {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -65,7 +65,7 @@
             claims: parts.claims,
             config: parts.config,
             connections: parts.connections,
-            data_centre: parts.settings.data_centre.as_str().into(),
+            data_centre: parts.settings.data_centre.clone(),
             dispatcher: Mutex::new(parts.dispatcher),
             drained: watch::Sender::new(false),
             drain_requested: watch::Sender::new(false),
@@ -150,7 +150,7 @@
         SubmissionKey {
             data_centre: self.data_centre.clone(),
             incarnation: self.incarnation,
-            instance: self.settings.instance.as_str().into(),
+            instance: self.settings.instance.clone(),
             sequence,
         }
     }
