--- /dev/null
+++ b/crates/sched/src/demand.rs
@@ -0,0 +1,87 @@
+//! Demand of teams at this entry and the division of a quota by demand.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Time constant of the demand average, in seconds.
+const DEMAND_SECONDS: f64 = 1.0;
+
+/// Starts per second, as an exponentially weighted average.
+#[derive(Debug)]
+pub(crate) struct Demand {
+    at: Instant,
+    value: f64,
+}
+
+impl Demand {
+    pub(crate) const fn new(now: Instant) -> Self {
+        Self { at: now, value: 0.0 }
+    }
+
+    pub(crate) fn add(&mut self, now: Instant, starts: u32) {
+        self.value = self.per_s(now) + f64::from(starts) / DEMAND_SECONDS;
+        self.at = self.at.max(now);
+    }
+
+    pub(crate) fn per_s(&self, now: Instant) -> f64 {
+        let seconds = now.saturating_duration_since(self.at).as_secs_f64();
+        self.value * (-seconds / DEMAND_SECONDS).exp()
+    }
+}
+
+/// Lowest demand that this entry has reported to its peers over the last one to two windows.
+#[derive(Debug, Default)]
+pub(crate) struct ReportedMinimum {
+    current: u32,
+    previous: u32,
+    window_start: Option<Instant>,
+}
+
+impl ReportedMinimum {
+    pub(crate) fn record(&mut self, now: Instant, window: Duration, starts_per_s: u32) {
+        let age = self.window_start.map(|start| now.saturating_duration_since(start));
+        match age {
+            Some(age) if age < window => self.current = self.current.min(starts_per_s),
+            Some(age) if age < window * 2 => self.roll(now, self.current, starts_per_s),
+            _ => self.roll(now, 0, starts_per_s),
+        }
+    }
+
+    /// The minimum; zero when the reports have stopped.
+    pub(crate) fn get(&self, now: Instant, window: Duration) -> u32 {
+        let is_current =
+            self.window_start.is_some_and(|start| now.saturating_duration_since(start) < window * 2);
+        if is_current { self.current.min(self.previous) } else { 0 }
+    }
+
+    fn roll(&mut self, now: Instant, previous: u32, current: u32) {
+        *self = Self { current, previous, window_start: Some(now) };
+    }
+}
+
+/// Part of `quota` for the entry with demand `own` among the entries with the demands `others`.
+///
+/// Demands are met from the smallest up as far as an equal division allows; what no entry wants is divided
+/// equally. The parts of all entries sum to the quota, and a part falls when another entry's demand rises.
+pub(crate) fn fair_part(quota: f64, own: f64, others: &mut [f64]) -> f64 {
+    others.sort_unstable_by(f64::total_cmp);
+    let entries = others.len() as f64 + 1.0;
+    let (mut left, mut count, mut own_met) = (quota, entries, false);
+    let mut rest = others.iter().copied().peekable();
+    while count > 0.0 {
+        let level = left / count;
+        let next = rest.peek().copied().filter(|&other| own_met || other <= own);
+        let demand = next.unwrap_or(own);
+        if demand > level {
+            return if own_met { own } else { level };
+        }
+        match next {
+            Some(_) => drop(rest.next()),
+            None => own_met = true,
+        }
+        left -= demand;
+        count -= 1.0;
+    }
+    own + left / entries
+}
--- /dev/null
+++ b/crates/sched/src/estimates.rs
@@ -0,0 +1,162 @@
+//! Run time estimates by service and class.
+
+use std::time::Duration;
+
+use hinge_conf::Policy;
+use hinge_wire::{Class, FastMap, ServiceId};
+
+use crate::list::{Links, List, NIL, Slab};
+
+/// Expected run time of a service that has neither run nor declared one; most tasks take 50 ms to 1 s.
+const DEFAULT_RUN_TIME: Duration = Duration::from_millis(250);
+const MIN_RUN_TIME: Duration = Duration::from_millis(1);
+/// Weight of a new observation once the mean has settled.
+const MEAN_GAIN: f64 = 0.05;
+/// Relative step of the percentile with each observation.
+const PERCENTILE_GAIN: f64 = 0.1;
+/// Observations before outliers are limited and the percentile is reported.
+const SETTLED: u32 = 8;
+/// An observation counts as at most this multiple of the mean, so that one straggler moves it by at most 35%.
+const OUTLIER_FACTOR: f64 = 8.0;
+
+/// Run times of one service and class, in seconds.
+#[derive(Debug)]
+struct Estimate {
+    class: Class,
+    count: u32,
+    mean: f64,
+    percentile_95: f64,
+    service: ServiceId,
+}
+
+impl Estimate {
+    fn observe(&mut self, seconds: f64) {
+        self.count = self.count.saturating_add(1);
+        let is_settled = self.count > SETTLED;
+        let limited = if is_settled { seconds.min(self.mean * OUTLIER_FACTOR) } else { seconds };
+        self.mean += (limited - self.mean) * MEAN_GAIN.max(1.0 / f64::from(self.count));
+        if !is_settled {
+            self.percentile_95 = self.percentile_95.max(seconds);
+        } else if seconds > self.percentile_95 {
+            self.percentile_95 *= 1.0 + PERCENTILE_GAIN * 0.95;
+        } else {
+            self.percentile_95 *= 1.0 - PERCENTILE_GAIN * 0.05;
+        }
+    }
+}
+
+/// Learned run times, with a bounded number of keys; the least recently used key is evicted.
+#[derive(Debug)]
+pub struct Estimates {
+    by_key: FastMap<ServiceId, [u32; Class::COUNT]>,
+    entries: Slab<Estimate>,
+    links: Links,
+    longest: Duration,
+    max_entries: usize,
+    /// Most recently used first.
+    recent: List,
+}
+
+impl Estimates {
+    /// Estimates that know nothing yet.
+    #[must_use]
+    pub fn new(policy: &Policy) -> Self {
+        let mut estimates = Self {
+            by_key: FastMap::default(),
+            entries: Slab::new(),
+            links: Links::default(),
+            longest: Duration::MAX,
+            max_entries: 0,
+            recent: List::EMPTY,
+        };
+        estimates.set_policy(policy);
+        estimates
+    }
+
+    /// Applies a new policy; evicts keys beyond its limit.
+    pub fn set_policy(&mut self, policy: &Policy) {
+        self.longest = Duration::from_millis(policy.task_timeout_ms).max(MIN_RUN_TIME);
+        self.max_entries = usize::try_from(policy.max_estimates).unwrap_or(usize::MAX).max(1);
+        while self.entries.len() > self.max_entries {
+            self.evict();
+        }
+    }
+
+    /// Learns from a finished task.
+    pub fn observe(&mut self, service: &ServiceId, class: Class, run_time: Duration) {
+        let seconds = self.limit(run_time).as_secs_f64();
+        let slot = match self.touch(service, class) {
+            Some(slot) => slot,
+            None => self.insert(service, class),
+        };
+        if let Some(estimate) = self.entries.get_mut(slot) {
+            estimate.observe(seconds);
+        }
+    }
+
+    /// Expected run time: learned, else declared, else a default; at most the longest run of a task.
+    pub fn expected(&mut self, service: &ServiceId, class: Class, declared: Option<Duration>) -> Duration {
+        let learned = self.touch(service, class).and_then(|slot| self.entries.get(slot));
+        let run_time = match learned {
+            Some(estimate) => Duration::from_secs_f64(estimate.mean),
+            None => declared.unwrap_or(DEFAULT_RUN_TIME),
+        };
+        self.limit(run_time)
+    }
+
+    /// Run time that 95% of the tasks stay below, once enough tasks have finished.
+    pub fn percentile_95(&mut self, service: &ServiceId, class: Class) -> Option<Duration> {
+        let slot = self.touch(service, class)?;
+        let estimate = self.entries.get(slot).filter(|estimate| estimate.count >= SETTLED)?;
+        Some(self.limit(Duration::from_secs_f64(estimate.percentile_95)))
+    }
+
+    /// Number of keys held.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether nothing has been learned.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn limit(&self, run_time: Duration) -> Duration {
+        run_time.clamp(MIN_RUN_TIME, self.longest)
+    }
+
+    /// Finds a key and makes it the most recently used.
+    fn touch(&mut self, service: &ServiceId, class: Class) -> Option<u32> {
+        let slot = self.by_key.get(service)?[class.index()];
+        if slot == NIL {
+            return None;
+        }
+        self.recent.remove(&mut self.links, slot);
+        self.recent.push_front(&mut self.links, slot);
+        Some(slot)
+    }
+
+    fn insert(&mut self, service: &ServiceId, class: Class) -> u32 {
+        if self.entries.len() >= self.max_entries {
+            self.evict();
+        }
+        let estimate = Estimate { class, count: 0, mean: 0.0, percentile_95: 0.0, service: service.clone() };
+        let slot = self.entries.insert(estimate);
+        self.recent.push_front(&mut self.links, slot);
+        self.by_key.entry(service.clone()).or_insert([NIL; Class::COUNT])[class.index()] = slot;
+        slot
+    }
+
+    fn evict(&mut self) {
+        let Some(slot) = self.recent.back() else { return };
+        self.recent.remove(&mut self.links, slot);
+        let Some(estimate) = self.entries.remove(slot) else { return };
+        let Some(slots) = self.by_key.get_mut(&estimate.service) else { return };
+        slots[estimate.class.index()] = NIL;
+        if *slots == [NIL; Class::COUNT] {
+            self.by_key.remove(&estimate.service);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sched/src/fair.rs
@@ -0,0 +1,410 @@
+//! Deficit round robin between the teams of one class.
+
+use hinge_wire::{FastMap, TeamId};
+
+use crate::list::{Links, List, Slab};
+
+/// Rounds that a team may be made to wait for its debt. A power of two.
+///
+/// With the lowest weight (1 against the usual 100) a task of ten times the mean cost waits 1,000 rounds.
+const ROUNDS: usize = 1024;
+const WORDS: usize = ROUNDS / 64;
+const NOT_PLACED: u16 = u16::MAX;
+/// Weight that gets one mean cost per round.
+const UNIT_WEIGHT: u64 = 100;
+/// The mean cost moves by one 32nd of the difference with each task.
+const MEAN_SHIFT: i64 = 32;
+
+/// A team with queued or running tasks.
+#[derive(Debug)]
+struct Team {
+    /// Sum of the costs that the running tasks were started with.
+    charged: u64,
+    /// Bucket of the calendar; [`NOT_PLACED`] while no task is queued.
+    bucket: u16,
+    /// Cost that the team may still start in its round; a debt when negative.
+    deficit: i64,
+    /// Added to the deficit when the round of the bucket comes.
+    credit: i64,
+    id: TeamId,
+    /// Round in which the last queued task left.
+    left_round: u64,
+    queued: usize,
+    queued_cost: u64,
+    running: u32,
+    tasks: List,
+    weight: u32,
+}
+
+/// Rounds ahead, each with the teams that may start tasks in it.
+///
+/// Teams in debt are put directly into the round in which the debt is paid, so that a decision never
+/// passes over them.
+#[derive(Debug)]
+struct Calendar {
+    buckets: Vec<List>,
+    links: Links,
+    occupied: [u64; WORDS],
+    round: u64,
+}
+
+impl Calendar {
+    fn new() -> Self {
+        Self { buckets: vec![List::EMPTY; ROUNDS], links: Links::default(), occupied: [0; WORDS], round: 0 }
+    }
+
+    fn bucket(&self, rounds_ahead: u64) -> usize {
+        (self.round + rounds_ahead) as usize % ROUNDS
+    }
+
+    fn push_back(&mut self, bucket: usize, team: u32) {
+        self.buckets[bucket].push_back(&mut self.links, team);
+        self.occupied[bucket / 64] |= 1 << (bucket % 64);
+    }
+
+    fn push_front(&mut self, bucket: usize, team: u32) {
+        self.buckets[bucket].push_front(&mut self.links, team);
+        self.occupied[bucket / 64] |= 1 << (bucket % 64);
+    }
+
+    fn remove(&mut self, bucket: usize, team: u32) {
+        self.buckets[bucket].remove(&mut self.links, team);
+        if self.buckets[bucket].is_empty() {
+            self.occupied[bucket / 64] &= !(1 << (bucket % 64));
+        }
+    }
+
+    /// Moves to the first round that has a team and returns that team.
+    fn first(&mut self) -> Option<u32> {
+        let start = self.bucket(0);
+        let (word, bit) = (start / 64, start % 64);
+        let ahead = (0..=WORDS).find_map(|step| {
+            let index = (word + step) % WORDS;
+            let mask = match step {
+                0 => u64::MAX << bit,
+                WORDS => !(u64::MAX << bit),
+                _ => u64::MAX,
+            };
+            let bits = self.occupied[index] & mask;
+            (bits != 0).then(|| step * 64 + bits.trailing_zeros() as usize - bit)
+        })?;
+        self.round += ahead as u64;
+        self.buckets[self.bucket(0)].front()
+    }
+}
+
+/// The queues of one class.
+#[derive(Debug)]
+pub(crate) struct TeamQueues {
+    by_id: FastMap<TeamId, u32>,
+    calendar: Calendar,
+    /// Mean cost of the tasks pushed.
+    mean_cost: u64,
+    queued: usize,
+    queued_cost: u64,
+    /// Sum of the weights of the teams with queued tasks.
+    queued_weight: u64,
+    running: u32,
+    running_cost: u64,
+    teams: Slab<Team>,
+}
+
+impl TeamQueues {
+    pub(crate) fn new() -> Self {
+        Self {
+            by_id: FastMap::default(),
+            calendar: Calendar::new(),
+            mean_cost: 0,
+            queued: 0,
+            queued_cost: 0,
+            queued_weight: 0,
+            running: 0,
+            running_cost: 0,
+            teams: Slab::new(),
+        }
+    }
+
+    pub(crate) const fn queued(&self) -> usize {
+        self.queued
+    }
+
+    /// Sum of the costs of the queued tasks in nanoseconds.
+    pub(crate) const fn queued_cost(&self) -> u64 {
+        self.queued_cost
+    }
+
+    pub(crate) const fn running(&self) -> u32 {
+        self.running
+    }
+
+    pub(crate) const fn running_cost(&self) -> u64 {
+        self.running_cost
+    }
+
+    pub(crate) fn teams(&self) -> usize {
+        self.teams.len()
+    }
+
+    /// Sets the weights of the teams that are present.
+    pub(crate) fn set_weights(&mut self, weight_of: impl Fn(&TeamId) -> u32) {
+        self.queued_weight = 0;
+        for team in self.teams.iter_mut() {
+            team.weight = weight_of(&team.id);
+            if !team.tasks.is_empty() {
+                self.queued_weight += u64::from(team.weight);
+            }
+        }
+    }
+
+    pub(crate) fn set_weight(&mut self, team: &TeamId, weight: u32) {
+        let Some(team) = self.by_id.get(team).and_then(|&index| self.teams.get_mut(index)) else { return };
+        if !team.tasks.is_empty() {
+            self.queued_weight = self.queued_weight - u64::from(team.weight) + u64::from(weight);
+        }
+        team.weight = weight;
+    }
+
+    /// Queued tasks of a team.
+    pub(crate) fn queued_of(&self, team: &TeamId) -> usize {
+        self.team(team).map_or(0, |team| team.queued)
+    }
+
+    /// Queued cost that starts before a new task of the team.
+    ///
+    /// While the team's own work is started, each other team starts at most its weight's part, so the work
+    /// of a team that floods the class does not count in full against the others.
+    pub(crate) fn cost_ahead(&self, team: &TeamId, weight: u32) -> u64 {
+        let own = self.team(team).map_or(0, |team| team.queued_cost);
+        let waits = self.team(team).is_some_and(|team| !team.tasks.is_empty());
+        let weight = u128::from(weight.max(1));
+        let others =
+            u128::from(self.queued_weight) - if waits { weight.min(self.queued_weight.into()) } else { 0 };
+        let rounds_cost = u128::from(own) + u128::from(self.mean_cost) * weight / u128::from(UNIT_WEIGHT);
+        let behind = u128::from(own) + rounds_cost * others / weight;
+        u64::try_from(behind).unwrap_or(u64::MAX).min(self.queued_cost)
+    }
+
+    fn team(&self, team: &TeamId) -> Option<&Team> {
+        self.teams.get(*self.by_id.get(team)?)
+    }
+
+    /// Appends a task and returns the number of its team.
+    pub(crate) fn push(
+        &mut self,
+        links: &mut Links,
+        task: u32,
+        cost: u64,
+        team: &TeamId,
+        weight: u32,
+    ) -> u32 {
+        self.learn(cost);
+        let index = self.team_index(team, weight);
+        let Some(entry) = self.teams.get_mut(index) else { return index };
+        entry.tasks.push_back(links, task);
+        let enters = entry.bucket == NOT_PLACED;
+        self.count_queued(index, cost);
+        if enters {
+            self.enter(index);
+        }
+        index
+    }
+
+    /// Puts a started task back at the head of its team's queue, with its turn and its cost returned.
+    pub(crate) fn push_front(
+        &mut self,
+        links: &mut Links,
+        task: u32,
+        cost: u64,
+        team: &TeamId,
+        weight: u32,
+    ) -> u32 {
+        let index = self.team_index(team, weight);
+        let quantum = self.quantum(index);
+        let Some(entry) = self.teams.get_mut(index) else { return index };
+        if entry.running > 0 {
+            entry.running -= 1;
+            entry.charged = entry.charged.saturating_sub(cost);
+            self.running = self.running.saturating_sub(1);
+            self.running_cost = self.running_cost.saturating_sub(cost);
+        }
+        entry.tasks.push_front(links, task);
+        entry.deficit = (entry.deficit + cost as i64).min(quantum);
+        entry.credit = 0;
+        let bucket = std::mem::replace(&mut entry.bucket, NOT_PLACED);
+        let has_turn = entry.deficit > 0;
+        if bucket != NOT_PLACED {
+            self.calendar.remove(usize::from(bucket), index);
+        }
+        self.count_queued(index, cost);
+        if has_turn {
+            let current = self.calendar.bucket(0);
+            self.calendar.push_front(current, index);
+            self.set_bucket(index, current);
+        } else {
+            self.place(index);
+        }
+        index
+    }
+
+    /// The task to start next and its team.
+    pub(crate) fn select(&mut self) -> Option<(u32, u32)> {
+        loop {
+            let index = self.calendar.first()?;
+            let team = self.teams.get_mut(index)?;
+            team.deficit += std::mem::take(&mut team.credit);
+            if team.deficit > 0 {
+                return Some((index, team.tasks.front()?));
+            }
+            // A task ran longer than estimated since the team was placed.
+            self.calendar.remove(usize::from(team.bucket), index);
+            self.place(index);
+        }
+    }
+
+    /// Removes the task that `select` returned and counts it as running.
+    pub(crate) fn start(&mut self, links: &mut Links, index: u32, task: u32, cost: u64) {
+        let Some(team) = self.teams.get_mut(index) else { return };
+        team.running += 1;
+        team.charged += cost;
+        team.deficit -= cost as i64;
+        let (bucket, spent) = (usize::from(team.bucket), team.deficit <= 0);
+        self.running += 1;
+        self.running_cost += cost;
+        self.remove(links, index, task, cost);
+        let placed = self.teams.get(index).is_some_and(|team| team.bucket != NOT_PLACED);
+        if placed && spent {
+            self.calendar.remove(bucket, index);
+            self.place(index);
+        }
+    }
+
+    /// Removes a queued task.
+    pub(crate) fn remove(&mut self, links: &mut Links, index: u32, task: u32, cost: u64) {
+        let Some(team) = self.teams.get_mut(index) else { return };
+        team.tasks.remove(links, task);
+        team.queued -= 1;
+        team.queued_cost -= cost;
+        self.queued -= 1;
+        self.queued_cost -= cost;
+        if team.tasks.is_empty() {
+            self.queued_weight -= u64::from(team.weight);
+            let bucket = std::mem::replace(&mut team.bucket, NOT_PLACED);
+            team.credit = 0;
+            team.left_round = self.calendar.round;
+            self.calendar.remove(usize::from(bucket), index);
+            self.forget_if_idle(index);
+        }
+    }
+
+    /// Counts the end of a running task and charges the difference to its estimate.
+    pub(crate) fn ended(&mut self, team: &TeamId, run_time: u64) {
+        let Some(&index) = self.by_id.get(team) else { return };
+        let quantum = self.quantum(index);
+        let Some(team) = self.teams.get_mut(index) else { return };
+        if team.running == 0 {
+            return;
+        }
+        let cost = team.charged / u64::from(team.running);
+        team.charged -= cost;
+        team.running -= 1;
+        team.deficit = (team.deficit + cost as i64 - run_time as i64).min(quantum);
+        self.running = self.running.saturating_sub(1);
+        self.running_cost = self.running_cost.saturating_sub(cost);
+        self.forget_if_idle(index);
+    }
+
+    /// Counts a task that was just linked into the team's queue.
+    fn count_queued(&mut self, index: u32, cost: u64) {
+        let Some(team) = self.teams.get_mut(index) else { return };
+        if team.queued == 0 {
+            self.queued_weight += u64::from(team.weight);
+        }
+        team.queued += 1;
+        team.queued_cost += cost;
+        self.queued += 1;
+        self.queued_cost += cost;
+    }
+
+    /// Drops the state of a team that has neither queued nor running tasks.
+    fn forget_if_idle(&mut self, index: u32) {
+        let idle = |team: &Team| team.tasks.is_empty() && team.running == 0;
+        if !self.teams.get(index).is_some_and(idle) {
+            return;
+        }
+        if let Some(team) = self.teams.remove(index) {
+            self.by_id.remove(&team.id);
+        }
+        // Keeps the table within a constant factor of the teams present, at amortised constant cost.
+        if self.by_id.capacity() > 64 && self.by_id.len() * 8 < self.by_id.capacity() {
+            self.by_id.shrink_to(self.by_id.len() * 2);
+        }
+    }
+
+    fn team_index(&mut self, team: &TeamId, weight: u32) -> u32 {
+        if let Some(&index) = self.by_id.get(team) {
+            return index;
+        }
+        let index = self.teams.insert(Team {
+            charged: 0,
+            bucket: NOT_PLACED,
+            deficit: 0,
+            credit: 0,
+            id: team.clone(),
+            left_round: self.calendar.round,
+            queued: 0,
+            queued_cost: 0,
+            running: 0,
+            tasks: List::EMPTY,
+            weight,
+        });
+        self.by_id.insert(team.clone(), index);
+        index
+    }
+
+    fn learn(&mut self, cost: u64) {
+        if self.mean_cost == 0 {
+            self.mean_cost = cost;
+            return;
+        }
+        let step = (cost as i64 - self.mean_cost as i64) / MEAN_SHIFT;
+        self.mean_cost = (self.mean_cost as i64 + step).max(1) as u64;
+    }
+
+    /// Cost that a team may start per round.
+    fn quantum(&self, index: u32) -> i64 {
+        let weight = self.teams.get(index).map_or(UNIT_WEIGHT, |team| u64::from(team.weight));
+        (self.mean_cost * weight / UNIT_WEIGHT).max(1) as i64
+    }
+
+    /// Places a team that had no queued task: behind the teams of this round, with its debt reduced by the
+    /// rounds that have passed and no right saved up.
+    fn enter(&mut self, index: u32) {
+        let quantum = self.quantum(index);
+        let round = self.calendar.round;
+        if let Some(team) = self.teams.get_mut(index) {
+            let passed = (round - team.left_round).min(ROUNDS as u64) as i64;
+            team.deficit = (team.deficit + passed * quantum).min(0);
+        }
+        self.place(index);
+    }
+
+    /// Places a team in the first round in which it has a positive deficit.
+    fn place(&mut self, index: u32) {
+        let quantum = self.quantum(index);
+        let Some(team) = self.teams.get_mut(index) else { return };
+        let most = ROUNDS as i64 - 1;
+        team.deficit = team.deficit.max(1 - quantum * most);
+        let rounds = (-team.deficit).max(0) / quantum + 1;
+        let rounds = rounds.min(most);
+        team.credit = rounds * quantum;
+        let bucket = self.calendar.bucket(rounds as u64);
+        self.calendar.push_back(bucket, index);
+        self.set_bucket(index, bucket);
+    }
+
+    fn set_bucket(&mut self, index: u32, bucket: usize) {
+        if let Some(team) = self.teams.get_mut(index) {
+            team.bucket = bucket as u16;
+        }
+    }
+}
