--- a/crates/bench/src/driver.rs
+++ b/crates/bench/src/driver.rs
@@ -300,7 +300,7 @@
                     }
                 }
                 Action::Stop { start, .. } => self.queue.after(delay, Step::StopRun { entry, start }),
-                Action::Claim { .. } | Action::Drained | Action::Health(_) | Action::Shedding { .. } => {}
+                Action::Claim { .. } | Action::Drained | Action::Health(_) | Action::Shedding(_) => {}
             }
         }
     }
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,13 @@
-//! Workload bench, load tool and capacity measurements.
+//! Measurements of the dispatcher's decision code against a naive version, in virtual time.
+//!
+//! - [`workload`] generates the submissions of a run from a seed.
+//! - [`driver`] runs the real decision code of all entries, [`naive`] a naive version, over the same [`fleet`].
+//! - [`recorder`] draws the figures, [`report`] writes tables and plots.
+
+pub mod clock;
+pub mod driver;
+pub mod fleet;
+pub mod naive;
+pub mod recorder;
+pub mod scenario;
+pub mod workload;
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -9,7 +9,7 @@
 use hinge_sched::{Estimates, QueuedTask, Quotas, Scheduler};
 use hinge_wire::{
     Class, FastMap, LoanReply, LoanRequest, RackId, ResultCode, Sequence, ServiceId, StartId, Submission,
-    SubmissionKey, SubmissionStatus, TaskId, TeamDemand, UpstreamInfo,
+    SubmissionKey, SubmissionStatus, TaskId, TeamDemand, TeamId, UpstreamInfo,
 };
 use tokio::time::Instant;
 
@@ -41,6 +41,7 @@
     pub(crate) running_tasks: FastMap<TaskId, StartId>,
     pub(crate) schedulers: FastMap<ServiceId, Scheduler>,
     pub(crate) totals: Totals,
+    pub(crate) weights: FastMap<TeamId, u32>,
 }
 
 /// What the dispatcher keeps about a submission besides its ledger record.
@@ -51,7 +52,7 @@
     pub(crate) recent_racks: Vec<RackId>,
     pub(crate) repeatable: bool,
     pub(crate) service: ServiceId,
-    pub(crate) team: hinge_wire::TeamId,
+    pub(crate) team: TeamId,
 }
 
 /// A start that has not ended.
@@ -84,6 +85,7 @@
             running_tasks: FastMap::default(),
             schedulers: FastMap::default(),
             totals: Totals::default(),
+            weights: FastMap::default(),
             ledger: Ledger::new(origin, policy),
         }
     }
@@ -128,7 +130,7 @@
     pub fn handle(&mut self, now: Instant, event: Event) {
         match event {
             Event::ClaimSettled { result, sequence } => self.claim_settled(now, sequence, result),
-            Event::Config { policy, quotas, weights } => self.set_config(&policy, quotas, &weights),
+            Event::Config { policy, quotas, weights } => self.set_config(&policy, quotas, weights),
             Event::Drain => self.draining = true,
             Event::LoanFailed { lender } => self.loans.failed(now, &lender),
             Event::LoanGranted { lender, lender_incarnation, reply, service } => {
@@ -262,7 +264,7 @@
 
     /// Reports a final submission and withdraws what is left of it.
     pub(crate) fn complete(&mut self, completion: Completion) {
-        let Completion { answer, cancel, sequence } = completion;
+        let Completion { answer, cancel, sequence, .. } = completion;
         let Some(job) = self.jobs.remove(&sequence) else { return };
         self.awaiting_claim.remove(&sequence);
         for task in cancel {
@@ -302,22 +304,35 @@
         }
     }
 
-    fn set_config(
-        &mut self,
-        policy: &Policy,
-        quotas: FastMap<hinge_wire::TeamId, u64>,
-        weights: &FastMap<hinge_wire::TeamId, u64>,
-    ) {
+    fn set_config(&mut self, policy: &Policy, quotas: FastMap<TeamId, u64>, weights: FastMap<TeamId, u32>) {
         self.policy = policy.clone();
+        self.estimates.set_policy(policy);
         self.ledger.set_policy(policy);
-        self.router.set_policy(policy);
         self.quotas.set_policy(policy, quotas);
+        self.retry_budget.set_policy(policy);
+        self.router.set_policy(policy);
         for scheduler in self.schedulers.values_mut() {
             scheduler.set_policy(policy);
-            for (team, weight) in weights {
-                scheduler.set_team_weight(team, u32::try_from(*weight).unwrap_or(u32::MAX));
+            for team in self.weights.keys().filter(|team| !weights.contains_key(*team)) {
+                scheduler.clear_team_weight(team);
+            }
+            for (team, weight) in &weights {
+                scheduler.set_team_weight(team, *weight);
             }
         }
+        self.weights = weights;
+    }
+
+    /// The scheduler of a service, created on its first submission.
+    pub(crate) fn scheduler(&mut self, now: Instant, service: &ServiceId) -> &mut Scheduler {
+        self.schedulers.entry(service.clone()).or_insert_with(|| {
+            let mut scheduler = Scheduler::new(&self.policy);
+            scheduler.set_capacity(self.router.capacity(now, service));
+            for (team, weight) in &self.weights {
+                scheduler.set_team_weight(team, *weight);
+            }
+            scheduler
+        })
     }
 
     pub(crate) fn update_capacity(&mut self, now: Instant, service: &ServiceId) {
@@ -345,9 +360,12 @@
 
     fn expire_queued(&mut self, now: Instant) {
         let mut expired = Vec::new();
+        let mut notices = Vec::new();
         for scheduler in self.schedulers.values_mut() {
             scheduler.expire(now, &mut expired);
+            scheduler.take_notices(&mut notices);
         }
+        self.actions.extend(notices.into_iter().map(Action::Shedding));
         for task in expired {
             self.end_unstarted(now, task.id, ResultCode::DeadlineInQueue);
         }
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -4,6 +4,7 @@
 
 use hinge_conf::Policy;
 use hinge_route::Notice;
+use hinge_sched::Notice as SheddingNotice;
 use hinge_wire::{
     Answer, Class, FastMap, Incarnation, InstanceId, ListEntry, LoanReply, LoanRequest, LoanReturn,
     ResultCode, Sequence, ServiceId, StartId, SubmissionKey, TaskId, TeamDemand, TeamId, UpstreamId,
@@ -26,7 +27,7 @@
         /// Team quotas in task starts per second.
         quotas: FastMap<TeamId, u64>,
         /// Team weights that differ from the default.
-        weights: FastMap<TeamId, u64>,
+        weights: FastMap<TeamId, u32>,
     },
     /// A planned stop has begun.
     Drain,
@@ -160,12 +161,7 @@
         request: LoanReturn,
     },
     /// Early refusal of a class has started or ended.
-    Shedding {
-        /// The class.
-        class: Class,
-        /// Whether it has started.
-        started: bool,
-    },
+    Shedding(SheddingNotice),
     /// Send a task to an upstream, then report [`Event::TaskEnded`].
     Start(Start),
     /// Stop a running task; its end is still reported.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -64,3 +64,4 @@
 pub use event::{Action, Event, Lender, Refusal, Start, TaskResult, Totals};
 pub use hinge_ledger::Origin;
 pub use hinge_route::Notice;
+pub use hinge_sched::Notice as SheddingNotice;
--- a/crates/dispatch/src/submit.rs
+++ b/crates/dispatch/src/submit.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hinge_ledger::Admission;
-use hinge_sched::{AdmitRequest, QueuedTask, Scheduler};
+use hinge_sched::{AdmitRequest, QueuedTask};
 use hinge_wire::{Class, ResultCode, Sequence, ServiceId, Submission, SubmissionKey, TaskId, TeamId};
 use tokio::time::Instant;
 
@@ -51,14 +51,7 @@
             tasks,
             team: &team,
         };
-        if !self.schedulers.contains_key(&service) {
-            let mut scheduler = Scheduler::new(&self.policy);
-            scheduler.set_capacity(self.router.capacity(now, &service));
-            self.schedulers.insert(service.clone(), scheduler);
-        }
-        if let Some(scheduler) = self.schedulers.get_mut(&service) {
-            scheduler.admit(now, &request)?;
-        }
+        self.scheduler(now, &service).admit(now, &request)?;
         if self.policy.quotas_enabled && !self.quotas.take(now, &team, tasks) {
             return Err(ResultCode::QuotaExceeded);
         }
