--- /dev/null
+++ b/crates/client/src/calls.rs
@@ -0,0 +1,177 @@
+//! Single calls to an entry, and the calls that are no submissions.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hinge_wire::{
+    ErrorReply, KeysReply, KeysRequest, Outcome, ResultCode, SubmissionKey, from_json, to_json,
+};
+use http::{Method, Request, Response};
+use serde::de::DeserializeOwned;
+use tokio::time::{Instant, sleep, timeout, timeout_at};
+
+use crate::backoff::Backoff;
+use crate::client::Client;
+use crate::error::ClientError;
+use crate::keys::IssuedKey;
+use crate::rules::is_passing;
+use crate::transport::{SendError, Transport};
+
+/// Why one call failed.
+enum CallError {
+    /// Another attempt may succeed.
+    Passing(String),
+    Rejected(ErrorReply),
+}
+
+impl<T: Transport> Client<T> {
+    /// Sends one request; the entry may hold the response open for `hold`.
+    pub(crate) async fn send(
+        &self,
+        entry: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        hold: Duration,
+    ) -> Result<Response<Bytes>, SendError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .body(body)
+            .map_err(|error| SendError::NotSent(error.to_string()))?;
+        let limit = hold.saturating_add(self.inner.settings.response_timeout);
+        let response = timeout(limit, self.inner.transport.send(entry, request)).await;
+        response.unwrap_or_else(|_| Err(SendError::Lost("no response in time".to_owned())))
+    }
+
+    /// Calls one entry after the other until one gives a reply that `accept` takes.
+    pub(crate) async fn ask<R: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        accept: impl Fn(&R) -> bool,
+    ) -> Result<R, ClientError> {
+        let deadline = self.deadline(self.inner.settings.options.deadline);
+        let mut backoff = self.backoff();
+        let mut entry = self.first_entry();
+        loop {
+            let call = self.call(entry, method.clone(), path, body.clone());
+            let last = match timeout_at(deadline, call).await {
+                Ok(Ok(reply)) if accept(&reply) => return Ok(reply),
+                Ok(Ok(_)) => "the reply is for another submission".to_owned(),
+                Ok(Err(CallError::Rejected(reply))) => return Err(ClientError::Rejected(reply)),
+                Ok(Err(CallError::Passing(error))) => error,
+                Err(_) => return Err(unreachable("the deadline has passed".to_owned())),
+            };
+            entry = self.entry_after(entry);
+            self.pause(&mut backoff, deadline, last).await?;
+        }
+    }
+
+    /// Takes a key from the pool, or fetches keys when there are none; fetches ahead when few are left.
+    pub(crate) async fn next_key(
+        &self,
+        deadline: Instant,
+        backoff: &mut Backoff,
+    ) -> Result<IssuedKey, ClientError> {
+        loop {
+            if let Some(key) = self.inner.pool.take(Instant::now()) {
+                self.refill_ahead();
+                return Ok(key);
+            }
+            self.refill_pool(deadline, backoff).await?;
+        }
+    }
+
+    /// Fetches keys unless another submission has just done so.
+    pub(crate) async fn refill_pool(
+        &self,
+        deadline: Instant,
+        backoff: &mut Backoff,
+    ) -> Result<(), ClientError> {
+        let mut entry = self.first_entry();
+        loop {
+            let fetch = async {
+                let _single = self.inner.refill.lock().await;
+                if self.inner.pool.len() > 0 { Ok(()) } else { self.fetch_keys(entry).await }
+            };
+            let last = match timeout_at(deadline, fetch).await {
+                Ok(Ok(())) => return Ok(()),
+                Ok(Err(CallError::Rejected(reply))) => format!("{}: {}", reply.name, reply.message),
+                Ok(Err(CallError::Passing(error))) => error,
+                Err(_) => return Err(unreachable("no keys before the deadline".to_owned())),
+            };
+            entry = self.entry_after(entry);
+            self.pause(backoff, deadline, last).await?;
+        }
+    }
+
+    /// Fetches keys in the background when less than a quarter of a batch is left.
+    fn refill_ahead(&self) {
+        let few = self.inner.settings.key_batch as usize / 4;
+        if self.inner.pool.len() >= few {
+            return;
+        }
+        let client = self.clone();
+        tokio::spawn(async move {
+            if let Ok(_single) = client.inner.refill.try_lock()
+                && client.inner.pool.len() < few
+            {
+                // A failure shows again when a submission finds the pool empty.
+                let _ = client.fetch_keys(client.first_entry()).await;
+            }
+        });
+    }
+
+    async fn fetch_keys(&self, entry: SocketAddr) -> Result<(), CallError> {
+        let count = self.inner.settings.key_batch;
+        let body = to_json(&KeysRequest { count }).map_err(|error| CallError::Passing(error.to_string()))?;
+        let requested_at = Instant::now();
+        let reply: KeysReply = self.call(entry, Method::POST, "/v1/keys", body.into()).await?;
+        let keys: Vec<_> = reply.keys.into_iter().take(count as usize).collect();
+        if keys.is_empty() || keys.iter().any(|key| key.parse::<SubmissionKey>().is_err()) {
+            return Err(CallError::Passing("the entry issued no usable keys".to_owned()));
+        }
+        let valid_for = Duration::from_millis(reply.valid_for_ms);
+        self.inner.pool.add(entry, keys, requested_at, valid_for);
+        Ok(())
+    }
+
+    async fn call<R: DeserializeOwned>(
+        &self,
+        entry: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<R, CallError> {
+        let response = self.send(entry, method, path, body, Duration::ZERO).await;
+        let response = response.map_err(|error| CallError::Passing(error.to_string()))?;
+        if response.status().is_success() {
+            return from_json(response.body()).map_err(|error| CallError::Passing(error.to_string()));
+        }
+        let reply = from_json::<ErrorReply>(response.body())
+            .map_err(|_| CallError::Passing(format!("status {} without a result code", response.status())))?;
+        Err(match ResultCode::from_number(reply.code) {
+            Some(code) if !is_passing(code) => CallError::Rejected(reply),
+            None if response.status().is_client_error() => CallError::Rejected(reply),
+            _ => CallError::Passing(format!("{}: {}", reply.name, reply.message)),
+        })
+    }
+
+    async fn pause(&self, backoff: &mut Backoff, deadline: Instant, last: String) -> Result<(), ClientError> {
+        match backoff.next() {
+            Some(pause) if Instant::now() + pause < deadline => {
+                sleep(pause).await;
+                Ok(())
+            }
+            _ => Err(unreachable(last)),
+        }
+    }
+}
+
+fn unreachable(last: String) -> ClientError {
+    ClientError::Unreachable { key: None, last, outcome: Outcome::FailedNotRun }
+}
