store: add the store client, configuration sync and claims

Cause: instances need the configuration and claims of the platform's store, which can be slow or down and can lose the answers of applied writes. Change: HttpStore maps each answer to what it proves; Budgeted and TokenBucket limit and count calls; ConfigSync follows the store and peers upwards only and settles ambiguous changes; Claims records, finishes and settles claims. Claims are bound to leases, so a window marker is required before a tombstone counts as never ran. conf checks that claim_ttl_ms is at least twice key_validity_ms + max_deadline_ms.

--- a/crates/conf/src/document.rs
+++ b/crates/conf/src/document.rs
@@ -291,5 +291,11 @@
     if policy.eject_base_ms > policy.eject_limit_ms {
         return fail("eject_base_ms is above eject_limit_ms".to_owned());
     }
+    // A tombstone must outlive the last moment at which a resumed owner may start the task. Leases are shared until
+    // half of their time is over, so a record may live for only half of the time to live.
+    let last_start_ms = policy.key_validity_ms + policy.max_deadline_ms;
+    if policy.claim_ttl_ms < 2 * last_start_ms {
+        return fail(format!("claim_ttl_ms is below twice key_validity_ms + max_deadline_ms ({last_start_ms})"));
+    }
     Ok(())
 }
--- a/crates/conf/tests/document.rs
+++ b/crates/conf/tests/document.rs
@@ -40,6 +40,7 @@
         (set("urgent_share_percent", 60), "sum to 110 percent"),
         (set("suspect_after_ms", 5001), "above dead_after_ms"),
         (set("eject_base_ms", 60001), "above eject_limit_ms"),
+        (set("claim_ttl_ms", 2_999_999), "below twice key_validity_ms"),
         (except(team, "t", "max_attempts", 2, "r"), "no exception for a team"),
         (except(centre, "dc1", "max_attempts", 2, "  "), "reason"),
         (except(centre, "dc1", "max_attempts", 2, &long), "reason"),
--- /dev/null
+++ b/crates/store/src/http_store.rs
@@ -0,0 +1,204 @@
+//! The store over HTTP with JSON bodies.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use serde::de::DeserializeOwned;
+use tokio::time::timeout;
+
+use hinge_wire::{LeaseGrant, LeaseReply, StorePut, StoreValue, from_json, to_json};
+
+use crate::store::{MAX_VALUE_BYTES, Store, StoreError};
+
+/// Largest response body. A value of 1 MB that is itself JSON takes up to 2 MB once its quotes are escaped.
+const MAX_RESPONSE_BYTES: usize = 4 * MAX_VALUE_BYTES;
+/// Largest response header.
+const MAX_HEADER_BYTES: usize = 64 * 1024;
+/// Idle connections kept: one for the watch and a few for concurrent claims.
+const MAX_IDLE_CONNECTIONS: usize = 4;
+/// Idle connections are closed before the server's own limit makes a write on one of them ambiguous.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Client of the store's HTTP interface. Clones share their connections.
+///
+/// Calls are never repeated here: a repeated write could be reported as a conflict with itself.
+#[derive(Clone, Debug)]
+pub struct HttpStore {
+    address: SocketAddr,
+    call_timeout: Duration,
+    client: Client<HttpConnector, Full<Bytes>>,
+    connect_timeout: Duration,
+}
+
+/// Whether a call changes the store, which decides what a lost response means.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Effect {
+    Read,
+    Write,
+}
+
+impl Effect {
+    /// The error of a call whose request may have reached the store.
+    const fn lost(self) -> StoreError {
+        match self {
+            Self::Read => StoreError::Unavailable,
+            Self::Write => StoreError::Ambiguous,
+        }
+    }
+
+    /// The error of a call whose response cannot be used.
+    fn unusable(self, reason: &str) -> StoreError {
+        match self {
+            Self::Read => StoreError::Invalid(reason.to_owned()),
+            Self::Write => StoreError::Ambiguous,
+        }
+    }
+}
+
+impl HttpStore {
+    /// Creates a client; no connection is opened yet.
+    #[must_use]
+    pub fn new(address: SocketAddr, connect_timeout: Duration, call_timeout: Duration) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(connect_timeout));
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .http1_max_buf_size(MAX_HEADER_BYTES)
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
+            .pool_timer(TokioTimer::new())
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { address, call_timeout, client, connect_timeout }
+    }
+
+    async fn call(
+        &self,
+        effect: Effect,
+        request: Request<Full<Bytes>>,
+        wait: Duration,
+    ) -> Result<(StatusCode, Bytes), StoreError> {
+        // The connect limit ends first, so that the limit of the whole call never hides a failed connect.
+        let limit = self.connect_timeout + self.call_timeout + wait;
+        let exchange = async {
+            let response = self.client.request(request).await;
+            let response = response.map_err(|error| match error.is_connect() {
+                true => StoreError::Unavailable,
+                false => effect.lost(),
+            })?;
+            read_body(effect, response).await
+        };
+        timeout(limit, exchange).await.unwrap_or_else(|_| Err(effect.lost()))
+    }
+
+    fn request(&self, method: Method, path: &str, body: Vec<u8>) -> Result<Request<Full<Bytes>>, StoreError> {
+        Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|error| StoreError::Invalid(error.to_string()))
+    }
+
+    async fn read(&self, path: &str, wait: Duration) -> Result<StoreValue, StoreError> {
+        let request = self.request(Method::GET, path, Vec::new())?;
+        let (status, body) = self.call(Effect::Read, request, wait).await?;
+        match status {
+            StatusCode::OK => decode_value(Effect::Read, &body),
+            _ => Err(rejected(Effect::Read, status)),
+        }
+    }
+}
+
+impl Store for HttpStore {
+    async fn get(&self, key: &str) -> Result<StoreValue, StoreError> {
+        check_key(key)?;
+        self.read(&format!("/kv/{key}"), Duration::ZERO).await
+    }
+
+    async fn put(&self, key: &str, put: &StorePut) -> Result<StoreValue, StoreError> {
+        check_key(key)?;
+        if put.value.len() > MAX_VALUE_BYTES {
+            return Err(StoreError::Invalid(format!("the value has {} bytes", put.value.len())));
+        }
+        let body = to_json(put).map_err(|error| StoreError::Invalid(error.to_string()))?;
+        let request = self.request(Method::PUT, &format!("/kv/{key}"), body)?;
+        let (status, body) = self.call(Effect::Write, request, Duration::ZERO).await?;
+        match status {
+            // A revision that is not higher than the expected one cannot be the result of this write.
+            StatusCode::OK => decode_value(Effect::Write, &body).and_then(|value| {
+                if value.revision > put.expect_revision { Ok(value) } else { Err(StoreError::Ambiguous) }
+            }),
+            StatusCode::CONFLICT => Err(StoreError::Conflict(decode_value(Effect::Write, &body)?)),
+            _ => Err(rejected(Effect::Write, status)),
+        }
+    }
+
+    async fn watch(&self, key: &str, after: u64, wait: Duration) -> Result<StoreValue, StoreError> {
+        check_key(key)?;
+        self.read(&format!("/watch/{key}?after={after}&wait_ms={}", wait.as_millis()), wait).await
+    }
+
+    async fn grant_lease(&self, ttl: Duration) -> Result<LeaseReply, StoreError> {
+        let ttl_ms = u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX);
+        let body = to_json(&LeaseGrant { ttl_ms }).map_err(|error| StoreError::Invalid(error.to_string()))?;
+        let request = self.request(Method::POST, "/leases", body)?;
+        let (status, body) = self.call(Effect::Write, request, Duration::ZERO).await?;
+        if status != StatusCode::OK {
+            return Err(rejected(Effect::Write, status));
+        }
+        decode(Effect::Write, &body)
+    }
+}
+
+async fn read_body(
+    effect: Effect,
+    response: http::Response<Incoming>,
+) -> Result<(StatusCode, Bytes), StoreError> {
+    let status = response.status();
+    match Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await {
+        Ok(body) => Ok((status, body.to_bytes())),
+        // 503 states that nothing was written, with or without its body.
+        Err(_) if status == StatusCode::SERVICE_UNAVAILABLE => Err(StoreError::Unavailable),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(effect.unusable("the response is too large"))
+        }
+        Err(_) => Err(effect.lost()),
+    }
+}
+
+/// Keys go into paths unencoded, so that nothing but these characters may pass.
+fn check_key(key: &str) -> Result<(), StoreError> {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_./".contains(&byte);
+    if !key.is_empty() && key.len() <= 512 && key.bytes().all(allowed) {
+        return Ok(());
+    }
+    Err(StoreError::Invalid("the key has characters that are not allowed".to_owned()))
+}
+
+fn decode<T: DeserializeOwned>(effect: Effect, body: &[u8]) -> Result<T, StoreError> {
+    from_json(body).map_err(|error| effect.unusable(&error.to_string()))
+}
+
+fn decode_value(effect: Effect, body: &[u8]) -> Result<StoreValue, StoreError> {
+    let value: StoreValue = decode(effect, body)?;
+    if value.value.len() > MAX_VALUE_BYTES {
+        return Err(effect.unusable("the value is too large"));
+    }
+    Ok(value)
+}
+
+fn rejected(effect: Effect, status: StatusCode) -> StoreError {
+    match status {
+        StatusCode::SERVICE_UNAVAILABLE => StoreError::Unavailable,
+        status if status.is_client_error() => StoreError::Invalid(format!("the store answered {status}")),
+        _ => effect.lost(),
+    }
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,1 +1,39 @@
 //! Client of the platform's key-value store, configuration sync and claims.
+//!
+//! - [`Store`] is the store's interface: reads, compare-and-swap writes, watches and leases. [`HttpStore`] speaks it
+//!   over HTTP; `Option<HttpStore>` serves instances without a store.
+//! - [`Budgeted`] limits and counts calls with a [`TokenBucket`] and [`StoreCounters`]; [`Backoff`] spreads repeats.
+//! - [`ConfigSync`] keeps the configuration in force: it follows the store, takes higher revisions from peers, and
+//!   writes operators' changes.
+//! - [`Claims`] records in the store that a definite submission may start, and settles submissions whose owner is
+//!   gone.
+//!
+//! ```no_run
+//! use std::time::Duration;
+//! use hinge_store::{ConfigSync, HttpStore};
+//!
+//! # async fn example() -> Result<(), Box<dyn std::error::Error>> {
+//! let timeout = Duration::from_secs(1);
+//! let store = HttpStore::new("127.0.0.1:9000".parse()?, timeout, timeout);
+//! let sync = std::sync::Arc::new(ConfigSync::new(store, "dc1".into(), 7));
+//! let follower = std::sync::Arc::clone(&sync);
+//! tokio::spawn(async move { follower.run().await });
+//! sync.subscribe().changed().await?;
+//! println!("revision {} is in force", sync.resolved().revision);
+//! # Ok(())
+//! # }
+//! ```
+
+mod budget;
+mod claims;
+mod http_store;
+mod proposal;
+mod store;
+mod sync;
+
+pub use budget::{Backoff, Budgeted, Call, CallCounts, StoreCounters, TokenBucket};
+pub use claims::{ClaimError, Claims, Settlement, WINDOW_KEYS};
+pub use http_store::HttpStore;
+pub use proposal::ChangeFailure;
+pub use store::{MAX_VALUE_BYTES, Store, StoreError};
+pub use sync::{CONFIG_KEY, ConfigSync, Offered, Source, SyncEvent, SyncStatus};
--- /dev/null
+++ b/crates/store/tests/claims.rs
@@ -0,0 +1,139 @@
+//! Guards against a submission that is reported as never run although its owner may start it, or has started it.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hinge_conf::Policy;
+use hinge_store::{ClaimError, Claims, Settlement, StoreCounters, WINDOW_KEYS};
+use hinge_wire::{ResultCode, SubmissionKey};
+use support::{FakeStore, Faults, run};
+use tokio::time::{advance, sleep};
+
+fn claims(store: &FakeStore, seed: u64) -> Arc<Claims<FakeStore>> {
+    Arc::new(Claims::new(store.clone(), Arc::new(StoreCounters::default()), &Policy::default(), seed))
+}
+
+fn key(sequence: u64) -> SubmissionKey {
+    SubmissionKey { data_centre: "dc1".into(), incarnation: 9, instance: "e1".into(), sequence }
+}
+
+#[test]
+fn settlement_follows_the_claim() {
+    run(async {
+        let store = FakeStore::new(1);
+        let (owner, other) = (claims(&store, 1), claims(&store, 2));
+        assert_eq!(owner.claim(&key(1)).await, Ok(()));
+        assert_eq!(
+            owner.claim(&key(1)).await,
+            Err(ClaimError::Refused),
+            "a second claim must not start it again"
+        );
+        assert_eq!(other.settle(&key(1)).await, Settlement::MayHaveRun);
+        assert!(owner.finish(&key(1), ResultCode::TaskFailed).await);
+        assert_eq!(other.settle(&key(1)).await, Settlement::Outcome(ResultCode::TaskFailed));
+        assert_eq!(other.settle(&key(2)).await, Settlement::NeverRan);
+        assert_eq!(other.settle(&key(2)).await, Settlement::NeverRan, "asked again");
+        assert_eq!(owner.claim(&key(2)).await, Err(ClaimError::Settled), "a resumed owner must not start it");
+        let other_window = key(WINDOW_KEYS);
+        assert_eq!(other.settle(&other_window).await, Settlement::MayHaveRun, "no marker, no proof");
+    });
+}
+
+/// A paused owner whose claims have expired has started tasks; the absence of its claims proves nothing.
+#[test]
+fn expired_claims_are_never_taken_for_not_run() {
+    run(async {
+        let store = FakeStore::new(2);
+        let (owner, other) = (claims(&store, 1), claims(&store, 2));
+        for minute in 0..200_u64 {
+            assert_eq!(owner.claim(&key(minute)).await, Ok(()), "minute {minute}");
+            advance(Duration::from_secs(60)).await;
+        }
+        for sequence in 0..200 {
+            let settled = other.settle(&key(sequence)).await;
+            assert_eq!(settled, Settlement::MayHaveRun, "sequence {sequence}");
+            sleep(Duration::from_millis(60)).await;
+        }
+    });
+}
+
+/// Definite work must be refused as not run, at once, and calls must stay few while the store is down.
+#[test]
+fn a_store_that_is_down_refuses_claims_without_a_flood_of_calls() {
+    run(async {
+        let store = FakeStore::new(3);
+        let owner = claims(&store, 1);
+        assert_eq!(owner.claim(&key(1)).await, Ok(()));
+        store.set_down(true);
+        let before = store.lock().calls.len();
+        for sequence in 0..1000 {
+            let refused = owner.claim(&key(sequence + 2)).await.unwrap_err();
+            assert!(matches!(refused, ClaimError::Refused | ClaimError::Limit), "{refused}");
+            assert_eq!(owner.settle(&key(1)).await, Settlement::Unavailable);
+            sleep(Duration::from_millis(10)).await;
+        }
+        let calls = store.lock().calls.len() - before;
+        assert!(calls <= 40, "{calls} calls in 10 s");
+        assert!(!owner.finish(&key(1), ResultCode::Complete).await);
+        store.set_down(false);
+        sleep(Duration::from_secs(2)).await;
+        assert_eq!(owner.claim(&key(5000)).await, Ok(()));
+    });
+}
+
+#[test]
+fn claims_are_limited_per_second() {
+    run(async {
+        let owner = claims(&FakeStore::new(4), 1);
+        let results: Vec<_> = {
+            let claim = |sequence| {
+                let owner = Arc::clone(&owner);
+                tokio::spawn(async move { owner.claim(&key(sequence)).await })
+            };
+            (0..100).map(claim).collect()
+        };
+        let mut accepted = 0;
+        for result in results {
+            match result.await.unwrap() {
+                Ok(()) => accepted += 1,
+                Err(error) => assert_eq!(error.code(), ResultCode::ClaimLimit),
+            }
+        }
+        assert!((20..=30).contains(&accepted), "{accepted}");
+    });
+}
+
+/// One task must not both start and be reported as never run, whatever answers are lost or late.
+#[test]
+fn a_claim_and_a_proof_of_not_run_exclude_each_other() {
+    let (mut started, mut proofs) = (0, 0);
+    for seed in 0..300 {
+        run(async {
+            let store = FakeStore::new(seed);
+            store.lock().faults = Faults { late: 20, lost_answer: 25, lost_request: 20 };
+            store.lock().latency_ms = 60;
+            let (owner, other) = (claims(&store, seed), claims(&store, seed + 1000));
+            owner.open(&key(0)).await;
+            let settling = tokio::spawn(async move {
+                loop {
+                    match other.settle(&key(0)).await {
+                        Settlement::Unavailable => sleep(Duration::from_millis(200)).await,
+                        settled => return settled,
+                    }
+                }
+            });
+            sleep(Duration::from_millis(seed % 7 * 20)).await;
+            let claim = owner.claim(&key(0)).await;
+            let settled = settling.await.unwrap();
+            started += usize::from(claim.is_ok());
+            proofs += usize::from(settled == Settlement::NeverRan);
+            assert!(
+                claim.is_err() || settled == Settlement::MayHaveRun,
+                "seed {seed}: {claim:?} and {settled:?}"
+            );
+        });
+    }
+    assert!(started > 30 && proofs > 30, "both outcomes must occur: {started} and {proofs}");
+}
