--- a/crates/bench/src/driver.rs
+++ b/crates/bench/src/driver.rs
@@ -5,8 +5,8 @@
 
 use hinge_dispatch::{Action, Dispatcher, Event, Lender, Origin, Start, TaskResult, Totals};
 use hinge_wire::{
-    Answer, FastMap, InstanceId, ListEntry, LoanReply, LoanRequest, LoanReturn, Outcome, Sequence,
-    StartId, Submission, SubmissionKey, TaskSpec,
+    Answer, FastMap, InstanceId, ListEntry, LoanReply, LoanRequest, LoanReturn, Outcome, Sequence, StartId,
+    Submission, SubmissionKey, TaskSpec,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -229,7 +229,9 @@
                     _ => self.queue.after(start.timeout, Step::RunEnds { entry, fails: true, start: id }),
                 }
             }
-            Reception::Busy => self.report(entry, id, TaskResult::Refused(hinge_dispatch::Refusal::Busy), delay),
+            Reception::Busy => {
+                self.report(entry, id, TaskResult::Refused(hinge_dispatch::Refusal::Busy), delay)
+            }
             Reception::Unreachable => self.report(entry, id, TaskResult::NotSent, delay),
         }
     }
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -17,8 +17,18 @@
         for (name, load, failing, floods) in [
             ("80%", 0.8, 0.0, vec![]),
             ("80% 5% failing", 0.8, 0.05, vec![]),
-            ("flood batch", 0.8, 0.0, vec![Flood { class: Class::Batch, from_s: 30.0, factor: 10.0, until_s: 90.0 }]),
-            ("flood urgent", 0.8, 0.0, vec![Flood { class: Class::Urgent, from_s: 30.0, factor: 10.0, until_s: 90.0 }]),
+            (
+                "flood batch",
+                0.8,
+                0.0,
+                vec![Flood { class: Class::Batch, from_s: 30.0, factor: 10.0, until_s: 90.0 }],
+            ),
+            (
+                "flood urgent",
+                0.8,
+                0.0,
+                vec![Flood { class: Class::Urgent, from_s: 30.0, factor: 10.0, until_s: 90.0 }],
+            ),
         ] {
             let workload = WorkloadSpec {
                 classes: standard_mix(load),
@@ -45,11 +55,23 @@
             println!("== {} {name}: {} arrivals, {took:?}, {totals:?}", shape.name, arrivals.len());
             let path = shortest_path(&shape);
             for (version, record) in [("real", &real), ("naive", &naive)] {
-                println!(" {version} wasted/start {:.3}", record.messages.wasted as f64 / record.messages.starts as f64);
+                println!(
+                    " {version} wasted/start {:.3}",
+                    record.messages.wasted as f64 / record.messages.starts as f64
+                );
                 for class in Class::ALL {
                     let window = (Duration::from_secs(35), Duration::from_secs(85));
                     let f = figures(&arrivals, record, class, window, path);
-                    println!("  {class:8} complete {:6} work {:7.0} failed {:5} rejected {:6} unanswered {:5} ratio {:.2?} ms {:.0?}", f.complete, f.complete_work_s, f.failed, f.rejected, f.unanswered, f.ratio, f.response_ms);
+                    println!(
+                        "  {class:8} complete {:6} work {:7.0} failed {:5} rejected {:6} unanswered {:5} ratio {:.2?} ms {:.0?}",
+                        f.complete,
+                        f.complete_work_s,
+                        f.failed,
+                        f.rejected,
+                        f.unanswered,
+                        f.ratio,
+                        f.response_ms
+                    );
                 }
             }
         }
--- a/crates/bench/src/recorder.rs
+++ b/crates/bench/src/recorder.rs
@@ -83,7 +83,8 @@
         response_ms: [0.0; 3],
         unanswered: 0,
     };
-    let inside = |arrival: &Arrival| arrival.class == class && arrival.at >= window.0 && arrival.at < window.1;
+    let inside =
+        |arrival: &Arrival| arrival.class == class && arrival.at >= window.0 && arrival.at < window.1;
     for (arrival, ended) in arrivals.iter().zip(&record.ended).filter(|(arrival, _)| inside(arrival)) {
         match ended {
             None => figures.unanswered += 1,
--- a/crates/bench/src/workload.rs
+++ b/crates/bench/src/workload.rs
@@ -106,7 +106,8 @@
 }
 
 fn generate_class(spec: &WorkloadSpec, load: &ClassLoad, arrivals: &mut Vec<Arrival>) {
-    let mut rng = SmallRng::seed_from_u64(spec.seed ^ (load.class.index() as u64 + 1).wrapping_mul(0x9E37_79B9));
+    let mut rng =
+        SmallRng::seed_from_u64(spec.seed ^ (load.class.index() as u64 + 1).wrapping_mul(0x9E37_79B9));
     let mean_tasks = f64::from(load.tasks.0 + load.tasks.1) / 2.0;
     let work_s = mean_run_ms(load, spec.seed) / 1000.0 * mean_tasks;
     let rate = load.share_of_slots * f64::from(spec.slots) / work_s;
--- a/crates/entry/src/actions.rs
+++ b/crates/entry/src/actions.rs
@@ -2,8 +2,9 @@
 
 use std::sync::Arc;
 
-use hinge_dispatch::{Action, Event, Notice, TaskResult};
-use hinge_wire::{Answer, Class, LogEvent, Sequence, SubmissionKey, TeamId};
+use hinge_dispatch::{Action, Event, Notice, SheddingNotice, TaskResult};
+use hinge_store::ClaimError;
+use hinge_wire::{Answer, Class, LogEvent, ResultCode, Sequence, SubmissionKey, TeamId};
 use serde::Serialize;
 use std::time::Duration;
 
@@ -11,6 +12,12 @@
 use crate::shared::{Prepared, Shared};
 use crate::upstreams;
 
+#[derive(Serialize)]
+struct HealthDetails<'a> {
+    cause: Option<String>,
+    upstream: &'a str,
+}
+
 #[derive(Serialize)]
 struct SheddingDetails {
     class: Class,
@@ -52,10 +59,7 @@
             Action::ReturnLoan { lender, request } => {
                 tokio::spawn(peers::return_loan(self.clone(), lender, request));
             }
-            Action::Shedding { class, started } => {
-                let event = if started { LogEvent::SheddingStarted } else { LogEvent::SheddingEnded };
-                hinge_obs::emit(event, &SheddingDetails { class });
-            }
+            Action::Shedding(notice) => log_shedding(notice),
             Action::Stop { start, upstream } => {
                 tokio::spawn(upstreams::stop(self.clone(), start, upstream));
             }
@@ -75,11 +79,10 @@
         self.metrics.count(outcome_counter(answer), 1);
         self.metrics.record_response(class, team, Duration::from_millis(answer.total_ms));
         if definite {
-            let (shared, key, outcome) = (self.clone(), self.key_of(sequence), answer.outcome);
+            let code = ResultCode::from_number(answer.code).unwrap_or(ResultCode::Internal);
+            let (shared, key) = (self.clone(), self.key_of(sequence));
             tokio::spawn(async move {
-                if let Some(claims) = &shared.claims {
-                    claims.finish(&key, outcome).await;
-                }
+                let _ = shared.claims.finish(&key, code).await;
             });
         }
     }
@@ -95,14 +98,26 @@
 }
 
 async fn claim(shared: Arc<Shared>, key: SubmissionKey, sequence: Sequence) {
-    let result = match &shared.claims {
-        Some(claims) => claims.claim(&key).await,
-        None => Err(hinge_wire::ResultCode::ClaimRefused),
-    };
+    let result = shared.claims.claim(&key).await.map_err(ClaimError::code);
     shared.report(Event::ClaimSettled { result, sequence });
 }
 
+fn log_shedding(notice: SheddingNotice) {
+    let (event, class) = match notice {
+        SheddingNotice::ShedStarted { class } => (LogEvent::SheddingStarted, class),
+        SheddingNotice::ShedEnded { class } => (LogEvent::SheddingEnded, class),
+    };
+    hinge_obs::emit(event, &SheddingDetails { class });
+}
+
 fn log_health(notice: &Notice) {
-    // Adjusted to the router's notices.
-    let _ = notice;
+    let (event, upstream, cause) = match notice {
+        Notice::Capped { cause, upstream } => (LogEvent::EjectionCapped, upstream, Some(cause)),
+        Notice::Ejected { cause, upstream, .. } => (LogEvent::UpstreamEjected, upstream, Some(cause)),
+        Notice::Healthy { upstream } => (LogEvent::UpstreamHealthy, upstream, None),
+        Notice::Leaving { upstream } => (LogEvent::UpstreamLeaving, upstream, None),
+        Notice::Probation { upstream } => (LogEvent::UpstreamProbation, upstream, None),
+    };
+    let cause = cause.map(|cause| format!("{cause:?}"));
+    hinge_obs::emit(event, &HealthDetails { cause, upstream });
 }
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -78,7 +78,7 @@
     let keys = shared.decide(|dispatcher, now| dispatcher.issue_keys(now, request.count))?;
     let reply = KeysReply {
         keys: keys.iter().map(ToString::to_string).collect(),
-        valid_for_ms: shared.config.current().policy.key_validity_ms,
+        valid_for_ms: shared.config.resolved().policy.key_validity_ms,
     };
     Ok(Encoding::Json.response(StatusCode::OK, &reply))
 }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -8,7 +8,7 @@
 use hinge_dispatch::{Dispatcher, Origin};
 use hinge_member::Members;
 use hinge_obs::{Metrics, MetricsError};
-use hinge_store::{Claims, ConfigSync, HttpStore};
+use hinge_store::{Claims, ConfigSync, HttpStore, SyncEvent};
 use hinge_wire::{Incarnation, InstanceState, LogEvent, MemberInfo};
 use rand::Rng;
 use serde::Serialize;
@@ -68,6 +68,25 @@
     peer_address: SocketAddr,
 }
 
+#[derive(Serialize)]
+struct SyncDetails<'a> {
+    reason: Option<&'a str>,
+    revision: Option<u64>,
+}
+
+impl<'a> SyncDetails<'a> {
+    fn new(event: &'a SyncEvent) -> Self {
+        match event {
+            SyncEvent::Applied { revision, .. } => Self { reason: None, revision: Some(*revision) },
+            SyncEvent::Rejected { reason, revision, .. } => {
+                Self { reason: Some(reason), revision: Some(*revision) }
+            }
+            SyncEvent::StoreRecovered => Self { reason: None, revision: None },
+            SyncEvent::StoreUnreachable { reason } => Self { reason: Some(reason), revision: None },
+        }
+    }
+}
+
 impl Entry {
     /// Starts an instance: binds its listeners and begins to follow the platform and its peers.
     ///
@@ -158,20 +177,23 @@
 fn build_parts(settings: EntrySettings) -> Result<SharedParts, StartError> {
     let policy = Policy::default();
     let incarnation: Incarnation = rand::rng().random();
-    let seed = if settings.seed == 0 { rand::rng().random() } else { settings.seed };
+    let seed = settings.seed.unwrap_or_else(|| rand::rng().random());
     let origin = Origin {
-        data_centre: settings.data_centre.as_str().into(),
+        data_centre: settings.data_centre.clone(),
         incarnation,
-        instance: settings.instance.as_str().into(),
+        instance: settings.instance.clone(),
     };
     let metrics = match settings.statsd {
         Some(address) => Metrics::statsd(address, &settings.instance)?,
         None => Metrics::disabled(),
     };
-    let store = settings.store.map(HttpStore::new);
+    let store = settings
+        .store
+        .map(|address| HttpStore::new(address, settings.connect_timeout, settings.peer_timeout));
+    let config = ConfigSync::new(store.clone(), origin.data_centre.clone(), seed).with_report(log_sync);
     Ok(SharedParts {
-        claims: store.clone().map(|store| Claims::new(store, &origin.instance, incarnation, &policy)),
-        config: ConfigSync::new(store, origin.data_centre.clone(), &policy),
+        claims: Claims::new(store, config.counters(), &policy, seed),
+        config: Arc::new(config),
         connections: Connections::new(Limits {
             connect_timeout: settings.connect_timeout,
             idle_per_address: settings.upstream_connections,
@@ -189,16 +211,20 @@
     MemberInfo {
         config_revision: 0,
         counter: 0,
-        data_centre: settings.data_centre.clone(),
+        data_centre: settings.data_centre.to_string(),
         free_slots: 0,
         incarnation,
-        instance: settings.instance.clone(),
+        instance: settings.instance.to_string(),
         peer_address: settings.advertise.unwrap_or(settings.peer_listen).to_string(),
         queued_tasks: 0,
         state: InstanceState::Starting,
     }
 }
 
+fn log_sync(event: &SyncEvent) {
+    hinge_obs::emit(event.log_event(), &SyncDetails::new(event));
+}
+
 fn server_limits(settings: &EntrySettings) -> ServerLimits {
     ServerLimits {
         idle_timeout: settings.idle_timeout,
--- a/crates/entry/src/loops.rs
+++ b/crates/entry/src/loops.rs
@@ -34,17 +34,6 @@
 /// Time between sending metrics.
 const METRICS_INTERVAL: Duration = Duration::from_secs(10);
 
-#[derive(Serialize)]
-struct Revision {
-    revision: u64,
-}
-
-#[derive(Serialize)]
-struct ListDetails {
-    entries: usize,
-    version: u64,
-}
-
 #[derive(Serialize)]
 struct NoDetails {}
 
@@ -55,8 +44,8 @@
     let mut applied_revision = None;
     loop {
         ticks.tick().await;
-        let revision = shared.config.current().revision;
-        if shared.config.is_known() && applied_revision != Some(revision) {
+        let revision = shared.config.resolved().revision;
+        if shared.config.status().loaded && applied_revision != Some(revision) {
             applied_revision = Some(revision);
             apply_config(&shared);
         }
@@ -67,7 +56,7 @@
 }
 
 fn apply_config(shared: &Arc<Shared>) {
-    let resolved = shared.config.current();
+    let resolved = shared.config.resolved();
     shared.report(Event::Config {
         policy: Box::new(resolved.policy.clone()),
         quotas: resolved.quotas.clone(),
@@ -76,11 +65,10 @@
     let mut members = lock(&shared.members);
     members.set_policy(&resolved.policy);
     members.own_mut().config_revision = resolved.revision;
-    hinge_obs::emit(LogEvent::ConfigApplied, &Revision { revision: resolved.revision });
 }
 
 fn advance_life(shared: &Shared) {
-    let prepared = shared.config.is_known() && lock(&shared.members).list_version().is_some();
+    let prepared = shared.config.status().loaded && lock(&shared.members).list_version().is_some();
     if prepared && shared.life_state() == InstanceState::Starting {
         shared.change_life(LifeEvent::Prepared);
     }
@@ -126,8 +114,7 @@
 }
 
 fn log_member(notice: &MemberNotice) {
-    // Adjusted to the members' notices.
-    let _ = notice;
+    hinge_obs::emit(notice.event(), &format!("{notice:?}"));
 }
 
 /// Keeps the platform's list in force, with one waiting call at a time.
@@ -180,18 +167,16 @@
         .collect();
     *lock(&shared.addresses) = addresses;
     shared.report(Event::Upstreams(upstreams));
-    let details = ListDetails { entries: list.entries.len(), version: list.version };
-    hinge_obs::emit(LogEvent::ListApplied, &details);
 }
 
 /// Fetches configuration revisions that peers have and the store has not delivered.
 pub(crate) async fn follow_peer_config(shared: Arc<Shared>) {
     loop {
         sleep(PEER_CONFIG_INTERVAL.mul_f64(rand::rng().random_range(0.75..1.25))).await;
-        let own_revision = shared.config.current().revision;
+        let own_revision = shared.config.resolved().revision;
         let source = lock(&shared.members)
             .latest_config()
-            .filter(|peer| !shared.config.is_known() || peer.config_revision > own_revision)
+            .filter(|peer| !shared.config.status().loaded || peer.config_revision > own_revision)
             .and_then(|peer| peer.peer_address.parse().ok());
         if let Some(address) = source {
             fetch_peer_config(&shared, address, own_revision).await;
@@ -204,9 +189,8 @@
     let reply: Result<ConfigReply, _> =
         call(shared, address, "/peer/v1/config", &ConfigFetch { above_revision }, time).await;
     let Ok(reply) = reply else { return };
-    let revision = reply.revision;
-    if shared.config.offer_from_peer(revision, reply.document) {
-        hinge_obs::emit(LogEvent::ConfigFromPeer, &Revision { revision });
+    if let Some(document) = reply.document {
+        let _ = shared.config.offer_from_peer(reply.revision, document);
     }
 }
 
--- a/crates/entry/src/operators.rs
+++ b/crates/entry/src/operators.rs
@@ -2,10 +2,8 @@
 
 use std::sync::Arc;
 
-use hinge_store::ChangeFailure;
 use hinge_wire::{
-    ChangeRequest, ConfigReply, ConflictReply, DrainRequest, LogEvent, MemberInfo, ResultCode,
-    RevisionsReply, UpstreamsReply, from_json,
+    ChangeRequest, DrainRequest, LogEvent, MemberInfo, ResultCode, RevisionsReply, UpstreamsReply, from_json,
 };
 use hyper::{Method, StatusCode};
 use serde::Serialize;
@@ -53,8 +51,7 @@
 }
 
 fn config(shared: &Shared) -> HttpResponse {
-    let (revision, document) = shared.config.document();
-    ok(&ConfigReply { document, revision })
+    ok(&shared.config.config_reply(None))
 }
 
 fn revisions(shared: &Shared) -> HttpResponse {
@@ -87,19 +84,16 @@
             hinge_obs::emit(LogEvent::ConfigChanged, &details);
             Ok(ok(&reply))
         }
-        Err(ChangeFailure::Conflict { last_operation, revision }) => {
-            let code = ResultCode::ConfigConflict;
-            let reply =
-                ConflictReply { code: code.number(), last_operation, name: code.name().to_owned(), revision };
-            Ok(Encoding::Json.response(StatusCode::CONFLICT, &reply))
-        }
-        Err(ChangeFailure::Rejected { code, message }) => Err(Rejection::new(code, message)),
+        Err(failure) => match failure.conflict_reply() {
+            Some(reply) => Ok(Encoding::Json.response(StatusCode::CONFLICT, &reply)),
+            None => Err(Rejection::new(failure.code(), failure.to_string())),
+        },
     }
 }
 
 fn drain(shared: &Arc<Shared>, body: &[u8]) -> Result<HttpResponse, Rejection> {
     let request: DrainRequest = from_json(body)?;
-    if request.instance != shared.settings.instance {
+    if *request.instance != *shared.settings.instance {
         let message = format!("this instance is {}", shared.settings.instance);
         return Err(Rejection::new(ResultCode::InvalidField, message));
     }
--- a/crates/entry/src/peer_server.rs
+++ b/crates/entry/src/peer_server.rs
@@ -5,8 +5,8 @@
 
 use hinge_dispatch::Event;
 use hinge_wire::{
-    CancelReply, ConfigFetch, ConfigReply, ForwardRequest, Heartbeat, Incarnation, LoanRequest, LoanReturn,
-    LookupRequest, PeerCancelRequest, ResultCode, WIRE_VERSION, from_msgpack,
+    CancelReply, ConfigFetch, ForwardRequest, Heartbeat, Incarnation, LoanRequest, LoanReturn, LookupRequest,
+    PeerCancelRequest, ResultCode, WIRE_VERSION, from_msgpack,
 };
 use hyper::{Method, StatusCode};
 use serde::Serialize;
@@ -131,7 +131,5 @@
 
 fn config(shared: &Arc<Shared>, body: &[u8]) -> Result<HttpResponse, Rejection> {
     let request: ConfigFetch = from_msgpack(body)?;
-    let (revision, document) = shared.config.document();
-    let document = document.filter(|_| revision > request.above_revision);
-    ok(&ConfigReply { document, revision })
+    ok(&shared.config.config_reply(Some(request.above_revision)))
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -20,11 +20,14 @@
 /// Address of an upstream that the dispatcher may start tasks on.
 pub(crate) type UpstreamAddresses = FastMap<UpstreamId, SocketAddr>;
 
+/// The platform's store; without an address it counts as down.
+pub(crate) type Platform = Option<HttpStore>;
+
 /// Everything that handlers and loops share.
 pub(crate) struct Shared {
     pub(crate) addresses: Mutex<UpstreamAddresses>,
-    pub(crate) claims: Option<Claims<HttpStore>>,
-    pub(crate) config: ConfigSync<HttpStore>,
+    pub(crate) claims: Claims<Platform>,
+    pub(crate) config: Arc<ConfigSync<Platform>>,
     pub(crate) connections: Connections,
     pub(crate) data_centre: DataCentreId,
     pub(crate) dispatcher: Mutex<Dispatcher>,
@@ -48,8 +51,8 @@
 
 /// Parts from which the shared state is made.
 pub(crate) struct SharedParts {
-    pub(crate) claims: Option<Claims<HttpStore>>,
-    pub(crate) config: ConfigSync<HttpStore>,
+    pub(crate) claims: Claims<Platform>,
+    pub(crate) config: Arc<ConfigSync<Platform>>,
     pub(crate) connections: Connections,
     pub(crate) dispatcher: Dispatcher,
     pub(crate) incarnation: Incarnation,
@@ -118,7 +121,7 @@
             InstanceState::Ready => None,
             InstanceState::Draining => Some("the instance is draining"),
             InstanceState::Stopped => Some("the instance has stopped"),
-            InstanceState::Starting if !self.config.is_known() => {
+            InstanceState::Starting if !self.config.status().loaded => {
                 Some("no configuration yet: neither the store nor a peer has answered")
             }
             InstanceState::Starting => Some("no upstream list yet: the platform's list has not answered"),
--- a/crates/entry/src/state_page.rs
+++ b/crates/entry/src/state_page.rs
@@ -60,11 +60,11 @@
         (dispatcher.in_progress(), dispatcher.queued(), dispatcher.running(), totals(dispatcher.totals()))
     });
     StatePage {
-        config_revision: shared.config.current().revision,
-        data_centre: shared.settings.data_centre.clone(),
+        config_revision: shared.config.resolved().revision,
+        data_centre: shared.settings.data_centre.to_string(),
         in_progress,
         incarnation: format!("{:016x}", shared.incarnation),
-        instance: shared.settings.instance.clone(),
+        instance: shared.settings.instance.to_string(),
         members: known_members(shared),
         metrics: shared.metrics.values().into_iter().map(|(name, value)| Value { name, value }).collect(),
         queued_tasks,
--- a/crates/entry/src/submissions.rs
+++ b/crates/entry/src/submissions.rs
@@ -7,8 +7,8 @@
 use hinge_member::Owner;
 use hinge_store::Settlement;
 use hinge_wire::{
-    CancelReply, FastMap, ForwardRequest, InstanceState, LookupRequest, Outcome, PeerCancelRequest,
-    ResultCode, Submission, SubmissionKey, SubmissionState, SubmissionStatus, is_valid_id,
+    CancelReply, FastMap, ForwardRequest, InstanceState, LookupRequest, PeerCancelRequest, ResultCode,
+    Submission, SubmissionKey, SubmissionState, SubmissionStatus, is_valid_id,
 };
 use tokio::time::{Instant, timeout_at};
 
@@ -175,15 +175,17 @@
 
     /// Answers for an owner that has ended. A definite submission has a claim that tells whether it ran.
     async fn settle(&self, key: &SubmissionKey, definite: bool) -> Result<SubmissionStatus, Rejection> {
-        let (true, Some(claims)) = (definite, &self.claims) else { return Err(owner_gone()) };
-        match claims.settle(key).await {
-            Ok(Settlement::NeverRan) => Err(Rejection::new(
+        if !definite {
+            return Err(owner_gone());
+        }
+        match self.claims.settle(key).await {
+            Settlement::NeverRan => Err(Rejection::new(
                 ResultCode::OwnerGoneNotRun,
                 "the owner has ended before any task started",
             )),
-            Ok(Settlement::Finished(outcome)) => Err(finished_at_gone_owner(outcome)),
-            Ok(Settlement::MayHaveRun) => Err(owner_gone()),
-            Err(_) => Err(Rejection::new(
+            Settlement::Outcome(code) => Err(finished_at_gone_owner(code)),
+            Settlement::MayHaveRun => Err(owner_gone()),
+            Settlement::Unavailable => Err(Rejection::new(
                 ResultCode::OwnerUnreachable,
                 "the owner has ended and the store does not answer; ask again with the same key",
             )),
@@ -191,14 +193,14 @@
     }
 }
 
-fn finished_at_gone_owner(outcome: Outcome) -> Rejection {
-    match outcome {
-        Outcome::Complete | Outcome::FailedRan => Rejection::new(
+/// The outcome outlives the owner in the store, the results do not.
+fn finished_at_gone_owner(code: ResultCode) -> Rejection {
+    match code {
+        ResultCode::Complete => Rejection::new(
             ResultCode::AnswerEvicted,
-            format!("the outcome was {outcome}; the owner has ended and the results are lost"),
+            "the submission completed; its results were lost with the owner",
         ),
-        Outcome::FailedNotRun => Rejection::new(ResultCode::OwnerGoneNotRun, "no task was started"),
-        Outcome::FailedMayHaveRun => owner_gone(),
+        code => Rejection::new(code, "recorded before the owner ended"),
     }
 }
 
--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -98,6 +98,10 @@
         ready && self.is_live() && self.listing != Listing::Leaving
     }
 
+    pub(crate) fn is_listed(&self) -> bool {
+        matches!(self.listing, Listing::Live | Listing::Leaving)
+    }
+
     pub(crate) fn info(&self) -> Option<&MemberInfo> {
         self.current.as_ref().map(|current| &current.announced.info)
     }
--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -444,6 +444,19 @@
         if rival { Owner::Unknown } else { Owner::Gone }
     }
 
+    /// Version of the list in force, or `None` before the first one.
+    #[must_use]
+    pub const fn list_version(&self) -> Option<u64> {
+        self.list_version
+    }
+
+    /// Entry instances of the data centre on the platform's last list.
+    #[must_use]
+    pub fn listed_entries(&self) -> u32 {
+        let listed = self.members.values().filter(|member| member.is_listed()).count();
+        u32::try_from(listed).unwrap_or(u32::MAX).saturating_add(1)
+    }
+
     /// The peer with the highest configuration revision above the own one.
     #[must_use]
     pub fn latest_config(&self) -> Option<&MemberInfo> {
