--- a/crates/client/src/client.rs
+++ b/crates/client/src/client.rs
@@ -154,7 +154,7 @@
         let mut backoff = self.backoff();
         loop {
             let issued = self.key_for(&submission, deadline, &mut backoff).await?;
-            let request = self.prepare(&submission, &issued.key, started.elapsed(), deadline);
+            let request = self.prepare(&submission, &issued.key, started.elapsed());
             let mut exchange = Exchange::new(self, &issued, &request, &mut backoff)?;
             let ended = timeout_at(deadline, exchange.run(&mut progress)).await;
             let again = submission.key.is_none();
@@ -225,19 +225,12 @@
         }
     }
 
-    /// The submission as sent: every resubmission of a key must have the same body, so it is built once per key.
-    fn prepare(
-        &self,
-        submission: &Submission,
-        key: &str,
-        elapsed: Duration,
-        deadline: Instant,
-    ) -> Submission {
-        let left = deadline.saturating_duration_since(Instant::now());
-        let wait = self.inner.settings.poll_wait.min(left);
+    /// The submission as sent: the owner compares bodies, so it must not differ between attempts with one key, nor
+    /// between processes that submit with the same key.
+    fn prepare(&self, submission: &Submission, key: &str, elapsed: Duration) -> Submission {
         let mut request = submission.clone();
         request.key = Some(key.to_owned());
-        request.wait_ms = Some(request.wait_ms.unwrap_or_else(|| millis(wait)));
+        request.wait_ms = Some(request.wait_ms.unwrap_or_else(|| millis(self.inner.settings.poll_wait)));
         if submission.key.is_none() {
             // The caller's limit on starts counts from the first submission, not from a repetition.
             request.deadline_ms = request.deadline_ms.map(|limit| limit.saturating_sub(millis(elapsed)));
