Drop the keys of an owner that is gone, unreachable or draining

Cause: after the death of one owner, each of its prefetched keys would have ended one more submission as OWNER_GONE, may have run.

--- a/crates/client/src/exchange.rs
+++ b/crates/client/src/exchange.rs
@@ -132,8 +132,12 @@
     }
 
     fn react(&mut self, response: &Response<Bytes>, progress: &mut impl FnMut(&SubmissionStatus)) -> Step {
-        match judge(response, self.key, self.tasks) {
-            Verdict::AskAgain(reason) => {
+        let verdict = judge(response, self.key, self.tasks);
+        if verdict.spends_owner() {
+            self.client.inner.pool.forget_owner(self.key);
+        }
+        match verdict {
+            Verdict::AskAgain(reason) | Verdict::OwnerUnreachable(reason) => {
                 self.doubt = true;
                 self.again(reason)
             }
--- a/crates/client/src/keys.rs
+++ b/crates/client/src/keys.rs
@@ -54,6 +54,11 @@
         self.lock().retain(|key| key.entry != entry);
     }
 
+    /// Drops the keys with the same owner as `key`.
+    pub(crate) fn forget_owner(&self, key: &str) {
+        self.lock().retain(|issued| owner(&issued.key) != owner(key));
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.lock().len()
     }
@@ -73,3 +78,8 @@
         self.keys.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// A key without its sequence: data centre, instance and incarnation.
+fn owner(key: &str) -> &str {
+    key.rsplit_once('.').map_or(key, |(owner, _)| owner)
+}
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -10,6 +10,7 @@
 //! - An answer with another key, or a complete one without all results, is dropped and the key asked for again.
 //! - "Not run" from an entry that may not have asked the owner is final only when no earlier copy of the submission can
 //!   have reached the owner.
+//! - Other keys of an owner that is gone, unreachable or draining are dropped; later submissions get keys of another one.
 //! - A final answer is repeated with a new key only as [`SubmitOptions`] allow it.
 //!
 //! A final rejection is returned as an [`Answer`](hinge_wire::Answer) too: the caller looks at the outcome in one
--- a/crates/client/src/rules.rs
+++ b/crates/client/src/rules.rs
@@ -15,12 +15,35 @@
     Final(Answer),
     /// The owner has accepted the submission.
     InProgress(SubmissionStatus),
+    /// The owner cannot be reached now; ask again with the same key.
+    OwnerUnreachable(String),
     /// This entry rejected the request without proof that it asked the owner.
     RefusedHere(Answer),
     /// The owner holds no submission with the key; submit it again.
     Unused,
 }
 
+impl Verdict {
+    /// Whether the owner of the key takes no further submissions for now, so that its other keys are useless.
+    pub(crate) fn spends_owner(&self) -> bool {
+        use ResultCode as Code;
+        match self {
+            Self::OwnerUnreachable(_) => true,
+            Self::Final(answer) | Self::RefusedHere(answer) => matches!(
+                ResultCode::from_number(answer.code),
+                Some(
+                    Code::Draining
+                        | Code::KeyUnknown
+                        | Code::OwnerGone
+                        | Code::OwnerGoneNotRun
+                        | Code::WrongIncarnation
+                )
+            ),
+            Self::AskAgain(_) | Self::InProgress(_) | Self::Unused => false,
+        }
+    }
+}
+
 /// Judges a response to a submission of `tasks` tasks under `key`.
 pub(crate) fn judge(response: &Response<Bytes>, key: &str, tasks: usize) -> Verdict {
     match response.status() {
@@ -45,7 +68,7 @@
         return Verdict::AskAgain("the answer lacks results".to_owned());
     }
     if answer.code == ResultCode::OwnerUnreachable.number() {
-        return Verdict::AskAgain(answer.message);
+        return Verdict::OwnerUnreachable(answer.message);
     }
     Verdict::Final(answer)
 }
@@ -68,8 +91,9 @@
     use ResultCode as Code;
     let code = ResultCode::from_number(reply.code);
     match code {
+        Some(Code::OwnerUnreachable) => Verdict::OwnerUnreachable(describe(&reply)),
         // No rejection of a submission; the owner may still hold it.
-        Some(Code::OwnerUnreachable | Code::Internal) => Verdict::AskAgain(describe(&reply)),
+        Some(Code::Internal) => Verdict::AskAgain(describe(&reply)),
         Some(Code::KeyUnused) => Verdict::Unused,
         Some(code) if is_from_receiver(code) => Verdict::RefusedHere(answer(reply, key)),
         None if status.is_server_error() => Verdict::AskAgain(describe(&reply)),
--- a/crates/client/tests/rules.rs
+++ b/crates/client/tests/rules.rs
@@ -288,6 +288,20 @@
     assert_eq!(keys(&distinct), 4, "no key is used twice");
 }
 
+/// Guards against a row of failed submissions after the death of one owner, whose other keys are as useless.
+#[tokio::test(start_paused = true)]
+async fn keys_of_a_lost_owner_are_dropped() {
+    for code in [ResultCode::OwnerGone, ResultCode::Draining, ResultCode::OwnerUnreachable] {
+        let steps = vec![error(code), complete(), complete()];
+        let script = Script { steps: Arc::new(Mutex::new(steps.into())), ..Script::default() };
+        let client = builder().build_with(script.clone()).unwrap();
+        client.submit(submission()).await.unwrap();
+        assert_eq!(*script.issued.lock().unwrap(), 4);
+        client.submit(submission()).await.unwrap();
+        assert_eq!(*script.issued.lock().unwrap(), 8, "{code:?}");
+    }
+}
+
 /// Guards against clients that cannot work.
 #[test]
 fn builder_rejects_unusable_settings() {
