--- a/crates/bench/src/naive.rs
+++ b/crates/bench/src/naive.rs
@@ -17,6 +17,8 @@
 
 /// Wait before a rejected task is tried again.
 const RETRY_DELAY: Duration = Duration::from_millis(10);
+/// Longest wait; it doubles with each rejection.
+const RETRY_DELAY_LIMIT: Duration = Duration::from_secs(1);
 /// Attempts of a failing task.
 const ATTEMPTS: u32 = 3;
 const COOL_DOWN: Duration = Duration::from_secs(30);
@@ -28,6 +30,7 @@
     arrival: usize,
     attempts: u32,
     index: usize,
+    rejections: u32,
 }
 
 enum Step {
@@ -109,7 +112,7 @@
         match step {
             Step::Arrive(arrival) => {
                 for index in 0..self.arrivals[arrival].run_times.len() {
-                    self.send(Task { arrival, attempts: 0, index });
+                    self.send(Task { arrival, attempts: 0, index, rejections: 0 });
                 }
             }
             Step::Ends { fails, task, upstream } => {
@@ -152,7 +155,9 @@
             }
             Reception::Busy | Reception::Unreachable => {
                 self.messages.wasted += 1;
-                self.queue.after(delay + RETRY_DELAY, Step::Try(task));
+                let wait = (RETRY_DELAY * (1 << task.rejections.min(10))).min(RETRY_DELAY_LIMIT);
+                let task = Task { rejections: task.rejections + 1, ..task };
+                self.queue.after(delay + wait, Step::Try(task));
             }
         }
     }
--- /dev/null
+++ b/crates/bench/src/policy_report.rs
@@ -0,0 +1,118 @@
+//! Table of the dispatcher's figures beside those of the naive version.
+
+use std::fmt::Write as _;
+use std::time::Duration;
+
+use hinge_conf::Policy;
+use hinge_wire::Class;
+use tokio::time::Instant;
+
+use crate::driver::{self, shortest_path};
+use crate::fleet::{BARFANI, COOPERATIVE, Shape};
+use crate::naive;
+use crate::recorder::{ClassFigures, Record, figures};
+use crate::scenario::Scenario;
+use crate::workload::{Arrival, Flood, WorkloadSpec, generate, standard_mix};
+
+/// Number of teams of the deployments today.
+const TEAMS: u32 = 40;
+/// Floods begin and end at these parts of a run; figures come from a window inside.
+const FLOOD_PARTS: (f64, f64) = (0.25, 0.75);
+const WINDOW_PARTS: (f64, f64) = (0.3, 0.7);
+/// Run times are declared up to this factor too long or too short.
+const DECLARED_ERROR: f64 = 10.0;
+
+/// What to run.
+#[derive(Clone, Debug)]
+pub struct ReportOptions {
+    /// Length of each run in seconds of virtual time.
+    pub duration_s: f64,
+    /// Only scenarios whose name contains this text.
+    pub only: String,
+    /// Seed of the workload.
+    pub seed: u64,
+}
+
+/// Runs all scenarios in both deployments and returns a Markdown page.
+#[must_use]
+pub fn build(options: &ReportOptions) -> String {
+    let mut page = String::new();
+    for shape in [BARFANI, COOPERATIVE] {
+        for scenario in scenarios(options, &shape) {
+            let name = format!("{}, {}", shape.name, scenario.name);
+            if name.contains(&options.only) {
+                run(&mut page, &name, &scenario);
+            }
+        }
+    }
+    page
+}
+
+/// The scenarios of one deployment.
+#[must_use]
+pub fn scenarios(options: &ReportOptions, shape: &Shape) -> Vec<Scenario> {
+    let flood = |class, factor| {
+        let at = |part| options.duration_s * part;
+        vec![Flood { class, factor, from_s: at(FLOOD_PARTS.0), until_s: at(FLOOD_PARTS.1) }]
+    };
+    let scenario = |name: &str, failing_share, floods| Scenario {
+        failing_share,
+        faults: Vec::new(),
+        name: name.to_owned(),
+        policy: Policy::default(),
+        shape: *shape,
+        workload: WorkloadSpec {
+            classes: standard_mix(0.8),
+            declared_error: DECLARED_ERROR,
+            duration_s: options.duration_s,
+            floods,
+            seed: options.seed,
+            slots: shape.total_slots(),
+            teams: TEAMS,
+        },
+    };
+    vec![
+        scenario("80% load", 0.0, Vec::new()),
+        scenario("80% load, 5% of upstreams fail everything", 0.05, Vec::new()),
+        scenario("tenfold batch flood", 0.0, flood(Class::Batch, 10.0)),
+        scenario("tenfold urgent flood", 0.0, flood(Class::Urgent, 10.0)),
+    ]
+}
+
+fn run(page: &mut String, name: &str, scenario: &Scenario) {
+    let arrivals = generate(&scenario.workload);
+    let (real, totals) = driver::run(scenario, &arrivals, Instant::now());
+    let naive = naive::run(scenario, &arrivals);
+    let _ = writeln!(page, "## {name}\n");
+    let _ = writeln!(
+        page,
+        "Starts {}, busy rejections {}, loan requests {} of which empty {}, retries {}.\n",
+        totals.starts, totals.busy_refusals, totals.loan_requests, totals.empty_loans, totals.retries
+    );
+    page.push_str(
+        "| version | class | complete | rejected | failed | unanswered | work done, slot s | response / ideal: \
+         median, 99%, 99.9% | response ms: median, 99%, 99.9% | wasted messages per start |\n\
+         |---|---|---|---|---|---|---|---|---|---|\n",
+    );
+    write_rows(page, "celeryhinge", scenario, &arrivals, &real);
+    write_rows(page, "naive", scenario, &arrivals, &naive);
+    page.push('\n');
+}
+
+fn write_rows(page: &mut String, version: &str, scenario: &Scenario, arrivals: &[Arrival], record: &Record) {
+    let part = |part: f64| Duration::from_secs_f64(scenario.workload.duration_s * part);
+    let window = (part(WINDOW_PARTS.0), part(WINDOW_PARTS.1));
+    let wasted = record.messages.wasted as f64 / record.messages.starts.max(1) as f64;
+    for class in Class::ALL {
+        let row = figures(arrivals, record, class, window, shortest_path(&scenario.shape));
+        let ClassFigures {
+            complete, complete_work_s, failed, ratio, rejected, response_ms, unanswered, ..
+        } = row;
+        let _ = writeln!(
+            page,
+            "| {version} | {class} | {complete} | {rejected} | {failed} | {unanswered} | {complete_work_s:.0} | \
+             {:.2}, {:.2}, {:.2} | {:.0}, {:.0}, {:.0} | {wasted:.3} |",
+            ratio[0], ratio[1], ratio[2], response_ms[0], response_ms[1], response_ms[2]
+        );
+    }
+}
--- a/crates/bench/src/recorder.rs
+++ b/crates/bench/src/recorder.rs
@@ -126,10 +126,9 @@
     let mut work = vec![0.0; teams as usize];
     for (arrival, ended) in arrivals.iter().zip(&record.ended) {
         let Some(ended) = ended.filter(|ended| ended.complete) else { continue };
-        if arrival.class == class && ended.at >= window.0 && ended.at < window.1 {
-            if let Some(team) = work.get_mut(arrival.team as usize) {
-                *team += arrival.run_times.iter().map(Duration::as_secs_f64).sum::<f64>();
-            }
+        let inside = arrival.class == class && ended.at >= window.0 && ended.at < window.1;
+        if let Some(team) = work.get_mut(arrival.team as usize).filter(|_| inside) {
+            *team += arrival.run_times.iter().map(Duration::as_secs_f64).sum::<f64>();
         }
     }
     work
--- a/crates/celeryhinge/src/bin/hinge-entry.rs
+++ b/crates/celeryhinge/src/bin/hinge-entry.rs
@@ -2,10 +2,11 @@
 
 use std::process::ExitCode;
 
-use celeryhinge::conf::{EntrySettings, Flags};
+use celeryhinge::conf::{EntrySettings, Flags, LogLevel};
 use celeryhinge::entry::Entry;
 use celeryhinge::obs::{emit, init_logs};
 use celeryhinge::wire::LogEvent;
+use log::LevelFilter;
 use serde::Serialize;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
@@ -29,7 +30,7 @@
             return ExitCode::from(STATUS_USAGE);
         }
     };
-    if let Err(error) = init_logs(&settings.instance, settings.log_level.into()) {
+    if let Err(error) = init_logs(&settings.instance, level_filter(settings.log_level)) {
         eprintln!("{error}");
         return ExitCode::from(STATUS_FAILED);
     }
@@ -42,6 +43,16 @@
     }
 }
 
+const fn level_filter(level: LogLevel) -> LevelFilter {
+    match level {
+        LogLevel::Error => LevelFilter::Error,
+        LogLevel::Warn => LevelFilter::Warn,
+        LogLevel::Info => LevelFilter::Info,
+        LogLevel::Debug => LevelFilter::Debug,
+        LogLevel::Trace => LevelFilter::Trace,
+    }
+}
+
 async fn run(settings: EntrySettings) -> Result<ExitCode, Box<dyn std::error::Error>> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
--- /dev/null
+++ b/crates/celeryhinge/tests/support/mod.rs
@@ -0,0 +1,246 @@
+//! Real processes on loopback: platform, upstreams and entries.
+
+#![allow(
+    dead_code,
+    clippy::expect_used,
+    clippy::panic,
+    clippy::unwrap_used,
+    reason = "test support, used in part by each test"
+)]
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use celeryhinge::wire::{Submission, TaskSpec, from_json, to_json};
+use hinge_fakes::{ListControl, StartsReply};
+
+use celeryhinge::wire::{InstanceKind, ListEntry, ListState};
+
+/// Longest wait for a process to reach a state; only a failing test waits this long.
+const WAIT_LIMIT: Duration = Duration::from_secs(30);
+const POLL: Duration = Duration::from_millis(20);
+
+/// A child process that is killed when the test ends.
+pub(crate) struct Process {
+    pub(crate) child: Child,
+    pub(crate) addresses: Vec<SocketAddr>,
+    stdout: BufReader<std::process::ChildStdout>,
+}
+
+impl Process {
+    /// Starts a binary and waits for its line `listening <address> ...`.
+    pub(crate) fn start(binary: &str, arguments: &[String]) -> Self {
+        let mut child = Command::new(binary_path(binary))
+            .args(arguments)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the binary starts; build it with cargo build --workspace");
+        let mut stdout = BufReader::new(child.stdout.take().unwrap());
+        let mut line = String::new();
+        stdout.read_line(&mut line).unwrap();
+        let addresses = line.split_whitespace().skip(1).map(|address| address.parse().unwrap()).collect();
+        Self { child, addresses, stdout }
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.addresses[0]
+    }
+
+    pub(crate) fn peer_address(&self) -> SocketAddr {
+        self.addresses[1]
+    }
+
+    pub(crate) fn signal(&self, name: &str) {
+        let status = Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
+        assert!(status.unwrap().success());
+    }
+
+    pub(crate) fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    /// Waits for the end and returns the exit status.
+    pub(crate) fn wait(&mut self) -> i32 {
+        let mut rest = String::new();
+        self.stdout.read_to_string(&mut rest).unwrap();
+        self.child.wait().unwrap().code().unwrap_or(-1)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn binary_path(name: &str) -> PathBuf {
+    PathBuf::from(env!("CARGO_BIN_EXE_hinge-entry")).with_file_name(name)
+}
+
+/// A platform, upstreams and entries of one data centre.
+pub(crate) struct Cluster {
+    pub(crate) entries: Vec<Process>,
+    pub(crate) platform: Process,
+    pub(crate) upstreams: Vec<Process>,
+}
+
+impl Cluster {
+    pub(crate) fn start(entries: usize, upstreams: usize) -> Self {
+        let platform = Process::start("hinge-fakes", &strings(&["platform", "--listen", "127.0.0.1:0"]));
+        let upstreams: Vec<_> = (0..upstreams)
+            .map(|_| Process::start("hinge-fakes", &strings(&["upstream", "--listen", "127.0.0.1:0"])))
+            .collect();
+        let mut cluster = Self { entries: Vec::new(), platform, upstreams };
+        for index in 0..entries {
+            let entry = cluster.start_entry(&format!("entry-{index}"), &[]);
+            cluster.entries.push(entry);
+        }
+        cluster.publish_list();
+        for entry in &cluster.entries {
+            wait_ready(entry.address());
+        }
+        cluster
+    }
+
+    pub(crate) fn start_entry(&self, instance: &str, extra: &[&str]) -> Process {
+        let platform = self.platform.address().to_string();
+        let mut arguments = strings(&[
+            "--instance",
+            instance,
+            "--data-centre",
+            "dc1",
+            "--listen",
+            "127.0.0.1:0",
+            "--peer-listen",
+            "127.0.0.1:0",
+            "--store",
+            &platform,
+            "--list",
+            &platform,
+            "--drain-linger-ms",
+            "100",
+        ]);
+        arguments.extend(strings(extra));
+        Process::start("hinge-entry", &arguments)
+    }
+
+    /// Publishes all processes on the platform's list.
+    pub(crate) fn publish_list(&self) {
+        let upstreams = self.upstreams.iter().enumerate().map(|(index, process)| ListEntry {
+            address: process.address().to_string(),
+            data_centre: "dc1".to_owned(),
+            id: format!("up-{index}"),
+            kind: InstanceKind::Upstream,
+            memory_mb: 32_000,
+            peer_address: String::new(),
+            rack: format!("rack-{}", index / 2),
+            service: "deicing".to_owned(),
+            slots: 8,
+            state: ListState::Live,
+        });
+        let entries = self.entries.iter().enumerate().map(|(index, process)| ListEntry {
+            address: process.address().to_string(),
+            data_centre: "dc1".to_owned(),
+            id: format!("entry-{index}"),
+            kind: InstanceKind::Entry,
+            memory_mb: 0,
+            peer_address: process.peer_address().to_string(),
+            rack: "rack-0".to_owned(),
+            service: String::new(),
+            slots: 0,
+            state: ListState::Live,
+        });
+        let control =
+            ListControl { entries: Some(upstreams.chain(entries).collect()), ..ListControl::default() };
+        let body = to_json(&control).unwrap();
+        let (status, _) = http(self.platform.address(), "POST", "/control/list", &body);
+        assert!((200..300).contains(&status), "status {status}");
+    }
+
+    /// Payloads of all starts at all upstreams, sorted.
+    pub(crate) fn started_payloads(&self) -> Vec<String> {
+        let mut payloads: Vec<String> = self
+            .upstreams
+            .iter()
+            .flat_map(|upstream| {
+                let (_, body) = http(upstream.address(), "GET", "/starts", b"");
+                let reply: StartsReply = from_json(&body).unwrap();
+                reply.starts.into_iter().map(|start| start.payload)
+            })
+            .collect();
+        payloads.sort();
+        payloads
+    }
+}
+
+pub(crate) fn strings(texts: &[&str]) -> Vec<String> {
+    texts.iter().map(|text| (*text).to_owned()).collect()
+}
+
+/// Sends one HTTP request and reads the whole response.
+pub(crate) fn http(address: SocketAddr, method: &str, path: &str, body: &[u8]) -> (u16, Vec<u8>) {
+    try_http(address, method, path, body).expect("the server answers")
+}
+
+pub(crate) fn try_http(address: SocketAddr, method: &str, path: &str, body: &[u8]) -> Option<(u16, Vec<u8>)> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    stream.set_read_timeout(Some(WAIT_LIMIT)).ok()?;
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).ok()?;
+    stream.write_all(body).ok()?;
+    let mut response = Vec::new();
+    stream.read_to_end(&mut response).ok()?;
+    let split = response.windows(4).position(|window| window == b"\r\n\r\n")?;
+    let head = String::from_utf8_lossy(&response[..split]).into_owned();
+    let status = head.split_whitespace().nth(1)?.parse().ok()?;
+    Some((status, response[split + 4..].to_vec()))
+}
+
+/// Waits until `check` holds.
+pub(crate) fn wait_until(what: &str, mut check: impl FnMut() -> bool) {
+    for _ in 0..WAIT_LIMIT.as_millis() / POLL.as_millis() {
+        if check() {
+            return;
+        }
+        std::thread::sleep(POLL);
+    }
+    panic!("{what} did not happen in time");
+}
+
+pub(crate) fn wait_ready(address: SocketAddr) {
+    wait_until("readiness", || {
+        try_http(address, "GET", "/readyz", b"").is_some_and(|(status, _)| status == 200)
+    });
+}
+
+/// A submission for the service of the cluster.
+pub(crate) fn submission(class: celeryhinge::wire::Class, payloads: &[String]) -> Submission {
+    Submission {
+        class,
+        deadline_ms: None,
+        definite: false,
+        idempotent: false,
+        key: None,
+        service: "deicing".to_owned(),
+        tasks: payloads
+            .iter()
+            .map(|payload| TaskSpec { memory_mb: None, payload: payload.clone(), run_time_ms: None })
+            .collect(),
+        team: "apron-a".to_owned(),
+        wait_ms: None,
+    }
+}
+
+/// A payload that runs for a time and returns a text.
+pub(crate) fn payload(run_ms: u64, result: &str) -> String {
+    format!(r#"{{"run_ms": {run_ms}, "result": "{result}", "fail": false}}"#)
+}
--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -64,8 +64,10 @@
             Err(_) => return Err(SendError::TimedOut),
             Ok(Ok(response)) => response,
             // hyper hands the request back exactly when no byte of it was written.
-            Ok(Err(mut error)) if error.take_message().is_some() => return Err(SendError::NotSent),
-            Ok(Err(_)) => return Err(SendError::Lost),
+            Ok(Err(mut error)) => {
+                let unsent = error.take_message().is_some();
+                return Err(if unsent { SendError::NotSent } else { SendError::Lost });
+            }
         };
         let (parts, body) = response.into_parts();
         let body = Limited::new(body, self.limits.max_response_bytes);
--- a/crates/entry/src/loops.rs
+++ b/crates/entry/src/loops.rs
@@ -133,7 +133,7 @@
             None => {
                 hinge_obs::emit(LogEvent::ListUnreachable, &NoDetails {});
                 shared.metrics.count("list_failures", 1);
-                sleep(backoff.mul_f64(rand::rng().random_range(0.5..1.5))).await;
+                sleep(jittered(backoff)).await;
                 backoff = (backoff * 2).min(LIST_BACKOFF_LIMIT);
             }
         }
@@ -172,7 +172,7 @@
 /// Fetches configuration revisions that peers have and the store has not delivered.
 pub(crate) async fn follow_peer_config(shared: Arc<Shared>) {
     loop {
-        sleep(PEER_CONFIG_INTERVAL.mul_f64(rand::rng().random_range(0.75..1.25))).await;
+        sleep(jittered(PEER_CONFIG_INTERVAL)).await;
         let own_revision = shared.config.resolved().revision;
         let source = lock(&shared.members)
             .latest_config()
@@ -194,6 +194,11 @@
     }
 }
 
+/// A random time around `time`, so that instances which start together do not call together.
+fn jittered(time: Duration) -> Duration {
+    time.mul_f64(rand::rng().random_range(0.5..1.5))
+}
+
 /// Sends metrics and drops closed connections.
 pub(crate) async fn flush_metrics(shared: Arc<Shared>) {
     let mut ticks = interval(METRICS_INTERVAL);
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -152,7 +152,7 @@
     ///
     /// An upstream that rejected a task as leaving stays leaving while the list shows it unchanged and live. It
     /// returns when its entry changes, when the list showed it as leaving or not at all in between, or, on
-    /// probation, when a list still shows it live [`REFUSAL_HOLD`] after the last such rejection.
+    /// probation, when a list still shows it live `REFUSAL_HOLD` after the last such rejection.
     pub fn set_upstreams(&mut self, now: Instant, upstreams: &[ListEntry]) {
         self.advance(now);
         self.list_round += 1;
