--- a/crates/sched/src/limits.rs
+++ b/crates/sched/src/limits.rs
@@ -7,6 +7,9 @@
 
 use crate::shed::ShedLimits;
 
+/// Largest team weight; the configuration allows the same.
+pub(crate) const MAX_WEIGHT: u32 = 10_000;
+
 /// Limits of one scheduler.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Limits {
@@ -31,21 +34,22 @@
             policy.query_max_wait_ms,
             policy.batch_max_wait_ms,
         ];
+        let share_percent = [
+            policy.urgent_share_percent,
+            policy.booking_share_percent,
+            policy.query_share_percent,
+            policy.batch_share_percent,
+        ];
         Self {
             max_queued: usize::try_from(policy.max_queued_tasks).unwrap_or(usize::MAX),
             max_wait: max_wait.map(Duration::from_millis),
-            share_percent: [
-                policy.urgent_share_percent,
-                policy.booking_share_percent,
-                policy.query_share_percent,
-                policy.batch_share_percent,
-            ],
+            share_percent: share_percent.map(|percent| percent.min(100)),
             shed: target_wait.map(|target| ShedLimits {
                 enabled: policy.shedding_enabled,
                 interval: Duration::from_millis(policy.shed_interval_ms),
                 target: Duration::from_millis(target),
             }),
-            team_weight: weight(policy.team_weight),
+            team_weight: policy.team_weight.clamp(1, MAX_WEIGHT.into()) as u32,
         }
     }
 
@@ -55,7 +59,3 @@
         self.max_queued / 200 * self.share_percent[class.index()] as usize
     }
 }
-
-fn weight(weight: u64) -> u32 {
-    u32::try_from(weight).unwrap_or(u32::MAX).max(1)
-}
--- a/crates/sched/src/quotas.rs
+++ b/crates/sched/src/quotas.rs
@@ -47,10 +47,11 @@
 ///   counts an own demand only after it has been reported for longer than a peer may hold an older report.
 ///
 /// The equal parts sum to the quota. So do the parts by demand, in any view: an entry that misses a report
-/// has none, and two entries that both have one know at least the demand that the other counts. The rates in
-/// force therefore never sum to more than twice the quota, also when entries cannot see each other; without
-/// any reports, and with steady demand, they sum to the quota. Each entry may start one burst beyond its
-/// rate, or one submission if that is larger.
+/// has none, and two entries that both have one know at least the demand that the other counts. With the same
+/// list at all entries, the rates in force therefore sum to at most twice the quota, also when entries cannot
+/// see each other or when demand jumps; without any reports, and with steady demand, they sum to the quota.
+/// While lists differ, an entry that the others neither have on their lists nor hear from adds its own rate.
+/// Each entry may start one burst beyond its rate, or one submission if that is larger.
 #[derive(Debug)]
 pub struct Quotas {
     burst_seconds: f64,
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 
 use crate::fair::TeamQueues;
-use crate::limits::Limits;
+use crate::limits::{Limits, MAX_WEIGHT};
 use crate::list::{Links, Slab};
 use crate::share::{Load, Shares};
 use crate::shed::Shedder;
@@ -17,8 +17,6 @@
 /// Costs outside of these bounds come from wrong declarations and would distort the shares of teams.
 const MIN_COST: Duration = Duration::from_millis(1);
 const MAX_COST: Duration = Duration::from_secs(60);
-/// Largest team weight; the configuration allows the same.
-const MAX_WEIGHT: u32 = 10_000;
 /// Table size above which an empty scheduler releases its memory. Releasing small tables whenever a queue
 /// runs empty would cost more than it saves.
 const RELEASE_ABOVE: usize = 8192;
@@ -114,8 +112,7 @@
     ///
     /// # Errors
     ///
-    /// [`ResultCode::DeadlinePast`] when no task could start in time on an idle system, else
-    /// [`ResultCode::Overloaded`].
+    /// [`ResultCode::DeadlinePast`] when `start_by` is over, else [`ResultCode::Overloaded`].
     pub fn admit(&mut self, now: Instant, request: &AdmitRequest<'_>) -> Result<(), ResultCode> {
         if now > request.start_by {
             return Err(ResultCode::DeadlinePast);
@@ -127,8 +124,8 @@
         }
         let wait = self.estimated_wait(request.class, request.team);
         // Later tasks of the submission wait for the earlier ones.
-        let own_cost = normal_cost(request.cost).saturating_mul(u64::from(request.tasks.saturating_sub(1)));
-        let last_wait = wait + self.drain_time(request.class, own_cost);
+        let own_cost = normal_cost(request.cost) as f64 * f64::from(request.tasks.saturating_sub(1));
+        let last_wait = wait.saturating_add(duration(self.drain_time(request.class, own_cost, 0.0)));
         let too_late = now.checked_add(last_wait).is_none_or(|start| start > request.start_by);
         if wait > self.limits.max_wait[request.class.index()] || too_late {
             return Err(ResultCode::Overloaded);
@@ -242,37 +239,41 @@
         }
     }
 
-    /// Estimated time until a new task of the team starts.
+    /// Estimated time until a new task of the team starts, from the work that is queued and running now.
     ///
     /// The class gets at least its guaranteed share of the slots, and otherwise what the more urgent classes'
     /// queues and the less urgent classes' shares leave; the shorter of both waits counts.
     #[must_use]
     pub fn estimated_wait(&self, class: Class, team: &TeamId) -> Duration {
         let running: u32 = self.classes.iter().map(TeamQueues::running).sum();
-        let slots = self.shares.slots();
-        if self.queued() == 0 && f64::from(running) < slots {
+        let is_busy = f64::from(running) >= self.shares.slots();
+        if self.queued() == 0 && !is_busy {
             return Duration::ZERO;
         }
-        let ahead = self.class(class).cost_ahead(team, self.weight_of(team));
-        let busy = f64::from(running) >= slots;
-        let running_cost: u64 = self.classes.iter().map(TeamQueues::running_cost).sum();
-        // On average half of the run time of the running tasks is left.
-        let first_free = if busy { running_cost as f64 / f64::from(running) / 2.0 / slots } else { 0.0 };
-        duration(first_free) + self.drain_time(class, ahead)
+        let queues = self.class(class);
+        let ahead = queues.cost_ahead(team, self.weight_of(team)) as f64;
+        // On average half of the cost of a running task is left.
+        let has_share_used = f64::from(queues.running()) >= self.shares.share(class);
+        let own_left = if has_share_used { queues.running_cost() as f64 / 2.0 } else { 0.0 };
+        let all_left: u64 = self.classes.iter().map(TeamQueues::running_cost).sum();
+        let first_free =
+            if is_busy { all_left as f64 / 2.0 / f64::from(running) / self.shares.slots() } else { 0.0 };
+        duration(first_free + self.drain_time(class, ahead, own_left))
     }
 
-    /// Time in which the class starts `cost` of its own work.
-    fn drain_time(&self, class: Class, cost: u64) -> Duration {
-        let by_share = cost as f64 / self.shares.share(class);
+    /// Nanoseconds in which the class starts `cost` of its own work, after `own_left` when it has no more
+    /// than its share.
+    fn drain_time(&self, class: Class, cost: f64, own_left: f64) -> f64 {
+        let by_share = (cost + own_left) / self.shares.share(class);
         let more_urgent: u64 = Class::ALL[..class.index()].iter().map(|&c| self.class(c).queued_cost()).sum();
         let kept: f64 = Class::ALL[class.index() + 1..]
             .iter()
             .filter(|&&c| self.class(c).queued() > 0)
             .map(|&c| self.shares.share(c))
             .sum();
-        let by_rank = (more_urgent + cost) as f64 / (self.shares.slots() - kept);
+        let by_rank = (more_urgent as f64 + cost) / (self.shares.slots() - kept);
         // A class without a share gives NaN or infinity, which `min` passes over.
-        duration(by_share.min(by_rank))
+        by_share.min(by_rank)
     }
 
     /// Whether the queue may take the tasks of the request.
--- a/crates/sched/src/share.rs
+++ b/crates/sched/src/share.rs
@@ -73,8 +73,14 @@
             // Slots that no other class waits for cost nothing.
             let others_wait = waiting > usize::from(queued > 0);
             let used = if others_wait { f64::from(running).min(share.ceil()) } else { 0.0 };
-            let most = if queued > 0 { LAG_LIMIT } else { 0.0 };
             let lag = &mut self.lag[class.index()];
+            // A claim grows only while work waits. It survives an empty queue while a task runs, because a
+            // queue that early refusal keeps short is empty after each start.
+            let most = match (queued, running) {
+                (0, 0) => 0.0,
+                (0, _) => lag.max(0.0),
+                _ => LAG_LIMIT,
+            };
             *lag = (*lag + (share - used) * seconds).clamp(-LAG_LIMIT, LAG_LIMIT).min(most);
         }
     }
