--- a/crates/route/src/lending.rs
+++ b/crates/route/src/lending.rs
@@ -115,30 +115,39 @@
         }
     }
 
-    /// Notes that a loan was requested from a peer now, so that its time counts from the request.
+    /// Adds the slots of a loan from a peer, whose time counts from now.
     ///
-    /// The lender counts from the arrival of the request. A borrower that counted from the reply would use lapsed
-    /// slots after a pause between the two.
-    pub fn loan_requested(&mut self, now: Instant, lender: &InstanceId) {
-        self.loan_requests.insert(lender.clone(), now);
+    /// Prefer [`Self::borrowed_since`] where the time of the request is known.
+    pub fn borrowed(
+        &mut self,
+        now: Instant,
+        lender: &InstanceId,
+        lender_incarnation: Incarnation,
+        reply: &LoanReply,
+    ) {
+        self.borrowed_since(now, now, lender, lender_incarnation, reply);
     }
 
-    /// Adds the slots of a loan from a peer. Repeated replies, unknown upstreams and slots beyond an upstream's
-    /// number are ignored.
-    pub fn borrowed(
+    /// Adds the slots of a loan from a peer, whose time counts from its request.
+    ///
+    /// The lender counts from the arrival of the request. A borrower that counted from the reply would use lapsed
+    /// slots after a pause between the two. Repeated replies, unknown upstreams and slots beyond an upstream's number
+    /// are ignored.
+    pub fn borrowed_since(
         &mut self,
         now: Instant,
+        requested_at: Instant,
         lender: &InstanceId,
         lender_incarnation: Incarnation,
         reply: &LoanReply,
     ) {
         self.advance(now);
-        let start = self.loan_requests.remove(lender).unwrap_or(now);
         let duration = Duration::from_millis(reply.duration_ms).min(MAX_LOAN);
+        let lapses = requested_at.min(now) + duration;
         let known = |loan: &BorrowedLoan| {
             loan.loan == reply.loan && loan.lender == *lender && loan.lender_incarnation == lender_incarnation
         };
-        if start + duration <= now || *lender == self.own || self.borrowed.values().any(known) {
+        if lapses <= now || *lender == self.own || self.borrowed.values().any(known) {
             return;
         }
         let id = self.new_id();
@@ -156,7 +165,7 @@
         if upstreams.is_empty() {
             return;
         }
-        self.timers.add(start + duration, Timer::BorrowLapses { loan: id });
+        self.timers.add(lapses, Timer::BorrowLapses { loan: id });
         let lender = lender.clone();
         self.borrowed
             .insert(id, BorrowedLoan { duration, lender, lender_incarnation, loan: reply.loan, upstreams });
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -88,7 +88,6 @@
     entries: Vec<Candidate>,
     pub(crate) lent: FastMap<LoanId, LentLoan>,
     list_round: u64,
-    pub(crate) loan_requests: FastMap<InstanceId, Instant>,
     pub(crate) next_id: u64,
     pub(crate) next_loan: LoanId,
     pub(crate) notices: Vec<Notice>,
@@ -114,7 +113,6 @@
             entries: Vec::new(),
             lent: FastMap::default(),
             list_round: 0,
-            loan_requests: FastMap::default(),
             next_id: 0,
             // A random first id keeps returns for an earlier process from matching a loan of this one.
             next_loan: u64::from(rng.random::<u32>()),
@@ -223,7 +221,6 @@
     /// Only upstreams led by an entry that came or went change their leader.
     pub fn set_entries(&mut self, entries: &[InstanceId]) {
         self.entries = entries.iter().map(Candidate::new).collect();
-        self.loan_requests.retain(|peer, _| entries.contains(peer));
         for position in self.table.positions() {
             if self.table.elect(position, &self.entries, &self.own) {
                 self.refresh(position);
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -78,9 +78,9 @@
         self.by_id.get(id).copied()
     }
 
-    /// Positions of the known upstreams.
+    /// Positions of the known upstreams, in an order that does not depend on the hasher's seed.
     pub(crate) fn positions(&self) -> Vec<usize> {
-        self.by_id.values().copied().collect()
+        (0..self.upstreams.len()).filter(|position| !self.upstreams[*position].removed).collect()
     }
 
     pub(crate) fn service(&self, service: &str) -> Option<usize> {
@@ -130,6 +130,7 @@
             placed: None,
             rack,
             refused_at: None,
+            removed: false,
             running: 0,
             samples: Samples::default(),
             service,
@@ -169,11 +170,12 @@
     /// Forgets an upstream that left the list once nothing refers to it.
     pub(crate) fn remove_if_unused(&mut self, position: usize) {
         let upstream = &self.upstreams[position];
-        if !upstream.is_unused() || self.by_id.get(&upstream.id) != Some(&position) {
+        if upstream.removed || !upstream.is_unused() {
             return;
         }
         let (rack, service) = (upstream.rack, upstream.service);
         self.by_id.remove(&upstream.id);
+        self.upstreams[position].removed = true;
         self.unplace(position);
         self.racks.release(rack);
         self.services.release(service);
--- a/crates/route/src/upstream.rs
+++ b/crates/route/src/upstream.rs
@@ -80,6 +80,8 @@
     pub(crate) rack: usize,
     /// Time of the last rejection as leaving, while only that rejection says so.
     pub(crate) refused_at: Option<Instant>,
+    /// Set when the record is no longer in use.
+    pub(crate) removed: bool,
     /// Own tasks running, on led and borrowed slots.
     pub(crate) running: u32,
     pub(crate) samples: Samples,
@@ -115,7 +117,9 @@
         let capacity = if self.led { led_slots.saturating_sub(self.lent) } else { loan_total };
         let credit = self.busy.map_or(u32::MAX, |busy| busy.credit);
         let led_free = led_free.min(credit);
-        let borrowed_free = loan_free.min(credit - led_free);
+        // Own tasks that outlive an earlier loan are still in the way of the slots lent again.
+        let room = self.slots().saturating_sub(self.used());
+        let borrowed_free = loan_free.min(room.min(credit).saturating_sub(led_free));
         if state == HealthState::Healthy {
             return Offer { borrowed_free, capacity, led_free, led_slots, probation_free: 0 };
         }
--- /dev/null
+++ b/crates/route/tests/health.rs
@@ -0,0 +1,221 @@
+//! Ejection, probation, leaving and gone upstreams.
+
+#![allow(clippy::expect_used, reason = "a failed expectation fails the test")]
+
+mod common;
+
+use common::{
+    EXPECTED, SLOTS, count_state, eject, end, fleet, id, ms, notices, pick, pick_with, router, service, sole,
+    upstream,
+};
+use hinge_conf::Policy;
+use hinge_route::{EjectionCause, EndKind, HealthState, Notice, Router, Slot};
+use hinge_wire::{ListEntry, ListState};
+use tokio::time::Instant;
+
+/// Drives a busy fleet in steps of 10 ms. `result` gives kind and run time of a task by upstream number. Returns the
+/// starts per upstream and all notices.
+fn drive(
+    router: &mut Router,
+    start: Instant,
+    steps: u64,
+    fleet: usize,
+    result: impl Fn(usize, u64) -> (EndKind, u64),
+) -> (Vec<u64>, Vec<Notice>) {
+    let (mut starts, mut seen) = (vec![0; fleet], Vec::new());
+    let mut running: Vec<(Instant, Slot, EndKind, u64)> = Vec::new();
+    for step in 0..steps {
+        let now = start + ms(step * 10);
+        let (ended, rest): (Vec<_>, Vec<_>) = running.into_iter().partition(|(at, ..)| *at <= now);
+        running = rest;
+        for (_, slot, kind, run) in ended {
+            router.ended(now, &slot, kind, ms(run), EXPECTED);
+        }
+        while router.free_slots(now, &service()) > fleet as u32 * SLOTS / 5 {
+            let slot = pick_with(router, now, step % 2 == 0, &[], &[]).expect("a free slot was counted");
+            let number: usize = slot.upstream["worker-".len()..].parse().expect("a number");
+            starts[number] += 1;
+            let (kind, run) = result(number, starts[number]);
+            running.push((now + ms(run), slot, kind, run));
+        }
+        router.tick(now, &mut seen);
+    }
+    (starts, seen)
+}
+
+/// Guards against an upstream that fails every task at once and thereby attracts the traffic of the fleet.
+#[test]
+fn an_upstream_that_fails_everything_gets_a_trickle() {
+    let start = Instant::now();
+    let mut router = sole(start, 20);
+    let broken = |number, _| if number == 7 { (EndKind::Failed, 1) } else { (EndKind::Done, 100) };
+    let (starts, _) = drive(&mut router, start, 6_000, 20, broken);
+    let average = starts.iter().sum::<u64>() / 20;
+    assert!(starts[7] < average / 50, "{} of {average}", starts[7]);
+}
+
+/// Guards against a fault that all upstreams share, such as broken tasks, emptying the fleet.
+#[test]
+fn a_shared_fault_does_not_empty_the_fleet() {
+    for period in [1, 2, 3] {
+        let start = Instant::now();
+        let mut router = sole(start, 20);
+        let faulty = |_, nth| if nth % period == 0 { (EndKind::Failed, 50) } else { (EndKind::Done, 100) };
+        for minute in 0..10 {
+            let (_, seen) = drive(&mut router, start + ms(minute * 3_000), 300, 20, faulty);
+            let healthy = count_state(&router, 20, HealthState::Healthy);
+            assert!(healthy >= 14, "period {period}: {healthy} of 20 healthy");
+            let capped = seen.iter().any(|notice| matches!(notice, Notice::Capped { .. }));
+            assert!(capped || period > 1 || minute > 0, "the limit is reported");
+        }
+    }
+}
+
+/// Guards against slow upstreams, and upstreams with frequent but not consecutive failures, that stay in use.
+#[test]
+fn outliers_in_latency_and_error_rate_are_ejected() {
+    let start = Instant::now();
+    let mut router = sole(start, 20);
+    let (_, seen) = drive(&mut router, start, 400, 20, |number, nth| match number {
+        3 => (EndKind::Done, 500),
+        4 if nth % 2 == 0 => (EndKind::Failed, 100),
+        // A declared run time that is far off now and then is no reason for an ejection.
+        _ if nth % 6 == 0 => (EndKind::Done, 1_000),
+        _ => (EndKind::Done, 100),
+    });
+    let ejected: Vec<_> = seen
+        .iter()
+        .filter_map(|notice| match notice {
+            Notice::Ejected { cause, upstream, .. } => Some((upstream.clone(), *cause)),
+            _ => None,
+        })
+        .collect();
+    assert!(ejected.contains(&(id(3), EjectionCause::Latency)), "{ejected:?}");
+    assert!(ejected.contains(&(id(4), EjectionCause::ErrorRate)), "{ejected:?}");
+    assert_eq!(ejected.len(), 2, "{ejected:?}");
+}
+
+/// Guards against an ejection that never ends, does not grow for a permanent fault, or floods a recovering upstream.
+#[test]
+fn ejection_doubles_and_probation_takes_single_idempotent_tasks_first() {
+    let mut now = Instant::now();
+    let mut router = sole(now, 8);
+    eject(&mut router, now, 2);
+    for expected in [5_000, 10_000, 20_000, 40_000, 60_000, 60_000] {
+        let seen = notices(&mut router, now);
+        let duration = seen.iter().find_map(|notice| match notice {
+            Notice::Ejected { duration, .. } => Some(*duration),
+            _ => None,
+        });
+        let duration = duration.expect("an ejection");
+        assert!(duration <= ms(expected) && duration >= ms(expected * 9 / 10), "{duration:?}");
+        now += duration;
+        assert_eq!(notices(&mut router, now), [Notice::Probation { upstream: id(2) }]);
+        assert_ne!(pick(&mut router, now).unwrap().upstream, id(2), "other tasks go elsewhere");
+        let slot = pick_with(&mut router, now, true, &[], &[]).unwrap();
+        assert_eq!(slot.upstream, id(2));
+        assert_ne!(
+            pick_with(&mut router, now, true, &[], &[]).unwrap().upstream,
+            id(2),
+            "one task at a time"
+        );
+        end(&mut router, now, &slot, EndKind::TimedOut);
+        assert_eq!(router.health(&id(2)), Some(HealthState::Ejected));
+    }
+    now += ms(60_000);
+    for _ in 0..5 {
+        let slot = pick_with(&mut router, now, true, &[], &[]).unwrap();
+        assert_eq!(slot.upstream, id(2));
+        end(&mut router, now, &slot, EndKind::Done);
+    }
+    assert_eq!(router.health(&id(2)), Some(HealthState::Healthy));
+}
+
+/// Guards against results of tasks from before an ejection that end the probation or restart the ejection.
+#[test]
+fn results_from_before_an_ejection_do_not_count() {
+    let now = Instant::now();
+    let mut router = sole(now, 1);
+    router.set_upstreams(now, &fleet(2));
+    let old: Vec<_> = (0..2).filter_map(|_| pick(&mut router, now)).collect();
+    let slot = old.iter().find(|slot| slot.upstream == id(1)).unwrap();
+    eject(&mut router, now, 1);
+    let later = now + ms(5_000);
+    notices(&mut router, later);
+    assert_eq!(router.health(&id(1)), Some(HealthState::Probation));
+    end(&mut router, later, slot, EndKind::Failed);
+    assert_eq!(router.health(&id(1)), Some(HealthState::Probation));
+}
+
+/// Guards against a guard that cannot be switched off.
+#[test]
+fn disabling_ejection_returns_the_ejected() {
+    let now = Instant::now();
+    let mut router = sole(now, 8);
+    eject(&mut router, now, 2);
+    router.set_policy(&Policy { ejection_enabled: false, ..Policy::default() });
+    assert_eq!(count_state(&router, 8, HealthState::Healthy), 8);
+    for _ in 0..50 {
+        let slot = pick(&mut router, now).unwrap();
+        end(&mut router, now, &slot, EndKind::Failed);
+    }
+    assert_eq!(count_state(&router, 8, HealthState::Healthy), 8);
+}
+
+fn one(state: ListState) -> [ListEntry; 1] {
+    [ListEntry { state, ..upstream(0) }]
+}
+
+/// Guards against new work on an upstream that is leaving by its own word while the list lags behind, and against one
+/// that never returns.
+#[test]
+fn a_rejection_as_leaving_outweighs_an_unchanged_list() {
+    let returns: [(&str, &[&[ListEntry]]); 3] = [
+        ("shown as leaving in between", &[&one(ListState::Leaving), &one(ListState::Live)]),
+        ("not listed in between", &[&[], &one(ListState::Live)]),
+        ("at a new address", &[&[ListEntry { address: "127.0.0.1:1".into(), ..upstream(0) }]]),
+    ];
+    for (case, lists) in returns {
+        let now = Instant::now();
+        let mut router = sole(now, 1);
+        let slot = pick(&mut router, now).unwrap();
+        end(&mut router, now, &slot, EndKind::Leaving);
+        assert!(pick(&mut router, now).is_none(), "{case}");
+        router.set_upstreams(now + ms(299_999), &one(ListState::Live));
+        assert!(pick(&mut router, now + ms(299_999)).is_none(), "{case}: a stale list");
+        for list in lists {
+            router.set_upstreams(now + ms(299_999), list);
+        }
+        assert!(pick(&mut router, now + ms(299_999)).is_some(), "{case}");
+    }
+    let now = Instant::now();
+    let mut router = sole(now, 1);
+    let slot = pick(&mut router, now).unwrap();
+    end(&mut router, now, &slot, EndKind::Leaving);
+    router.set_upstreams(now + ms(300_000), &one(ListState::Live));
+    assert_eq!(router.health(&id(0)), Some(HealthState::Probation), "a list that is live long after");
+}
+
+/// Guards against new work on upstreams that the list shows as leaving or no longer shows, and against lost counts
+/// of the tasks that still run there.
+#[test]
+fn leaving_and_gone_upstreams_get_no_new_work_and_keep_their_tasks() {
+    let now = Instant::now();
+    let mut router = router(now, "a", &["a"], 1, &Policy::default());
+    let first = pick(&mut router, now).unwrap();
+    let second = pick(&mut router, now).unwrap();
+    router.set_upstreams(now, &one(ListState::Leaving));
+    assert_eq!(notices(&mut router, now), [Notice::Leaving { upstream: id(0) }]);
+    assert!(pick(&mut router, now).is_none());
+    end(&mut router, now, &first, EndKind::Leaving);
+    router.set_upstreams(now, &[]);
+    assert!(pick(&mut router, now).is_none());
+    assert_eq!(router.describe()[0].in_use, 1);
+    assert_eq!(router.capacity(now, &service()), 0);
+    router.set_upstreams(now, &one(ListState::Live));
+    assert_eq!(router.free_slots(now, &service()), SLOTS - 1);
+    router.set_upstreams(now, &[]);
+    end(&mut router, now, &second, EndKind::Leaving);
+    end(&mut router, now, &second, EndKind::Done);
+    assert!(router.describe().is_empty(), "forgotten after its last task");
+}
