--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -15,6 +15,7 @@
 use crate::lending::{BorrowedLoan, LentLoan};
 use crate::notice::Notice;
 use crate::rendezvous::Candidate;
+use crate::samples::Samples;
 use crate::table::Table;
 use crate::timers::{Timer, Timers};
 
@@ -170,22 +171,35 @@
 
     fn apply_entry(&mut self, now: Instant, entry: &ListEntry) {
         let (position, changed) = match self.table.get(&entry.id) {
-            Some(position) => {
-                let known = &self.table.upstreams[position].entry;
-                let changed = ListEntry { state: entry.state, ..known.clone() } != *entry;
-                self.table.update(position, entry);
-                (position, changed)
-            }
+            Some(position) => (position, self.update_entry(position, entry)),
             None => {
                 let epoch = self.new_id();
                 let position = self.table.add(now, entry, epoch);
                 self.table.elect(position, &self.entries, &self.own);
+                self.refresh(position);
                 (position, false)
             }
         };
         self.table.upstreams[position].list_round = self.list_round;
         self.apply_listed_state(now, position, entry.state, changed);
+    }
+
+    /// Takes over a changed list entry; returns whether it differs in more than its state.
+    fn update_entry(&mut self, position: usize, entry: &ListEntry) -> bool {
+        let known = &self.table.upstreams[position].entry;
+        if known == entry {
+            return false;
+        }
+        let changed = ListEntry { state: entry.state, ..known.clone() } != *entry;
+        self.table.update(position, entry);
+        if changed {
+            // Results of the process listed before say nothing about the new one.
+            let epoch = self.new_id();
+            let upstream = &mut self.table.upstreams[position];
+            (upstream.epoch, upstream.samples) = (epoch, Samples::default());
+        }
         self.refresh(position);
+        changed
     }
 
     fn apply_listed_state(&mut self, now: Instant, position: usize, listed: ListState, changed: bool) {
