--- /dev/null
+++ b/crates/member/tests/members.rs
@@ -0,0 +1,150 @@
+//! Membership in stated situations.
+
+#![allow(clippy::unwrap_used, reason = "test support")]
+
+mod support;
+
+use std::time::Duration;
+
+use hinge_conf::Policy;
+use hinge_member::{MAX_HEARTBEAT_BYTES, Members, Notice, Owner};
+use hinge_wire::{
+    Heartbeat, InstanceList, InstanceState, ListState, LogEvent, MemberInfo, ResultCode, to_msgpack,
+};
+use support::{Cluster, address, demand, info, key, listed};
+use tokio::time::Instant;
+
+fn heartbeat(from: MemberInfo, members: Vec<MemberInfo>) -> Heartbeat {
+    Heartbeat { demand: Vec::new(), from, members, target_incarnation: 0 }
+}
+
+fn at(info: MemberInfo, counter: u64) -> MemberInfo {
+    MemberInfo { counter, ..info }
+}
+
+/// Instance 0 with incarnation 100, which has heard instances 1 and 2 with incarnations 101 and 102.
+fn members() -> (Members, Instant) {
+    let (mut members, now) = (Members::new(info(0, 100), Vec::new(), &Policy::default(), 1), Instant::now());
+    members.on_heartbeat(now, &heartbeat(at(info(1, 101), 5), vec![at(info(2, 102), 5)])).unwrap();
+    (members, now)
+}
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+/// Guards against `Gone` for a silent owner: only with removal from the list, after having been on it, is it certain.
+#[test]
+fn owner_is_gone_only_when_list_and_heartbeats_dropped_it() {
+    let (mut members, now) = members();
+    let both = vec![listed(1, ListState::Live), listed(2, ListState::Live)];
+    members.set_list(now, &InstanceList { entries: both[..1].to_vec(), version: 1 });
+    members.tick(now + seconds(6), &mut Vec::new());
+    let owners = |members: &Members| [1, 2].map(|index| members.owner(&key(index, 100 + index as u64)));
+    assert_eq!(owners(&members), [Owner::Unknown; 2]);
+    members.set_list(now, &InstanceList { entries: Vec::new(), version: 2 });
+    assert_eq!(owners(&members), [Owner::Gone, Owner::Unknown]);
+    // An older list that arrives late changes nothing.
+    members.set_list(now, &InstanceList { entries: both, version: 1 });
+    assert_eq!(owners(&members), [Owner::Gone, Owner::Unknown]);
+    // An incarnation that was never heard may just have started; other data centres have no heartbeats.
+    assert_eq!(members.owner(&key(1, 999)), Owner::Unknown);
+    let remote = hinge_wire::SubmissionKey { data_centre: "dc2".into(), ..key(1, 101) };
+    assert_eq!(members.owner(&remote), Owner::Unknown);
+    let entry = hinge_wire::ListEntry { data_centre: "dc2".into(), ..listed(1, ListState::Live) };
+    members.set_list(now, &InstanceList { entries: vec![entry], version: 3 });
+    assert_eq!(members.owner(&remote), Owner::Peer { address: address(1), incarnation: 101 });
+    assert_eq!([100, 99].map(|incarnation| members.owner(&key(0, incarnation))), [Owner::Own, Owner::Gone]);
+}
+
+/// Guards against stale digests that bring back a dead incarnation or one that was replaced.
+#[test]
+fn stale_digest_revives_nothing() {
+    let (mut members, now) = members();
+    let mut notices = Vec::new();
+    let later = now + seconds(6);
+    members.tick(later, &mut notices);
+    let events: Vec<_> = notices.drain(..).map(|notice| notice.event()).collect();
+    let expected =
+        [LogEvent::MemberJoined, LogEvent::MemberJoined, LogEvent::MemberDead, LogEvent::MemberDead];
+    assert_eq!(events, expected);
+    let digest = |counter| vec![at(info(2, 102), counter)];
+    members.on_heartbeat(later, &heartbeat(at(info(1, 111), 1), digest(7))).unwrap();
+    members.on_heartbeat(later, &heartbeat(at(info(1, 111), 2), digest(9))).unwrap();
+    assert_eq!(members.leaders().len(), 2);
+    members.tick(later, &mut notices);
+    assert_eq!(notices, [Notice::Replaced { incarnation: 111, instance: "entry-1".into(), former: 101 }]);
+    assert_eq!(members.owner(&key(1, 101)), Owner::Gone);
+    members.on_heartbeat(later, &heartbeat(at(info(1, 101), 99), digest(9))).unwrap();
+    assert_eq!(members.owner(&key(1, 111)), Owner::Peer { address: address(1), incarnation: 111 });
+    assert_eq!(members.owner(&key(1, 101)), Owner::Gone);
+}
+
+/// Guards against a late message of an earlier process that replaces the live one.
+#[test]
+fn live_incarnation_is_not_replaced() {
+    let (mut members, now) = members();
+    members.on_heartbeat(now, &heartbeat(at(info(1, 90), 500), Vec::new())).unwrap();
+    members.on_heartbeat(now + seconds(1), &heartbeat(at(info(1, 101), 6), Vec::new())).unwrap();
+    members.tick(now + Duration::from_millis(2500), &mut Vec::new());
+    assert_ne!(members.owner(&key(1, 101)), Owner::Gone);
+    assert_eq!(
+        members.peers().find(|peer| peer.instance == "entry-1").map(|peer| peer.incarnation),
+        Some(101)
+    );
+}
+
+/// Guards against confusion of the own process with others: heartbeats for an earlier one, the own one heard back, and
+/// another process with the own id.
+#[test]
+fn own_id() {
+    let (mut members, now) = members();
+    let mut notices = Vec::new();
+    members.tick(now, &mut notices);
+    let earlier = Heartbeat { target_incarnation: 99, ..heartbeat(info(1, 101), Vec::new()) };
+    assert_eq!(members.on_heartbeat(now, &earlier), Err(ResultCode::WrongIncarnation));
+    let foreign = MemberInfo { data_centre: "dc2".into(), ..info(1, 101) };
+    assert_eq!(members.on_heartbeat(now, &heartbeat(foreign, Vec::new())), Err(ResultCode::InvalidField));
+
+    notices.clear();
+    let back = heartbeat(at(info(0, 100), 50), vec![at(info(0, 100), 60), at(info(0, 99), 70)]);
+    members.on_heartbeat(now, &back).unwrap();
+    members.tick(now, &mut notices);
+    assert_eq!((notices.len(), members.own_mut().counter), (0, 0));
+    members.on_heartbeat(now, &heartbeat(at(info(0, 55), 1), Vec::new())).unwrap();
+    members.on_heartbeat(now, &heartbeat(at(info(0, 55), 2), Vec::new())).unwrap();
+    members.tick(now, &mut notices);
+    assert!(matches!(notices[..], [Notice::OwnIdClaimed { incarnation: 55, .. }]), "{notices:?}");
+    assert_eq!(members.owner(&key(0, 55)), Owner::Unknown);
+}
+
+/// Guards against work for instances that stop, announced by themselves or by the list.
+#[test]
+fn draining_and_leaving_instances_do_not_lead() {
+    let mut cluster = Cluster::new(4, 0, 9);
+    cluster.run(seconds(5));
+    cluster.nodes[1].members.own_mut().state = InstanceState::Draining;
+    cluster.list(1, &[listed(2, ListState::Leaving), listed(3, ListState::Live)]);
+    cluster.run(seconds(2));
+    for node in &cluster.nodes {
+        assert_eq!(node.members.leaders().iter().map(|id| &**id).collect::<Vec<_>>(), ["entry-0", "entry-3"]);
+        assert_eq!(node.members.peers().count(), 3);
+    }
+}
+
+/// Guards against a heartbeat larger than its limit with the longest ids.
+#[test]
+fn heartbeat_size_is_bounded() {
+    let (mut members, now) = members();
+    let long =
+        |index| MemberInfo { instance: format!("entry-{index:058}"), ..at(info(1, u64::MAX), u64::MAX) };
+    members.on_heartbeat(now, &heartbeat(at(info(1, 101), 6), (0..64).map(long).collect())).unwrap();
+    let mut wide = demand(32);
+    wide.iter_mut().for_each(|team| team.team = "t".repeat(64));
+    let sent = members.heartbeats(now, &wide);
+    assert_eq!(sent.len(), 4);
+    for outgoing in sent {
+        assert!(to_msgpack(&outgoing.heartbeat).unwrap().len() <= MAX_HEARTBEAT_BYTES);
+        assert!(!outgoing.heartbeat.members.is_empty() && !outgoing.heartbeat.demand.is_empty());
+    }
+}
