--- a/crates/member/tests/members.rs
+++ b/crates/member/tests/members.rs
@@ -80,6 +80,17 @@
     assert_eq!(members.owner(&key(1, 101)), Owner::Gone);
 }
 
+/// Guards against digests that pass on states older than the suspect time, which a receiver would take for news.
+#[test]
+fn digest_holds_fresh_states_only() {
+    let (mut members, now) = members();
+    let passed_on = |sent: Vec<hinge_member::Outgoing>| sent[0].heartbeat.members.len();
+    assert_eq!(passed_on(members.heartbeats(now, &[])), 2);
+    members.on_heartbeat(now + seconds(1), &heartbeat(at(info(1, 101), 6), Vec::new())).unwrap();
+    assert_eq!(passed_on(members.heartbeats(now + seconds(2), &[])), 1);
+    assert_eq!(members.peers().count(), 2);
+}
+
 /// Guards against a late message of an earlier process that replaces the live one.
 #[test]
 fn live_incarnation_is_not_replaced() {
--- a/crates/member/tests/support/mod.rs
+++ b/crates/member/tests/support/mod.rs
@@ -102,14 +102,14 @@
             sent: 0,
             teams,
         };
-        cluster.nodes = (0..count).map(|index| cluster.start(index)).collect();
+        cluster.nodes = (0..count).map(|index| cluster.start(index, count)).collect();
         cluster
     }
 
-    fn start(&mut self, index: usize) -> Node {
+    fn start(&mut self, index: usize, count: usize) -> Node {
         let incarnation = self.rng.random();
         // Without a list, a process that starts in a partition has only these to find the others.
-        let contacts = (0..8).map(address).collect();
+        let contacts = (0..count.min(8)).map(address).collect();
         let members = Members::new(info(index, incarnation), contacts, &Policy::default(), self.rng.random());
         Node { bytes_sent: 0, group: 0, incarnation, members, notices: Vec::new(), running: true }
     }
@@ -123,7 +123,7 @@
     pub fn restart(&mut self, index: usize) {
         self.stop(index);
         let group = self.nodes[index].group;
-        self.nodes[index] = Node { group, ..self.start(index) };
+        self.nodes[index] = Node { group, ..self.start(index, self.nodes.len()) };
     }
 
     fn send(&mut self, from: usize, to: usize, bytes: usize, make: impl Fn() -> Message) {
