--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -84,6 +84,10 @@
         self.list_address = address;
     }
 
+    pub(crate) fn id(&self) -> &InstanceId {
+        &self.id
+    }
+
     pub(crate) fn is_dead(&self) -> bool {
         matches!(self.life.state(), State::Dead {})
     }
--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -93,8 +93,9 @@
         }
     }
 
-    /// The timeouts for a number of peers. Above twenty peers the size limit of a heartbeat leaves too few reports per
-    /// member for the configured times, so that they grow with the time in which each peer is contacted once.
+    /// The timeouts for a number of peers. Above sixteen peers they grow with the time in which each peer is contacted
+    /// once, because the size limit of a heartbeat leaves too few reports per member for the configured times: with
+    /// these, the leader sets of 64 simulated instances differed without a fault other than 2% loss.
     fn timeouts(&self, peers: usize) -> Timeouts {
         let rounds = u32::try_from(peers.div_ceil(self.fanout)).unwrap_or(u32::MAX);
         let period = self.interval.saturating_mul(rounds);
@@ -241,7 +242,8 @@
         let timeouts = self.timeouts();
         let mut fresh: Vec<_> =
             self.members.values().filter(|member| member.is_fresh(now, timeouts)).collect();
-        fresh.sort_by_key(|member| Reverse(member.heard_at()));
+        // The id decides between equal times, because the order in the hash map is random.
+        fresh.sort_by_key(|member| (Reverse(member.heard_at()), member.id()));
         fresh.into_iter().filter_map(Member::info).cloned().collect()
     }
 
@@ -301,16 +303,17 @@
         if !digest::is_bounded(heartbeat) || self.announced(&heartbeat.from).is_none() {
             return Err(ResultCode::InvalidField);
         }
-        self.observe(now, &heartbeat.from, true);
+        let timeouts = self.timeouts();
+        self.observe(now, &heartbeat.from, true, timeouts);
         for info in &heartbeat.members {
-            self.observe(now, info, false);
+            self.observe(now, info, false, timeouts);
         }
         Ok(HeartbeatReply { from: self.own.clone() })
     }
 
     /// Takes in the reply to a heartbeat.
     pub fn on_reply(&mut self, now: Instant, reply: &HeartbeatReply) {
-        self.observe(now, &reply.from, true);
+        self.observe(now, &reply.from, true, self.timeouts());
     }
 
     /// The report with its address, when it is of an instance of this data centre.
@@ -321,18 +324,17 @@
         valid.then(|| Announced { address, info: info.clone() })
     }
 
-    fn observe(&mut self, now: Instant, info: &MemberInfo, direct: bool) {
+    fn observe(&mut self, now: Instant, info: &MemberInfo, direct: bool, timeouts: Timeouts) {
         let news = if info.instance == self.own.instance {
             self.observe_own_id(now, info, direct)
         } else {
-            self.observe_peer(now, info, direct)
+            self.observe_peer(now, info, direct, timeouts)
         };
         self.ignored += u64::from(!news);
     }
 
-    fn observe_peer(&mut self, now: Instant, info: &MemberInfo, direct: bool) -> bool {
+    fn observe_peer(&mut self, now: Instant, info: &MemberInfo, direct: bool, timeouts: Timeouts) -> bool {
         let Some(announced) = self.announced(info) else { return false };
-        let timeouts = self.timeouts();
         let mut notices = Vec::new();
         let Some(member) = self.member_mut(&info.instance) else { return false };
         let news = member.observe(now, announced, direct, timeouts, &mut notices);
