Replace and revive incarnations on direct contact only

A late direct message could also replace an incarnation that fell silent soon after it.

Change: digests neither revive a dead incarnation nor replace a known one. A direct report replaces it when it arrives at least the suspect time after the last sign of the known one, which proves the order as long as messages are delayed by less. Candidates and their evidence are removed. The test of the live incarnation now covers the second fault.

--- a/crates/member/src/evidence.rs
+++ b/crates/member/src/evidence.rs
@@ -1,4 +1,4 @@
-//! Evidence that an incarnation is running.
+//! Evidence that another process with the own instance id is running.
 
 use std::time::Duration;
 
@@ -8,7 +8,7 @@
 /// that heard different last counters, but not repeatedly over the suspect time.
 const MIN_ADVANCES: u32 = 2;
 
-/// What was heard of an incarnation that is not taken for the current, live one.
+/// What was heard of another incarnation of the own instance id.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Evidence {
     advances: u32,
@@ -23,24 +23,14 @@
         Self { advances: 0, counter, direct, first_at: now, last_at: now }
     }
 
-    /// Adds a report; returns whether its counter is higher than those before.
-    pub(crate) fn add(&mut self, now: Instant, counter: u64, direct: bool) -> bool {
-        if counter <= self.counter {
-            return false;
+    /// Adds a report; one without a higher counter is no evidence.
+    pub(crate) fn add(&mut self, now: Instant, counter: u64, direct: bool) {
+        if counter > self.counter {
+            self.advances = self.advances.saturating_add(1);
+            self.counter = counter;
+            self.direct |= direct;
+            self.last_at = now;
         }
-        self.advances = self.advances.saturating_add(1);
-        self.counter = counter;
-        self.direct |= direct;
-        self.last_at = now;
-        true
-    }
-
-    pub(crate) fn last_at(&self) -> Instant {
-        self.last_at
-    }
-
-    pub(crate) fn silent(&self, now: Instant) -> Duration {
-        now.saturating_duration_since(self.last_at)
     }
 
     /// Whether the incarnation was heard directly, or advanced repeatedly for longer than reports are delayed.
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -8,9 +8,9 @@
 //! - [`Members::tick`] advances silent members to suspect and dead and returns [`Notice`]s for the log.
 //! - [`Members::leaders`], [`Members::peers`] and [`Members::owner`] answer the dispatcher.
 //!
-//! Incarnations are random and have no order. Of two incarnations of one instance id, the one that keeps sending while
-//! the other is silent for the suspect time is the current one; the other is then known to have ended. What was learned
-//! second-hand, from a digest, never revives a dead incarnation unless its counter advances repeatedly.
+//! Incarnations are random and have no order. When a process is heard directly while the known incarnation of its id has
+//! been silent for the suspect time, it is the newer one and the known one has ended. What was learned second-hand, from
+//! a digest, neither replaces an incarnation nor revives a dead one.
 //!
 //! ```
 //! use hinge_conf::Policy;
--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -8,7 +8,6 @@
 use statig::blocking::{IntoStateMachineExt, StateMachine};
 use tokio::time::Instant;
 
-use crate::evidence::Evidence;
 use crate::life::{Life, LifeEvent, State};
 use crate::notice::Notice;
 
@@ -46,14 +45,7 @@
     heard_at: Instant,
 }
 
-/// Another incarnation that may replace the current one.
-struct Candidate {
-    announced: Announced,
-    evidence: Evidence,
-}
-
 pub(crate) struct Member {
-    candidate: Option<Candidate>,
     current: Option<Current>,
     id: InstanceId,
     life: StateMachine<Life>,
@@ -61,21 +53,17 @@
     pub(crate) listing: Listing,
     /// Incarnations that have ended; nothing brings them back.
     past: VecDeque<Incarnation>,
-    /// Reports of the current incarnation since it is dead.
-    revival: Option<Evidence>,
 }
 
 impl Member {
     pub(crate) fn new(id: InstanceId) -> Self {
         Self {
-            candidate: None,
             current: None,
             id,
             life: Life.state_machine(),
             list_address: None,
             listing: Listing::Never,
             past: VecDeque::new(),
-            revival: None,
         }
     }
 
@@ -111,10 +99,10 @@
         self.current.as_ref().map(|current| current.announced.address).or(self.list_address)
     }
 
-    /// Incarnation that a heartbeat is addressed to; 0 unless the current one is certain to be meant.
+    /// Incarnation that a heartbeat is addressed to; 0 when another one may have replaced the known one.
     pub(crate) fn target_incarnation(&self) -> Incarnation {
-        let certain = matches!(self.life.state(), State::Alive {}) && self.candidate.is_none();
-        self.info().filter(|_| certain).map_or(0, |info| info.incarnation)
+        let alive = matches!(self.life.state(), State::Alive {});
+        self.info().filter(|_| alive).map_or(0, |info| info.incarnation)
     }
 
     pub(crate) fn has_ended(&self, incarnation: Incarnation) -> bool {
@@ -123,14 +111,6 @@
         dropped || self.past.contains(&incarnation)
     }
 
-    /// Address of the incarnation when it is the live one or about to replace it.
-    pub(crate) fn address_of(&self, incarnation: Incarnation) -> Option<SocketAddr> {
-        let current = self.current.as_ref().filter(|_| self.is_live()).map(|current| &current.announced);
-        let candidate = self.candidate.as_ref().map(|candidate| &candidate.announced);
-        let matches = |announced: &&Announced| announced.info.incarnation == incarnation;
-        current.into_iter().chain(candidate).find(matches).map(|announced| announced.address)
-    }
-
     /// Whether other members may be told about it: only fresh news, so that a digest never carries a state that is older
     /// than the suspect time.
     pub(crate) fn is_fresh(&self, now: Instant, timeouts: Timeouts) -> bool {
@@ -155,114 +135,39 @@
         timeouts: Timeouts,
         notices: &mut Vec<Notice>,
     ) -> bool {
-        let incarnation = announced.info.incarnation;
-        if self.past.contains(&incarnation) {
-            return false;
-        }
-        match self.info().map(|info| info.incarnation) {
-            None => {
-                self.accept(now, announced, notices);
-                true
-            }
-            Some(current) if current == incarnation => {
-                self.observe_current(now, announced, direct, timeouts, notices)
-            }
-            Some(_) => {
-                let news = self.observe_other(now, announced, direct, timeouts);
-                self.replace_if_silent(now, timeouts, notices);
-                news
-            }
-        }
-    }
-
-    fn observe_current(
-        &mut self,
-        now: Instant,
-        announced: Announced,
-        direct: bool,
-        timeouts: Timeouts,
-        notices: &mut Vec<Notice>,
-    ) -> bool {
-        let counter = announced.info.counter;
-        if self.info().is_some_and(|info| counter <= info.counter) {
-            return false;
-        }
-        // The timer may not have run since the silence became too long.
-        let dead = self.is_dead() || self.silent(now).is_some_and(|silent| silent >= timeouts.dead);
-        if dead && !direct {
-            let evidence = self.revival.get_or_insert_with(|| Evidence::new(now, counter, false));
-            evidence.add(now, counter, false);
-            if !evidence.is_convincing(timeouts.suspect) {
-                return false;
+        let MemberInfo { counter, incarnation, .. } = announced.info;
+        let news = match (self.info(), self.silent(now)) {
+            _ if self.past.contains(&incarnation) => false,
+            (Some(info), Some(silent)) if info.incarnation == incarnation => {
+                // The timer may not have run since the silence became too long.
+                let dead = self.is_dead() || silent >= timeouts.dead;
+                counter > info.counter && (direct || !dead)
             }
+            // Two incarnations never run at the same time, and a direct message is delayed by less than the suspect
+            // time. One that arrives this long after the last sign of the known incarnation was sent after it, so that
+            // the known one has ended.
+            (Some(_), Some(silent)) => direct && silent >= timeouts.suspect,
+            _ => true,
+        };
+        if news {
+            self.accept(now, announced, notices);
         }
-        self.accept(now, announced, notices);
-        true
+        news
     }
 
     fn accept(&mut self, now: Instant, announced: Announced, notices: &mut Vec<Notice>) {
-        let returned = self.is_dead();
-        if returned || self.current.is_none() {
-            notices.push(Notice::Joined {
-                address: announced.address,
-                incarnation: announced.info.incarnation,
-                instance: self.id.clone(),
-                returned,
-            });
-        }
-        self.revival = None;
-        self.current = Some(Current { announced, heard_at: now });
-        self.life.handle(&LifeEvent::Heard);
-    }
-
-    fn observe_other(
-        &mut self,
-        now: Instant,
-        announced: Announced,
-        direct: bool,
-        timeouts: Timeouts,
-    ) -> bool {
-        let (counter, incarnation) = (announced.info.counter, announced.info.incarnation);
-        match &mut self.candidate {
-            Some(candidate) if candidate.announced.info.incarnation == incarnation => {
-                let news = candidate.evidence.add(now, counter, direct);
-                if news {
-                    candidate.announced = announced;
-                }
-                news
-            }
-            Some(candidate) if candidate.evidence.silent(now) < timeouts.suspect => false,
-            _ => {
-                self.candidate = Some(Candidate { announced, evidence: Evidence::new(now, counter, direct) });
-                true
+        let MemberInfo { incarnation, .. } = announced.info;
+        let (address, instance, returned) = (announced.address, self.id.clone(), self.is_dead());
+        match self.info().map(|info| info.incarnation) {
+            Some(former) if former != incarnation => {
+                self.end_incarnation(former);
+                notices.push(Notice::Replaced { incarnation, instance, former });
             }
+            Some(_) if !returned => {}
+            _ => notices.push(Notice::Joined { address, incarnation, instance, returned }),
         }
-    }
-
-    /// Replaces the current incarnation when it is silent and another one is not. Both are never running at the same
-    /// time, and messages are delayed by less than the suspect time.
-    fn replace_if_silent(&mut self, now: Instant, timeouts: Timeouts, notices: &mut Vec<Notice>) {
-        let silent = self.silent(now).is_none_or(|silent| silent >= timeouts.suspect);
-        let convincing = |candidate: &mut Candidate| {
-            let evidence = candidate.evidence;
-            evidence.silent(now) < timeouts.suspect && evidence.is_convincing(timeouts.suspect)
-        };
-        if !silent {
-            return;
-        }
-        let Some(Candidate { announced, evidence }) = self.candidate.take_if(convincing) else { return };
-        if let Some(former) = self.info().map(|info| info.incarnation) {
-            self.end_incarnation(former);
-            let incarnation = announced.info.incarnation;
-            notices.push(Notice::Replaced { incarnation, instance: self.id.clone(), former });
-        }
-        self.revival = None;
-        self.current = Some(Current { announced, heard_at: evidence.last_at() });
+        self.current = Some(Current { announced, heard_at: now });
         self.life.handle(&LifeEvent::Heard);
-        if self.listing == Listing::Leaving {
-            // The mark was for the former process.
-            self.listing = Listing::Live;
-        }
     }
 
     fn end_incarnation(&mut self, incarnation: Incarnation) {
@@ -270,13 +175,14 @@
             self.past.pop_front();
         }
         self.past.push_back(incarnation);
+        if self.listing == Listing::Leaving {
+            // The mark was for the ended process.
+            self.listing = Listing::Live;
+        }
     }
 
     /// Advances the member's life to `now`.
     pub(crate) fn tick(&mut self, now: Instant, timeouts: Timeouts, notices: &mut Vec<Notice>) {
-        self.replace_if_silent(now, timeouts, notices);
-        self.candidate.take_if(|candidate| candidate.evidence.silent(now) >= timeouts.dead);
-        self.revival.take_if(|evidence| evidence.silent(now) >= timeouts.dead);
         let (Some(silent), Some(info)) = (self.silent(now), self.info()) else { return };
         let (incarnation, instance) = (info.incarnation, self.id.clone());
         if silent >= timeouts.dead && !self.is_dead() {
--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -422,10 +422,7 @@
         }
         // An incarnation that was never heard may be a process that has just started. Whichever process answers at the
         // address of the instance id settles that, by accepting or by rejecting the incarnation.
-        let address = member.address_of(incarnation).or_else(|| {
-            let other = member.info().is_none_or(|info| info.incarnation != incarnation);
-            member.address().filter(|_| other && !member.is_dead())
-        });
+        let address = member.address().filter(|_| !member.is_dead());
         address.map_or(Owner::Unknown, |address| Owner::Peer { address, incarnation })
     }
 
--- a/crates/member/tests/members.rs
+++ b/crates/member/tests/members.rs
@@ -95,8 +95,9 @@
 #[test]
 fn live_incarnation_is_not_replaced() {
     let (mut members, now) = members();
-    members.on_heartbeat(now, &heartbeat(at(info(1, 90), 500), Vec::new())).unwrap();
-    members.on_heartbeat(now + seconds(1), &heartbeat(at(info(1, 101), 6), Vec::new())).unwrap();
+    members.on_heartbeat(now + seconds(1), &heartbeat(at(info(1, 90), 500), Vec::new())).unwrap();
+    let digest = vec![at(info(1, 90), 501), at(info(1, 90), 502)];
+    members.on_heartbeat(now + seconds(2), &heartbeat(at(info(2, 102), 6), digest)).unwrap();
     members.tick(now + Duration::from_millis(2500), &mut Vec::new());
     assert_ne!(members.owner(&key(1, 101)), Owner::Gone);
     assert_eq!(
