store: test that an evicted operation is not reported as a conflict

Cause: removing the check that a document still lists all operations since the base left all tests green. Change: a test pushes a lost write out of the 64 remembered operations and expects WRITE_UNSETTLED. Conclusion: the test passes, and fails without the check.

--- a/crates/store/tests/config_sync.rs
+++ b/crates/store/tests/config_sync.rs
@@ -5,9 +5,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use hinge_conf::empty_document;
+use hinge_conf::{apply, empty_document};
 use hinge_store::{CONFIG_KEY, Call, ChangeFailure, ConfigSync, Offered, SyncEvent};
-use hinge_wire::{ChangeReply, ResultCode};
+use hinge_wire::{ChangeReply, ResultCode, to_json};
 use support::{FakeStore, Faults, quota, run};
 use tokio::time::{Instant, sleep};
 
@@ -187,3 +187,22 @@
         assert_eq!((shown.operation_id.as_str(), shown.summary.as_str()), ("op", "set quota of t to 1/s"));
     });
 }
+
+/// A document remembers 64 operations: the absence of a lost one proves nothing once 64 others have followed.
+#[test]
+fn a_lost_write_that_was_pushed_out_of_the_document_is_not_reported_as_a_conflict() {
+    run(async {
+        let store = FakeStore::new(7);
+        let sync = ConfigSync::new(store.clone(), "dc1".into(), 7);
+        store.lock().faults = Faults { lost_answer: 100, ..Faults::default() };
+        let others = (0..64).fold(empty_document(), |document, index| {
+            apply(&document, &quota(&format!("other-{index}"), "u", index, 0)).unwrap()
+        });
+        let (text, writer) = (String::from_utf8(to_json(&others).unwrap()).unwrap(), store.clone());
+        tokio::spawn(async move {
+            writer.next_change().await;
+            writer.force(CONFIG_KEY, 66, &text);
+        });
+        assert_eq!(sync.change(&quota("op", "t", 1, 0)).await, Err(ChangeFailure::Unsettled));
+    });
+}
