--- a/crates/conf/src/document.rs
+++ b/crates/conf/src/document.rs
@@ -295,7 +295,9 @@
     // half of their time is over, so a record may live for only half of the time to live.
     let last_start_ms = policy.key_validity_ms + policy.max_deadline_ms;
     if policy.claim_ttl_ms < 2 * last_start_ms {
-        return fail(format!("claim_ttl_ms is below twice key_validity_ms + max_deadline_ms ({last_start_ms})"));
+        return fail(format!(
+            "claim_ttl_ms is below twice key_validity_ms + max_deadline_ms ({last_start_ms})"
+        ));
     }
     Ok(())
 }
