--- a/crates/celeryhinge/src/lib.rs
+++ b/crates/celeryhinge/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub use hinge_client as client;
 pub use hinge_conf as conf;
+pub use hinge_ctl as ctl;
 pub use hinge_dispatch as dispatch;
 pub use hinge_entry as entry;
 pub use hinge_ledger as ledger;
