Record the cost of one scheduling decision

Cause: the design requires a decision of a few microseconds, with a cost that does not grow with teams and queue length. Change: the benchmark's description names the end of the task, which each iteration includes.

--- a/crates/sched/benches/decision.rs
+++ b/crates/sched/benches/decision.rs
@@ -1,4 +1,4 @@
-//! Cost of one push and one decision with many teams and long queues.
+//! Cost of one push, one decision and one end of a task, with many teams and long queues.
 
 use std::time::Duration;
 
