route: divide upstreams evenly among entries

Plain rendezvous hashing left one of three entries with far fewer upstreams than the others, and in a flood no peer has slots to lend. Ruled out: class shares (the other entries kept them) and loan latency. Change: rendezvous hashing within an even part per entry.

--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`Router`] keeps the upstreams of the own data centre and decides where a task starts:
 //!
-//! - Each upstream is led by one entry, chosen by rendezvous hash over the live entries ([`Router::set_entries`]).
+//! - Each upstream is led by one entry, so that every live entry leads an even part, chosen by rendezvous hash ([`Router::set_entries`]).
 //! - [`Router::pick`] takes a slot on the least loaded suitable upstream, [`Router::ended`] frees it and learns.
 //! - [`Router::lend`], [`Router::borrowed`], [`Router::returned`] and [`Router::idle_loans`] move unused slots
 //!   between entries for a limited time.
--- a/crates/route/src/listing.rs
+++ b/crates/route/src/listing.rs
@@ -36,6 +36,7 @@
             }
         }
         self.table.sum_listed();
+        self.elect();
     }
 
     fn apply_entry(&mut self, now: Instant, entry: &ListEntry) {
@@ -44,7 +45,6 @@
             None => {
                 let epoch = self.new_id();
                 let position = self.table.add(now, entry, epoch);
-                self.table.elect(position, &self.entries, &self.own);
                 self.refresh(position);
                 (position, false)
             }
@@ -101,13 +101,18 @@
 
     /// Live entries of the data centre that are not draining, the own one included when it leads.
     ///
-    /// Only upstreams led by an entry that came or went change their leader.
+    /// Upstreams are divided evenly; few of them change their leader when an entry comes or goes.
     pub fn set_entries(&mut self, entries: &[InstanceId]) {
-        self.entries = entries.iter().map(Candidate::new).collect();
-        for position in self.table.positions() {
-            if self.table.elect(position, &self.entries, &self.own) {
-                self.refresh(position);
-            }
+        let known = self.entries.iter().map(|entry| &entry.id).eq(entries);
+        if !known {
+            self.entries = entries.iter().map(Candidate::new).collect();
+            self.elect();
+        }
+    }
+
+    fn elect(&mut self) {
+        for position in self.table.elect(&self.entries, &self.own) {
+            self.refresh(position);
         }
     }
 }
--- a/crates/route/src/rendezvous.rs
+++ b/crates/route/src/rendezvous.rs
@@ -1,4 +1,4 @@
-//! Rendezvous hash that is the same in every process.
+//! Even division of upstreams among entries by rendezvous hash, the same in every process.
 
 use hinge_wire::InstanceId;
 
@@ -28,11 +28,63 @@
     }
 }
 
-/// The entry that leads the upstream with this hash; ties go to the greater id.
-pub(crate) fn leader(candidates: &[Candidate], upstream: u64) -> Option<&InstanceId> {
-    let weight = |candidate: &Candidate| mix(mix(candidate.hash).wrapping_add(upstream));
-    candidates
-        .iter()
-        .max_by(|a, b| weight(a).cmp(&weight(b)).then_with(|| a.id.cmp(&b.id)))
-        .map(|one| &one.id)
+/// An upstream to be led.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Led {
+    pub(crate) hash: u64,
+    pub(crate) position: usize,
+    pub(crate) slots: u32,
+}
+
+/// Divides upstreams among entries: position of each upstream with the index of its leader, none without entries.
+///
+/// Every entry leads at most an even part of the slots, rounded up to whole upstreams. Within that bound the pairs of
+/// the greatest rendezvous weight win, so that a change of membership moves few upstreams, and every entry that sees
+/// the same members and upstreams computes the same division. Plain rendezvous hashing gave one of three entries a
+/// third of the upstreams of another, and its queue grew while the others had free slots.
+pub(crate) fn divide(candidates: &[Candidate], upstreams: &[Led]) -> Vec<(usize, Option<usize>)> {
+    if candidates.is_empty() {
+        return upstreams.iter().map(|one| (one.position, None)).collect();
+    }
+    let mut room = vec![even_part(candidates.len(), upstreams); candidates.len()];
+    let mut pairs = Vec::with_capacity(candidates.len() * upstreams.len());
+    for (index, upstream) in upstreams.iter().enumerate() {
+        for (entry, candidate) in candidates.iter().enumerate() {
+            pairs.push((mix(mix(candidate.hash).wrapping_add(upstream.hash)), index, entry));
+        }
+    }
+    pairs.sort_unstable_by(|a, b| {
+        let key = |pair: &(u64, usize, usize)| (pair.0, upstreams[pair.1].hash);
+        key(b).cmp(&key(a)).then_with(|| candidates[b.2].id.cmp(&candidates[a.2].id))
+    });
+    let mut leaders = vec![None; upstreams.len()];
+    for (_, upstream, entry) in pairs {
+        let slots = upstreams[upstream].slots;
+        if leaders[upstream].is_none() && room[entry] >= slots {
+            leaders[upstream] = Some(entry);
+            room[entry] -= slots;
+        }
+    }
+    assign_rest(&mut leaders, &mut room, candidates, upstreams);
+    upstreams.iter().zip(leaders).map(|(one, leader)| (one.position, leader)).collect()
+}
+
+/// Slots that each entry may lead: an even part, plus one upstream because upstreams are not divided.
+fn even_part(entries: usize, upstreams: &[Led]) -> u32 {
+    let total: u64 = upstreams.iter().map(|one| u64::from(one.slots)).sum();
+    let largest = upstreams.iter().map(|one| one.slots).max().unwrap_or_default().max(1);
+    let even = u32::try_from(total.div_ceil(entries as u64)).unwrap_or(u32::MAX);
+    even.div_ceil(largest).saturating_mul(largest)
+}
+
+/// Gives upstreams that fit nowhere, because sizes differ, to the entries with the most room.
+fn assign_rest(leaders: &mut [Option<usize>], room: &mut [u32], candidates: &[Candidate], upstreams: &[Led]) {
+    for (leader, upstream) in leaders.iter_mut().zip(upstreams).filter(|(leader, _)| leader.is_none()) {
+        let most = (0..room.len())
+            .max_by(|a, b| room[*a].cmp(&room[*b]).then_with(|| candidates[*a].id.cmp(&candidates[*b].id)));
+        if let Some(entry) = most {
+            room[entry] = room[entry].saturating_sub(upstream.slots);
+            *leader = Some(entry);
+        }
+    }
 }
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -6,7 +6,7 @@
 use crate::health::{Health, HealthState};
 use crate::index::LoadIndex;
 use crate::intern::Interner;
-use crate::rendezvous::{Candidate, hash_id, leader};
+use crate::rendezvous::{Candidate, Led, divide, hash_id};
 use crate::samples::{PeerStats, Samples};
 use crate::upstream::{Offer, Placed, Upstream};
 
@@ -182,12 +182,29 @@
         self.free.push(position);
     }
 
-    /// Sets the leader; returns whether leadership moved to or from this entry.
-    pub(crate) fn elect(&mut self, position: usize, entries: &[Candidate], own: &InstanceId) -> bool {
-        let upstream = &mut self.upstreams[position];
-        upstream.leader = leader(entries, upstream.hash).cloned();
-        let led = upstream.leader.as_ref() == Some(own);
-        std::mem::replace(&mut upstream.led, led) != led
+    /// Sets the leaders of all listed upstreams; returns the positions whose leadership moved to or from this entry.
+    pub(crate) fn elect(&mut self, entries: &[Candidate], own: &InstanceId) -> Vec<usize> {
+        let mut moved = Vec::new();
+        for service in 0..self.pools.len() {
+            let mut listed: Vec<Led> = self
+                .by_id
+                .values()
+                .map(|position| (*position, &self.upstreams[*position]))
+                .filter(|(_, one)| one.service == service && one.health.state() != HealthState::Gone)
+                .map(|(position, one)| Led { hash: one.hash, position, slots: one.entry.slots })
+                .collect();
+            // The order of ties and of the rest must not depend on this process.
+            listed.sort_unstable_by(|a, b| self.upstreams[a.position].id.cmp(&self.upstreams[b.position].id));
+            for (position, leader) in divide(entries, &listed) {
+                let upstream = &mut self.upstreams[position];
+                upstream.leader = leader.map(|index| entries[index].id.clone());
+                let led = upstream.leader.as_ref() == Some(own);
+                if std::mem::replace(&mut upstream.led, led) != led {
+                    moved.push(position);
+                }
+            }
+        }
+        moved
     }
 
     fn unplace(&mut self, position: usize) {
