sched: keep headroom for urgent work

Cause: urgent tasks found all slots of their entry taken by bursts of batch work and waited for the next task to end; free slots of peers were up to a heartbeat away. Change: while urgent work was queued in the last 10 s, classes at or above their guaranteed share leave 5% of the slots free (urgent_headroom_percent).

--- a/crates/conf/src/policy.rs
+++ b/crates/conf/src/policy.rs
@@ -55,6 +55,8 @@
     pub batch_max_wait_ms: u64,
     ///Queueing time of batch work that starts early refusal when it persists.
     pub batch_target_wait_ms: u64,
+    ///Slots that classes beyond their guaranteed share leave free for urgent work, while there is any.
+    pub urgent_headroom_percent: u64,
     ///Early refusal by time in queue.
     pub shedding_enabled: bool,
     ///Time that the queueing time must stay above its target before early refusal starts.
@@ -144,6 +146,7 @@
             batch_share_percent: 15,
             batch_max_wait_ms: 120000,
             batch_target_wait_ms: 20000,
+            urgent_headroom_percent: 5,
             shedding_enabled: true,
             shed_interval_ms: 500,
             max_queued_tasks: 50000,
@@ -248,6 +251,9 @@
             ("batch_target_wait_ms", SettingValue::Number(value)) => {
                 self.batch_target_wait_ms = *value;
             }
+            ("urgent_headroom_percent", SettingValue::Number(value)) => {
+                self.urgent_headroom_percent = *value;
+            }
             ("shedding_enabled", SettingValue::Flag(value)) => {
                 self.shedding_enabled = *value;
             }
@@ -581,6 +587,16 @@
         scopes: &[ScopeKind::DataCentre],
         unit: "ms",
     },
+    PolicySpec {
+        name: "urgent_headroom_percent",
+        kind: PolicyKind::Number {
+            min: 0,
+            max: 50,
+            default: 5,
+        },
+        scopes: &[ScopeKind::DataCentre],
+        unit: "percent",
+    },
     PolicySpec {
         name: "shedding_enabled",
         kind: PolicyKind::Flag { default: true },
--- a/crates/sched/src/limits.rs
+++ b/crates/sched/src/limits.rs
@@ -13,6 +13,7 @@
 /// Limits of one scheduler.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Limits {
+    pub(crate) headroom_percent: u64,
     pub(crate) max_queued: usize,
     pub(crate) max_wait: [Duration; Class::COUNT],
     pub(crate) share_percent: [u64; Class::COUNT],
@@ -41,6 +42,7 @@
             policy.batch_share_percent,
         ];
         Self {
+            headroom_percent: policy.urgent_headroom_percent.min(100),
             max_queued: usize::try_from(policy.max_queued_tasks).unwrap_or(usize::MAX),
             max_wait: max_wait.map(Duration::from_millis),
             share_percent: share_percent.map(|percent| percent.min(100)),
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -14,6 +14,8 @@
 use crate::task::{AdmitRequest, Notice, QueuedTask};
 use crate::timer::Wheel;
 
+/// Time after urgent work was queued in which headroom is kept for more of it.
+const HEADROOM_HOLD: Duration = Duration::from_secs(10);
 /// Costs outside of these bounds come from wrong declarations and would distort the shares of teams.
 const MIN_COST: Duration = Duration::from_millis(1);
 const MAX_COST: Duration = Duration::from_secs(60);
@@ -45,6 +47,7 @@
     expired: Vec<QueuedTask>,
     limits: Limits,
     links: Links,
+    last_urgent: Option<Instant>,
     shares: Shares,
     shedders: [Shedder; Class::COUNT],
     tasks: Slab<Entry>,
@@ -65,6 +68,7 @@
             expired: Vec::new(),
             limits,
             links: Links::default(),
+            last_urgent: None,
             shares: Shares::new(limits.share_percent),
             shedders: limits.shed.map(Shedder::new),
             tasks: Slab::new(),
@@ -142,6 +146,9 @@
             self.expired.push(task);
             return;
         }
+        if task.class == Class::Urgent {
+            self.last_urgent = Some(now);
+        }
         self.enqueue(now, task, TeamQueues::push);
         self.account(now);
     }
@@ -150,7 +157,7 @@
     pub fn next(&mut self, now: Instant) -> Option<QueuedTask> {
         self.collect_expired(now);
         self.account(now);
-        let class = self.shares.pick(&self.load())?;
+        let class = self.shares.pick(&self.load(), self.headroom(now))?;
         let queues = &mut self.classes[class.index()];
         let (team, id) = queues.select()?;
         let entry = self.tasks.remove(id)?;
@@ -276,6 +283,14 @@
         by_share.min(by_rank)
     }
 
+    /// Slots kept free for urgent work. Without recent urgent work nothing is kept, so that other work can use
+    /// every slot.
+    fn headroom(&self, now: Instant) -> u32 {
+        let is_recent =
+            self.last_urgent.is_some_and(|last| now.saturating_duration_since(last) < HEADROOM_HOLD);
+        if is_recent { self.shares.headroom(self.limits.headroom_percent) } else { 0 }
+    }
+
     /// Whether the queue may take the tasks of the request.
     fn has_room(&self, request: &AdmitRequest<'_>) -> bool {
         let taken = |class: Class| {
--- a/crates/sched/src/share.rs
+++ b/crates/sched/src/share.rs
@@ -85,17 +85,25 @@
         }
     }
 
-    /// The class that gets a free slot.
-    pub(crate) fn pick(&self, load: &[Load; Class::COUNT]) -> Option<Class> {
+    /// Slots that `percent` of the capacity stand for, rounded up; one slot always remains.
+    pub(crate) fn headroom(&self, percent: u64) -> u32 {
+        let part = (u64::from(self.capacity) * percent).div_ceil(100);
+        u32::try_from(part).unwrap_or(u32::MAX).min(self.capacity.saturating_sub(1))
+    }
+
+    /// The class that gets a free slot. The last `headroom` free slots go to urgent work and to classes below
+    /// their share only.
+    pub(crate) fn pick(&self, load: &[Load; Class::COUNT], headroom: u32) -> Option<Class> {
         let has_work = |class: &Class| load[class.index()].queued > 0;
         let below = |class: &Class| {
             let share = self.share(*class);
             let running = f64::from(load[class.index()].running);
             running + 1.0 <= share || running < share && self.lag[class.index()] > 0.0
         };
-        Class::ALL
-            .into_iter()
-            .find(|class| has_work(class) && below(class))
-            .or_else(|| Class::ALL.into_iter().find(has_work))
+        Class::ALL.into_iter().find(|class| has_work(class) && below(class)).or_else(|| {
+            let running: u32 = load.iter().map(|load| load.running).sum();
+            let has_headroom = headroom == 0 || running.saturating_add(headroom) < self.capacity;
+            Class::ALL.into_iter().find(has_work).filter(|class| *class == Class::Urgent || has_headroom)
+        })
     }
 }
--- a/crates/sched/tests/flood.rs
+++ b/crates/sched/tests/flood.rs
@@ -171,3 +171,27 @@
     let urgent = AdmitRequest { class: Class::Urgent, start_by: now + SECOND * 60, ..request };
     assert_eq!(scheduler.admit(now, &urgent), Err(ResultCode::Overloaded));
 }
+
+/// Guards against urgent work that finds every slot taken by a burst of other work, and against headroom that is
+/// kept when there is no urgent work or takes the only slot.
+#[test]
+fn headroom_is_kept_only_for_recent_urgent_work() {
+    let now = Instant::now();
+    let started = |capacity: u32, urgent_at: Option<Instant>, at: Instant| {
+        let mut scheduler = Scheduler::new(&Policy::default());
+        scheduler.set_capacity(capacity);
+        if let Some(urgent_at) = urgent_at {
+            scheduler.push(urgent_at, task(0, Class::Urgent, "a", urgent_at, MS * 100, MS * 60_000));
+            assert_eq!(scheduler.next(urgent_at).map(|task| task.class), Some(Class::Urgent));
+            scheduler.ended(Class::Urgent, &"a".into(), MS * 100);
+        }
+        for sequence in 1..=200 {
+            scheduler.push(at, task(sequence, Class::Batch, "b", at, MS * 100, MS * 60_000));
+        }
+        (0..capacity).filter_map(|_| scheduler.next(at)).count() as u32
+    };
+    assert_eq!(started(100, Some(now), now), 95);
+    assert_eq!(started(100, None, now), 100);
+    assert_eq!(started(100, Some(now), now + MS * 10_000), 100);
+    assert_eq!(started(1, Some(now), now), 1);
+}
