--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,6 +4,8 @@
 
 use argh::FromArgs;
 use hinge_bench::policy_report::{self, ReportOptions};
+use hinge_conf::Policy;
+use hinge_wire::SettingValue;
 
 /// Measure the dispatcher's decision code in virtual time.
 #[derive(FromArgs)]
@@ -28,6 +30,9 @@
     /// seed of the workload
     #[argh(option, default = "1")]
     seed: u64,
+    /// policy setting that differs from its default, as name=value; may be repeated
+    #[argh(option)]
+    set: Vec<String>,
     /// run only scenarios whose name contains this text
     #[argh(option, default = "String::new()")]
     only: String,
@@ -36,10 +41,32 @@
 fn main() -> ExitCode {
     let Args { command } = argh::from_env();
     match command {
-        Command::Policy(args) => {
-            let options = ReportOptions { duration_s: args.duration_s, only: args.only, seed: args.seed };
-            print!("{}", policy_report::build(&options));
+        Command::Policy(args) => report_policy(args),
+    }
+}
+
+fn report_policy(args: PolicyArgs) -> ExitCode {
+    let mut policy = Policy::default();
+    for text in &args.set {
+        if !set_policy(&mut policy, text) {
+            eprintln!("--set {text}: expected the name of a policy setting, `=` and a value of its type");
+            return ExitCode::from(2);
         }
     }
+    let options = ReportOptions { duration_s: args.duration_s, only: args.only, policy, seed: args.seed };
+    print!("{}", policy_report::build(&options));
     ExitCode::SUCCESS
 }
+
+fn set_policy(policy: &mut Policy, text: &str) -> bool {
+    let Some((name, value)) = text.split_once('=') else { return false };
+    let value = match value {
+        "true" => SettingValue::Flag(true),
+        "false" => SettingValue::Flag(false),
+        number => match number.parse() {
+            Ok(number) => SettingValue::Number(number),
+            Err(_) => return false,
+        },
+    };
+    policy.set(name, &value)
+}
--- a/crates/bench/src/policy_report.rs
+++ b/crates/bench/src/policy_report.rs
@@ -29,6 +29,8 @@
     pub duration_s: f64,
     /// Only scenarios whose name contains this text.
     pub only: String,
+    /// Policy of the dispatcher.
+    pub policy: Policy,
     /// Seed of the workload.
     pub seed: u64,
 }
@@ -59,7 +61,7 @@
         failing_share,
         faults: Vec::new(),
         name: name.to_owned(),
-        policy: Policy::default(),
+        policy: options.policy.clone(),
         shape: *shape,
         workload: WorkloadSpec {
             classes: standard_mix(0.8),
