dispatch: count loans from their request, bound lent sums, and borrow while draining

Cause: (1) a loan counted from its reply, so that slots were used after the lender had taken them back; (2) the sum of the slots in a reply could overflow on absurd numbers; (3) a draining entry leads no upstream, yet asked for no loans and kept free borrowed slots: its queued work waited for its deadline.

Change: the loan book keeps the times of unanswered requests (bounded) and passes them to borrowed_since; the sum saturates; a draining entry asks for loans while it has queued work and returns free borrowed slots after each event. Dispatcher::dropped_ends reports ends that were late, repeated or unknown.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -134,8 +134,9 @@
             Event::Drain => self.draining = true,
             Event::LoanFailed { lender } => self.loans.failed(now, &lender),
             Event::LoanGranted { lender, lender_incarnation, reply, service } => {
+                let requested_at = self.loans.requested_at(&lender).unwrap_or(now);
                 self.totals.empty_loans += u64::from(self.loans.answered(now, &lender, &reply));
-                self.router.borrowed(now, &lender, lender_incarnation, &reply);
+                self.router.borrowed_since(now, requested_at, &lender, lender_incarnation, &reply);
                 self.update_capacity(now, &service);
             }
             Event::LoanReturned(request) => self.router.returned(now, &request),
@@ -149,6 +150,9 @@
             Event::Tick => self.tick(now),
             Event::Upstreams(upstreams) => self.router.set_upstreams(now, &upstreams),
         }
+        if self.draining {
+            self.return_loans(now);
+        }
         self.report_drained();
     }
 
@@ -186,6 +190,12 @@
         self.ledger.in_progress()
     }
 
+    /// Ends of tasks that were late, repeated or unknown, and were dropped.
+    #[must_use]
+    pub fn dropped_ends(&self) -> u64 {
+        self.totals.late_ends + self.ledger.ignored_ends().total()
+    }
+
     /// Counters.
     #[must_use]
     pub const fn totals(&self) -> &Totals {
@@ -291,7 +301,8 @@
     }
 
     fn request_loans(&mut self, now: Instant, service: &ServiceId) {
-        if !self.policy.loans_enabled || self.draining {
+        // A draining entry leads no upstream, so loans are the only slots on which it can finish its queued work.
+        if !self.policy.loans_enabled {
             return;
         }
         let Some(scheduler) = self.schedulers.get(service) else { return };
@@ -304,6 +315,13 @@
         }
     }
 
+    /// Returns borrowed slots that are free; queued work has had its turn on them.
+    fn return_loans(&mut self, now: Instant) {
+        for (lender, request) in self.router.return_loans(now) {
+            self.actions.push(Action::ReturnLoan { lender, request });
+        }
+    }
+
     fn set_config(&mut self, policy: &Policy, quotas: FastMap<TeamId, u64>, weights: FastMap<TeamId, u32>) {
         self.policy = policy.clone();
         self.estimates.set_policy(policy);
--- a/crates/dispatch/src/loans.rs
+++ b/crates/dispatch/src/loans.rs
@@ -1,5 +1,6 @@
 //! Which peer to ask for slots.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use hinge_ledger::Origin;
@@ -14,6 +15,8 @@
 const ANSWER_WAIT: Duration = Duration::from_millis(500);
 /// Wait before a peer that had nothing to lend is asked again.
 const EMPTY_WAIT: Duration = Duration::from_millis(200);
+/// Unanswered requests whose time is kept, over all peers. Each is answered or reported as failed.
+const MAX_UNANSWERED: usize = 1024;
 
 /// Free slots that peers reported and requests that are under way.
 pub(crate) struct LoanBook {
@@ -22,6 +25,8 @@
     lenders: Vec<Lender>,
     pending: FastMap<InstanceId, Pending>,
     rng: SmallRng,
+    /// Times of the requests that are neither answered nor failed, oldest first.
+    unanswered: VecDeque<(InstanceId, Instant)>,
 }
 
 struct Pending {
@@ -37,6 +42,7 @@
             lenders: Vec::new(),
             pending: FastMap::default(),
             rng: SmallRng::seed_from_u64(seed),
+            unanswered: VecDeque::new(),
         }
     }
 
@@ -70,6 +76,10 @@
         let lender = self.choose()?;
         let slots = missing.min(lender.free_slots);
         self.pending.insert(lender.instance.clone(), Pending { slots, until: now + ANSWER_WAIT });
+        if self.unanswered.len() >= MAX_UNANSWERED {
+            self.unanswered.pop_front();
+        }
+        self.unanswered.push_back((lender.instance.clone(), now));
         let request = LoanRequest {
             borrower: self.instance.to_string(),
             borrower_incarnation: self.incarnation,
@@ -96,9 +106,16 @@
         Some(if first.free_slots >= second.free_slots { first } else { second }.clone())
     }
 
+    /// Takes out the time of the oldest unanswered request to a peer. Answers may overtake each other; the oldest time
+    /// is the safe one, because a loan counts from its request.
+    pub(crate) fn requested_at(&mut self, lender: &InstanceId) -> Option<Instant> {
+        let position = self.unanswered.iter().position(|(instance, _)| instance == lender)?;
+        self.unanswered.remove(position).map(|(_, at)| at)
+    }
+
     /// Takes an answer into account; true when it lends nothing.
     pub(crate) fn answered(&mut self, now: Instant, lender: &InstanceId, reply: &LoanReply) -> bool {
-        let lent: u32 = reply.slots.iter().map(|slots| slots.slots).sum();
+        let lent = reply.slots.iter().fold(0_u32, |sum, slots| sum.saturating_add(slots.slots));
         let Some(known) = self.lenders.iter_mut().find(|known| known.instance == *lender) else {
             return lent == 0;
         };
@@ -112,6 +129,7 @@
     }
 
     pub(crate) fn failed(&mut self, now: Instant, lender: &InstanceId) {
+        self.requested_at(lender);
         self.block(now, lender, ANSWER_WAIT);
     }
 
