entry: withdraw the waiter of a caller that hangs up

Cause: the notification of a waiting request was removed at the end of its wait. hyper drops the request's future when the caller closes its connection, so the entry in the map stayed for each such caller.

Change: the registration is a guard that withdraws itself on drop; the state page shows the number of submissions that are waited for.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -39,5 +39,6 @@
 mod state_page;
 mod submissions;
 mod upstreams;
+mod waiters;
 
 pub use entry::{Entry, StartError, StopReport};
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -11,11 +11,12 @@
 use hinge_wire::{
     DataCentreId, FastMap, Incarnation, InstanceState, Sequence, Submission, SubmissionKey, UpstreamId,
 };
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::connections::Connections;
 use crate::life::{Life, LifeEvent};
+use crate::waiters::Waiters;
 
 /// Address of an upstream that the dispatcher may start tasks on.
 pub(crate) type UpstreamAddresses = FastMap<UpstreamId, SocketAddr>;
@@ -40,7 +41,7 @@
     pub(crate) drained: watch::Sender<bool>,
     /// Set to true when a planned stop has begun.
     pub(crate) drain_requested: watch::Sender<bool>,
-    waiters: Mutex<FastMap<Sequence, Arc<Notify>>>,
+    pub(crate) waiters: Waiters,
 }
 
 /// A start with the submission that holds its payload.
@@ -77,7 +78,7 @@
             members: Mutex::new(parts.members),
             metrics: parts.metrics,
             settings: parts.settings,
-            waiters: Mutex::default(),
+            waiters: Waiters::default(),
         }
     }
 
@@ -128,26 +129,6 @@
         }
     }
 
-    /// Notification for the end of a submission. Create it before reading the status, so that no end is missed.
-    pub(crate) fn waiter(&self, sequence: Sequence) -> Arc<Notify> {
-        lock(&self.waiters).entry(sequence).or_default().clone()
-    }
-
-    /// Forgets the notification when nobody else waits.
-    pub(crate) fn release_waiter(&self, sequence: Sequence) {
-        let mut waiters = lock(&self.waiters);
-        // Two references: the map's and the caller's.
-        if waiters.get(&sequence).is_some_and(|waiter| Arc::strong_count(waiter) <= 2) {
-            waiters.remove(&sequence);
-        }
-    }
-
-    pub(crate) fn wake_waiters(&self, sequence: Sequence) {
-        if let Some(waiter) = lock(&self.waiters).remove(&sequence) {
-            waiter.notify_waiters();
-        }
-    }
-
     /// Key of a submission of this owner.
     pub(crate) fn key_of(&self, sequence: Sequence) -> SubmissionKey {
         SubmissionKey {
--- a/crates/entry/src/state_page.rs
+++ b/crates/entry/src/state_page.rs
@@ -25,6 +25,7 @@
     state: String,
     totals: Totals,
     unready_reason: Option<&'static str>,
+    waited_submissions: usize,
 }
 
 #[derive(Serialize)]
@@ -73,6 +74,7 @@
         state: shared.life_state().to_string(),
         totals,
         unready_reason: shared.unready_reason(),
+        waited_submissions: shared.waiters.len(),
     }
 }
 
--- a/crates/entry/src/submissions.rs
+++ b/crates/entry/src/submissions.rs
@@ -68,13 +68,12 @@
     ) -> Result<SubmissionStatus, Rejection> {
         let until = Instant::now() + wait;
         loop {
-            let waiter = self.waiter(key.sequence);
-            let mut notified = std::pin::pin!(waiter.notified());
+            let waiter = self.waiters.register(key.sequence);
+            let mut notified = std::pin::pin!(waiter.notify.notified());
             notified.as_mut().enable();
             let status = self.decide(|dispatcher, now| dispatcher.status(now, key));
             let settled = !matches!(&status, Ok(status) if status.state != SubmissionState::Done);
             if settled || timeout_at(until, notified).await.is_err() {
-                self.release_waiter(key.sequence);
                 return if settled { Ok(status?) } else { self.status_here(key) };
             }
         }
--- /dev/null
+++ b/crates/entry/src/waiters.rs
@@ -0,0 +1,52 @@
+//! Requests that wait for the end of a submission.
+
+use std::sync::{Arc, Mutex};
+
+use hinge_wire::{FastMap, Sequence};
+use tokio::sync::Notify;
+
+use crate::shared::lock;
+
+/// Notifications by submission, held only while a request waits.
+#[derive(Default)]
+pub(crate) struct Waiters(Mutex<FastMap<Sequence, Arc<Notify>>>);
+
+impl Waiters {
+    /// Registers a waiting request. Do it before reading the status, so that no end is missed.
+    pub(crate) fn register(&self, sequence: Sequence) -> Waiter<'_> {
+        let notify = lock(&self.0).entry(sequence).or_default().clone();
+        Waiter { notify, sequence, waiters: self }
+    }
+
+    /// Wakes all requests that wait for the submission.
+    pub(crate) fn wake(&self, sequence: Sequence) {
+        if let Some(notify) = lock(&self.0).remove(&sequence) {
+            notify.notify_waiters();
+        }
+    }
+
+    /// Submissions that requests wait for.
+    pub(crate) fn len(&self) -> usize {
+        lock(&self.0).len()
+    }
+}
+
+/// Registration of one request, withdrawn on drop: hyper drops a request's future when its caller hangs up.
+pub(crate) struct Waiter<'a> {
+    pub(crate) notify: Arc<Notify>,
+    sequence: Sequence,
+    waiters: &'a Waiters,
+}
+
+impl Drop for Waiter<'_> {
+    fn drop(&mut self) {
+        let mut waiters = lock(&self.waiters.0);
+        // Two references: the map's and this one.
+        let last = waiters
+            .get(&self.sequence)
+            .is_some_and(|notify| Arc::ptr_eq(notify, &self.notify) && Arc::strong_count(notify) <= 2);
+        if last {
+            waiters.remove(&self.sequence);
+        }
+    }
+}
