entry: connect claims, peers at revision 0, list checks, log events and counters

Cause: found by review. Claims kept their built-in rate and opened no window ahead of a refusal; an instance without a store ignored peers at revision 0 and stayed not ready; replies of peers and the list shared the limit for one task result, so that a forwarded answer above it was reported as OWNER_UNREACHABLE; list entries with a repeated id or an unusable address took part in placement; the pool kept connections to any number of addresses; events 1002 and 1402 were never emitted; late ends, waste and store calls were not in the metrics; an entry that drained alone led nothing.

Change: Claims::set_policy and Claims::open are called; a peer without a configuration rejects /peer/v1/config with NOT_READY, so that revision 0 means the empty document; each kind of call has its own response limit; the list moves to its own module, which checks entries and pauses between requests; the pool holds at most 4096 addresses and 10 s of idleness; an entry that drains alone goes on leading.

--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -16,6 +16,12 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout, timeout_at};
 
+/// Addresses with idle connections; a connection to a further address is closed after its use.
+const MAX_ADDRESSES: usize = 4096;
+/// Time for which an idle connection is kept. Short against the idle limits of servers: a request that is written while
+/// the other side closes is lost, and a lost task cannot be repeated.
+const MAX_IDLE: Duration = Duration::from_secs(10);
+
 type Sender = SendRequest<Full<Bytes>>;
 
 /// Why a request has no usable response.
@@ -37,12 +43,17 @@
 pub(crate) struct Limits {
     pub(crate) connect_timeout: Duration,
     pub(crate) idle_per_address: usize,
-    pub(crate) max_response_bytes: usize,
+}
+
+/// An idle connection.
+struct Idle {
+    sender: Sender,
+    since: Instant,
 }
 
 /// Pool of idle connections by address.
 pub(crate) struct Connections {
-    idle: Mutex<FastMap<SocketAddr, Vec<Sender>>>,
+    idle: Mutex<FastMap<SocketAddr, Vec<Idle>>>,
     limits: Limits,
 }
 
@@ -51,12 +62,13 @@
         Self { idle: Mutex::default(), limits }
     }
 
-    /// Sends a request once and reads the whole response within `time`.
+    /// Sends a request once and reads the whole response, of at most `max_bytes`, within `time`.
     pub(crate) async fn send(
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         time: Duration,
+        max_bytes: usize,
     ) -> Result<Response<Bytes>, SendError> {
         let deadline = Instant::now() + time;
         let mut sender = self.connection(address).await?;
@@ -70,7 +82,7 @@
             }
         };
         let (parts, body) = response.into_parts();
-        let body = Limited::new(body, self.limits.max_response_bytes);
+        let body = Limited::new(body, max_bytes);
         let body = match timeout_at(deadline, body.collect()).await {
             Err(_) => return Err(SendError::TimedOut),
             Ok(Err(_)) => return Err(SendError::Lost),
@@ -80,11 +92,11 @@
         Ok(Response::from_parts(parts, body))
     }
 
-    /// Drops connections that the other side has closed.
+    /// Drops connections that the other side has closed or that have been idle for long.
     pub(crate) fn prune(&self) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         for senders in idle.values_mut() {
-            senders.retain(|sender| !sender.is_closed());
+            senders.retain(|idle| !idle.sender.is_closed() && idle.since.elapsed() < MAX_IDLE);
         }
         idle.retain(|_, senders| !senders.is_empty());
     }
@@ -109,14 +121,24 @@
     }
 
     fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner).get_mut(&address)?.pop()
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let senders = idle.get_mut(&address)?;
+        // The last one was used most recently: when it is too old, all are.
+        let taken = senders.pop().filter(|idle| idle.since.elapsed() < MAX_IDLE);
+        if taken.is_none() {
+            idle.remove(&address);
+        }
+        taken.map(|idle| idle.sender)
     }
 
     fn put_back(&self, address: SocketAddr, sender: Sender) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        if idle.len() >= MAX_ADDRESSES && !idle.contains_key(&address) {
+            return;
+        }
         let senders = idle.entry(address).or_default();
         if senders.len() < self.limits.idle_per_address && !sender.is_closed() {
-            senders.push(sender);
+            senders.push(Idle { sender, since: Instant::now() });
         }
     }
 }
--- /dev/null
+++ b/crates/entry/src/counters.rs
@@ -0,0 +1,31 @@
+//! Copies the counters of other components to the metrics.
+
+use std::sync::Arc;
+
+use crate::shared::Shared;
+
+/// Values that were already counted.
+#[derive(Default)]
+pub(crate) struct Counters {
+    dropped_ends: u64,
+    store_calls: u64,
+    wasted_messages: u64,
+}
+
+impl Counters {
+    /// Counts what has been added since the last call.
+    pub(crate) fn update(&mut self, shared: &Arc<Shared>) {
+        let (dropped_ends, wasted_messages) =
+            shared.decide(|dispatcher, _| (dispatcher.dropped_ends(), dispatcher.totals().wasted_messages()));
+        let store_calls = shared.config.counters().total_calls();
+        let values = [
+            ("task_ends_dropped", dropped_ends, &mut self.dropped_ends),
+            ("store_calls", store_calls, &mut self.store_calls),
+            ("wasted_messages", wasted_messages, &mut self.wasted_messages),
+        ];
+        for (name, value, counted) in values {
+            shared.metrics.count(name, value.saturating_sub(*counted));
+            *counted = value;
+        }
+    }
+}
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -23,6 +23,7 @@
 use crate::life::LifeEvent;
 use crate::loops;
 use crate::peer_server::PeerHandler;
+use crate::platform_list;
 use crate::server::{ServerLimits, serve};
 use crate::shared::{Shared, SharedParts};
 
@@ -197,7 +198,6 @@
         connections: Connections::new(Limits {
             connect_timeout: settings.connect_timeout,
             idle_per_address: settings.upstream_connections,
-            max_response_bytes: settings.max_result_bytes,
         }),
         dispatcher: Dispatcher::new(origin, &policy, seed),
         incarnation,
@@ -240,7 +240,7 @@
     tasks.spawn(loops::follow_peer_config(shared.clone()));
     tasks.spawn(loops::flush_metrics(shared.clone()));
     if let Some(address) = shared.settings.list {
-        tasks.spawn(loops::follow_list(shared.clone(), address));
+        tasks.spawn(platform_list::follow(shared.clone(), address));
     }
     let config = shared.config.clone();
     tasks.spawn(async move { config.run().await });
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -27,12 +27,15 @@
 mod actions;
 mod callers;
 mod connections;
+mod counters;
 mod entry;
 mod life;
 mod loops;
 mod operators;
 mod peer_server;
 mod peers;
+mod platform_list;
+mod quota_log;
 mod reply;
 mod server;
 mod shared;
--- a/crates/entry/src/loops.rs
+++ b/crates/entry/src/loops.rs
@@ -1,33 +1,24 @@
-//! Periodic work: ticks, heartbeats, the platform's list, configuration from peers, metrics.
+//! Periodic work: ticks, heartbeats, configuration from peers, metrics.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use hinge_conf::empty_document;
 use hinge_dispatch::{Event, Lender};
-use hinge_member::Notice as MemberNotice;
-use hinge_wire::{
-    ConfigFetch, ConfigReply, InstanceKind, InstanceList, InstanceState, ListEntry, LogEvent, from_json,
-};
-use hyper::header::HOST;
-use hyper::{Method, Request};
+use hinge_member::{Members, Notice as MemberNotice};
+use hinge_wire::{ConfigFetch, ConfigReply, InstanceId, InstanceState, LogEvent};
 use rand::Rng;
 use serde::Serialize;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 
+use crate::counters::Counters;
 use crate::life::LifeEvent;
 use crate::peers::{call, send_heartbeat};
-use crate::shared::{Shared, UpstreamAddresses, lock};
-use crate::upstreams::with_body;
+use crate::shared::{Shared, lock};
 
 /// Time between ticks of the decision code.
 const TICK: Duration = Duration::from_millis(50);
-/// Time that a request for a new list version is held open by the platform.
-const LIST_WAIT: Duration = Duration::from_secs(10);
-/// First and longest wait after the list did not answer.
-const LIST_BACKOFF: Duration = Duration::from_millis(200);
-const LIST_BACKOFF_LIMIT: Duration = Duration::from_secs(5);
 /// Time between looks for a configuration revision that only peers have. The store's watch normally delivers a
 /// change within milliseconds, so a peer is asked only after the watch has had its chance.
 const PEER_CONFIG_INTERVAL: Duration = Duration::from_secs(1);
@@ -35,13 +26,17 @@
 const METRICS_INTERVAL: Duration = Duration::from_secs(10);
 
 #[derive(Serialize)]
-struct NoDetails {}
+struct NotReady {
+    reason: &'static str,
+}
 
 /// Drives the decision code and sends heartbeats.
 pub(crate) async fn tick(shared: Arc<Shared>) {
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut applied_revision = None;
+    let mut counters = Counters::default();
+    let mut unready_reason = None;
     loop {
         ticks.tick().await;
         let revision = shared.config.resolved().revision;
@@ -52,6 +47,8 @@
         advance_life(&shared);
         shared.report(Event::Tick);
         update_members(&shared);
+        log_unready(&shared, &mut unready_reason);
+        counters.update(&shared);
     }
 }
 
@@ -62,6 +59,7 @@
         quotas: resolved.quotas.clone(),
         weights: resolved.weights.clone(),
     });
+    shared.claims.set_policy(&resolved.policy);
     let mut members = lock(&shared.members);
     members.set_policy(&resolved.policy);
     members.own_mut().config_revision = resolved.revision;
@@ -74,6 +72,16 @@
     }
 }
 
+/// Logs why the instance is not ready, once per reason.
+fn log_unready(shared: &Shared, logged: &mut Option<&'static str>) {
+    let reason = shared.unready_reason();
+    if let Some(reason) = reason.filter(|reason| *logged != Some(*reason)) {
+        hinge_obs::emit(LogEvent::NotReady, &NotReady { reason });
+        shared.metrics.count("not_ready", 1);
+    }
+    *logged = reason;
+}
+
 fn update_members(shared: &Arc<Shared>) {
     let now = Instant::now();
     let (free_slots, queued, demand) = shared
@@ -86,7 +94,8 @@
         own.queued_tasks = u32::try_from(queued).unwrap_or(u32::MAX);
         members.tick(now, &mut notices);
         let lenders = members.peers().filter(|peer| can_lend(shared, peer)).map(lender).collect();
-        let event = Event::Peers { leaders: members.leaders(), lenders, listed: members.listed_entries() };
+        let event =
+            Event::Peers { leaders: leaders(shared, &members), lenders, listed: members.listed_entries() };
         (members.heartbeats(now, &demand), event)
     };
     for notice in &notices {
@@ -100,6 +109,15 @@
     }
 }
 
+/// Entries that lead upstreams. An entry that drains alone goes on leading: nobody can lend it slots for what it holds.
+fn leaders(shared: &Shared, members: &Members) -> Vec<InstanceId> {
+    let mut leaders = members.leaders();
+    if leaders.is_empty() && shared.life_state() == InstanceState::Draining {
+        leaders.push(shared.settings.instance.clone());
+    }
+    leaders
+}
+
 fn can_lend(shared: &Shared, peer: &hinge_wire::MemberInfo) -> bool {
     *peer.data_centre == *shared.data_centre && peer.state == InstanceState::Ready
 }
@@ -117,85 +135,42 @@
     hinge_obs::emit(notice.event(), &format!("{notice:?}"));
 }
 
-/// Keeps the platform's list in force, with one waiting call at a time.
-pub(crate) async fn follow_list(shared: Arc<Shared>, address: SocketAddr) {
-    let mut version = 0;
-    let mut backoff = LIST_BACKOFF;
-    loop {
-        match fetch_list(&shared, address, version).await {
-            Some(list) => {
-                backoff = LIST_BACKOFF;
-                if list.version != version || lock(&shared.members).list_version().is_none() {
-                    version = list.version;
-                    apply_list(&shared, &list);
-                }
-            }
-            None => {
-                hinge_obs::emit(LogEvent::ListUnreachable, &NoDetails {});
-                shared.metrics.count("list_failures", 1);
-                sleep(jittered(backoff)).await;
-                backoff = (backoff * 2).min(LIST_BACKOFF_LIMIT);
-            }
-        }
-    }
-}
-
-async fn fetch_list(shared: &Shared, address: SocketAddr, version: u64) -> Option<InstanceList> {
-    let request = Request::builder()
-        .method(Method::GET)
-        .uri(format!("/instances?after={version}&wait_ms={}", LIST_WAIT.as_millis()))
-        .header(HOST, address.to_string());
-    let time = LIST_WAIT + shared.settings.peer_timeout;
-    let response = shared.connections.send(address, with_body(request, Bytes::new())?, time).await.ok()?;
-    if !response.status().is_success() {
-        return None;
-    }
-    from_json(response.body()).ok()
-}
-
-fn apply_list(shared: &Arc<Shared>, list: &InstanceList) {
-    lock(&shared.members).set_list(Instant::now(), list);
-    let upstreams: Vec<ListEntry> = list
-        .entries
-        .iter()
-        .filter(|entry| entry.kind == InstanceKind::Upstream && *entry.data_centre == *shared.data_centre)
-        .cloned()
-        .collect();
-    let addresses: UpstreamAddresses = upstreams
-        .iter()
-        .filter_map(|entry| Some((entry.id.as_str().into(), entry.address.parse().ok()?)))
-        .collect();
-    *lock(&shared.addresses) = addresses;
-    shared.report(Event::Upstreams(upstreams));
-}
-
 /// Fetches configuration revisions that peers have and the store has not delivered.
 pub(crate) async fn follow_peer_config(shared: Arc<Shared>) {
     loop {
         sleep(jittered(PEER_CONFIG_INTERVAL)).await;
-        let own_revision = shared.config.resolved().revision;
-        let source = lock(&shared.members)
-            .latest_config()
-            .filter(|peer| !shared.config.status().loaded || peer.config_revision > own_revision)
-            .and_then(|peer| peer.peer_address.parse().ok());
-        if let Some(address) = source {
-            fetch_peer_config(&shared, address, own_revision).await;
+        if let Some(address) = config_source(&shared) {
+            fetch_peer_config(&shared, address).await;
         }
     }
 }
 
-async fn fetch_peer_config(shared: &Shared, address: SocketAddr, above_revision: u64) {
+/// The peer with the highest revision above the own one. Without any configuration, also a ready peer at revision 0:
+/// it runs on the built-in defaults because no document was ever written.
+fn config_source(shared: &Shared) -> Option<SocketAddr> {
+    let own_revision = shared.config.resolved().revision;
+    let is_loaded = shared.config.status().loaded;
+    let members = lock(&shared.members);
+    let newer = members.latest_config().filter(|peer| !is_loaded || peer.config_revision > own_revision);
+    let ready = || members.peers().find(|peer| !is_loaded && peer.state == InstanceState::Ready);
+    newer.or_else(ready)?.peer_address.parse().ok()
+}
+
+async fn fetch_peer_config(shared: &Shared, address: SocketAddr) {
+    let above_revision = shared.config.resolved().revision;
     let time = shared.settings.peer_timeout;
     let reply: Result<ConfigReply, _> =
         call(shared, address, "/peer/v1/config", &ConfigFetch { above_revision }, time).await;
     let Ok(reply) = reply else { return };
-    if let Some(document) = reply.document {
+    // A peer without a configuration rejects the request, so that revision 0 always means the empty document.
+    let document = reply.document.or_else(|| (reply.revision == 0).then(empty_document));
+    if let Some(document) = document {
         let _ = shared.config.offer_from_peer(reply.revision, document);
     }
 }
 
 /// A random time around `time`, so that instances which start together do not call together.
-fn jittered(time: Duration) -> Duration {
+pub(crate) fn jittered(time: Duration) -> Duration {
     time.mul_f64(rand::rng().random_range(0.5..1.5))
 }
 
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -25,6 +25,9 @@
 /// Header with the version of peer messages.
 pub(crate) const VERSION_HEADER: &str = "x-hinge-version";
 
+/// Room beside the results of an answer; also holds the configuration document of at most 1 MB.
+const REPLY_MARGIN_BYTES: usize = 2 << 20;
+
 /// Why a peer gave no reply.
 #[derive(Debug, Error)]
 pub(crate) enum PeerError {
@@ -54,7 +57,7 @@
         .header(CONTENT_TYPE, "application/msgpack")
         .header(VERSION_HEADER, WIRE_VERSION);
     let request = with_body(request, Bytes::from(body)).ok_or(SendError::NotSent)?;
-    let response = shared.connections.send(address, request, time).await?;
+    let response = shared.connections.send(address, request, time, max_reply_bytes(shared)).await?;
     if response.status().is_success() {
         return Ok(from_msgpack(response.body()).map_err(|_| SendError::Lost)?);
     }
@@ -63,6 +66,12 @@
     Err(Rejection::new(code, reply.message).into())
 }
 
+/// Largest reply of a peer: an answer of the largest size, or the configuration document.
+fn max_reply_bytes(shared: &Shared) -> usize {
+    let answer = shared.config.resolved().policy.max_answer_bytes;
+    usize::try_from(answer).unwrap_or(usize::MAX).saturating_add(REPLY_MARGIN_BYTES)
+}
+
 /// Sends a heartbeat and takes the reply into account.
 pub(crate) async fn send_heartbeat(shared: Arc<Shared>, outgoing: Outgoing) {
     let time = shared.settings.peer_timeout;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -16,6 +16,7 @@
 
 use crate::connections::Connections;
 use crate::life::{Life, LifeEvent};
+use crate::quota_log::QuotaLog;
 use crate::waiters::Waiters;
 
 /// Address of an upstream that the dispatcher may start tasks on.
@@ -36,6 +37,7 @@
     pub(crate) life: Mutex<Life>,
     pub(crate) members: Mutex<Members>,
     pub(crate) metrics: Metrics,
+    pub(crate) quota_log: QuotaLog,
     pub(crate) settings: EntrySettings,
     /// Set to true when the dispatcher has reported that everything held has finished.
     pub(crate) drained: watch::Sender<bool>,
@@ -77,6 +79,7 @@
             life: Mutex::new(Life::new()),
             members: Mutex::new(parts.members),
             metrics: parts.metrics,
+            quota_log: QuotaLog::default(),
             settings: parts.settings,
             waiters: Waiters::default(),
         }
--- a/crates/entry/src/submissions.rs
+++ b/crates/entry/src/submissions.rs
@@ -56,7 +56,12 @@
             return Err(Rejection::new(ResultCode::NotReady, self.unready_reason().unwrap_or_default()));
         }
         let submission = Arc::new(submission);
-        self.decide(|dispatcher, now| dispatcher.submit(now, key, submission))?;
+        let team = submission.clone();
+        let admitted = self.decide(|dispatcher, now| dispatcher.submit(now, key, submission));
+        if admitted == Err(ResultCode::QuotaExceeded) && self.quota_log.limited(Instant::now(), &team.team) {
+            self.metrics.count("quota_limits_logged", 1);
+        }
+        admitted?;
         self.wait_here(key, wait).await
     }
 
--- a/crates/entry/src/upstreams.rs
+++ b/crates/entry/src/upstreams.rs
@@ -21,6 +21,9 @@
 /// Time for an upstream to confirm that it stops a task.
 const STOP_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Largest response to a stop, which is not used.
+const MAX_STOP_BYTES: usize = 64 << 10;
+
 #[derive(Serialize)]
 struct DroppedAnswer<'a> {
     reason: &'static str,
@@ -50,7 +53,8 @@
         .header("x-service", &*start.service)
         .header("x-lease-ms", start.timeout.as_millis().to_string());
     let Some(request) = with_body(request, Bytes::from(payload)) else { return TaskResult::NotSent };
-    match shared.connections.send(address, request, start.timeout + LEASE_GRACE).await {
+    let time = start.timeout + LEASE_GRACE;
+    match shared.connections.send(address, request, time, shared.settings.max_result_bytes).await {
         Ok(response) => read_response(shared, &response, &task_id, &start.upstream),
         Err(SendError::NotSent) => TaskResult::NotSent,
         Err(SendError::Lost) => TaskResult::Lost,
@@ -100,7 +104,7 @@
         .uri(format!("/tasks/{}", task_id(&shared, start)))
         .header(HOST, address.to_string());
     if let Some(request) = with_body(request, Bytes::new()) {
-        let _ = shared.connections.send(address, request, STOP_TIMEOUT).await;
+        let _ = shared.connections.send(address, request, STOP_TIMEOUT, MAX_STOP_BYTES).await;
     }
 }
 
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -223,3 +223,13 @@
     });
     assert!(reached.await.is_ok(), "not reached: {what}: {}", state(entry).await);
 }
+
+/// Makes an operator's change and waits until it is in force.
+pub(crate) async fn change(entry: &Entry, revision: u64, change: &str) {
+    let body = format!(
+        r#"{{"author":"test","change":{change},"expect_revision":{revision},"operation_id":"operation-{revision}"}}"#
+    );
+    let response = http(entry.peer_address(), "POST", "/admin/v1/changes", body.as_bytes()).await;
+    assert_eq!(response.status, 200, "{}", response.text());
+    sleep(Duration::from_millis(200)).await;
+}
