entry: bound writes, rejections and connections of the listeners, and count them

Cause: a caller that asked for a large answer and read nothing held its connection for ever; each connection over the limit spawned a task without a bound; rejections before the handler and failed connections were not counted; operators got MessagePack for such rejections; connections outlived an aborted listener; a decoder's message repeated the input at any length; forwarded submissions and borrowers were not checked for valid ids.

Change: writes fail after idle_timeout without progress; at most 64 rejections are answered at a time; Handler counts and encodes early rejections by path; a listener owns its connections; messages hold at most 200 characters; a heartbeat holds at most 16 KiB; the peer listener takes twice the body limit, for submissions that grow in MessagePack.

--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -2,12 +2,13 @@
 
 use std::sync::Arc;
 
+use hinge_obs::Metrics;
 use hinge_wire::{CancelRequest, KeysReply, KeysRequest, LogEvent, ResultCode, Submission, from_json};
 use hyper::{Method, StatusCode};
 use serde::Serialize;
 
 use crate::reply::{Encoding, HttpResponse, Rejection, submission_response};
-use crate::server::{Handler, WholeRequest};
+use crate::server::{Handler, WholeRequest, rejection_response};
 use crate::shared::Shared;
 use crate::state_page;
 use crate::submissions::{MAX_KEYS, parse_key, parse_keys};
@@ -25,8 +26,6 @@
 }
 
 impl Handler for CallerHandler {
-    const ENCODING: Encoding = Encoding::Json;
-
     async fn handle(&self, request: WholeRequest) -> HttpResponse {
         let shared = &self.0;
         let result = match (request.parts.method.clone(), request.parts.uri.path()) {
@@ -46,6 +45,15 @@
         };
         result.unwrap_or_else(|rejection| reject(shared, &rejection))
     }
+
+    fn metrics(&self) -> &Metrics {
+        &self.0.metrics
+    }
+
+    fn reject(&self, path: &str, rejection: &Rejection) -> HttpResponse {
+        self.0.count_rejection(rejection);
+        rejection_response(path, rejection)
+    }
 }
 
 fn reject(shared: &Shared, rejection: &Rejection) -> HttpResponse {
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -105,6 +105,8 @@
         let mut servers = JoinSet::new();
         let limits = server_limits(&shared.settings);
         servers.spawn(serve(listener, CallerHandler(shared.clone()), limits, stop.clone()));
+        // A submission can take more bytes in MessagePack than in the caller's JSON, which may leave out fields.
+        let limits = ServerLimits { max_body_bytes: limits.max_body_bytes.saturating_mul(2), ..limits };
         servers.spawn(serve(peer_listener, PeerHandler(shared.clone()), limits, stop));
         let tasks = spawn_loops(&shared);
         let incarnation = format!("{:016x}", shared.incarnation);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -43,5 +43,6 @@
 mod submissions;
 mod upstreams;
 mod waiters;
+mod write_limit;
 
 pub use entry::{Entry, StartError, StopReport};
--- a/crates/entry/src/peer_server.rs
+++ b/crates/entry/src/peer_server.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hinge_dispatch::Event;
+use hinge_obs::Metrics;
 use hinge_wire::{
     CancelReply, ConfigFetch, ForwardRequest, Heartbeat, Incarnation, LoanRequest, LoanReturn, LookupRequest,
     PeerCancelRequest, ResultCode, WIRE_VERSION, from_msgpack,
@@ -15,17 +16,18 @@
 use crate::operators;
 use crate::peers::VERSION_HEADER;
 use crate::reply::{Encoding, HttpResponse, Rejection};
-use crate::server::{Handler, WholeRequest};
+use crate::server::{Handler, WholeRequest, rejection_response};
 use crate::shared::{Shared, lock};
-use crate::submissions::{parse_key, parse_keys};
+use crate::submissions::{check_fields, check_id, parse_key, parse_keys};
+
+/// Largest heartbeat accepted. Instances send at most 1,600 bytes; later versions may add fields.
+const MAX_HEARTBEAT_BYTES: usize = 16 << 10;
 
 /// Serves peers and operators.
 #[derive(Clone)]
 pub(crate) struct PeerHandler(pub(crate) Arc<Shared>);
 
 impl Handler for PeerHandler {
-    const ENCODING: Encoding = Encoding::Msgpack;
-
     async fn handle(&self, request: WholeRequest) -> HttpResponse {
         let shared = &self.0;
         if request.parts.uri.path().starts_with("/admin/") {
@@ -40,6 +42,15 @@
             Encoding::Msgpack.rejection(&rejection)
         })
     }
+
+    fn metrics(&self) -> &Metrics {
+        &self.0.metrics
+    }
+
+    fn reject(&self, path: &str, rejection: &Rejection) -> HttpResponse {
+        self.0.count_rejection(rejection);
+        rejection_response(path, rejection)
+    }
 }
 
 async fn route(shared: &Arc<Shared>, request: &WholeRequest) -> Result<HttpResponse, Rejection> {
@@ -81,6 +92,10 @@
 }
 
 fn heartbeat(shared: &Arc<Shared>, body: &[u8]) -> Result<HttpResponse, Rejection> {
+    if body.len() > MAX_HEARTBEAT_BYTES {
+        let message = format!("the heartbeat is larger than {MAX_HEARTBEAT_BYTES} bytes");
+        return Err(Rejection::new(ResultCode::TooLarge, message));
+    }
     let heartbeat: Heartbeat = from_msgpack(body)?;
     let reply = lock(&shared.members).on_heartbeat(Instant::now(), &heartbeat)?;
     let peer = heartbeat.from.instance.as_str().into();
@@ -93,6 +108,7 @@
     check_incarnation(shared, request.target_incarnation)?;
     let key = parse_key(request.submission.key.as_deref().unwrap_or_default())?;
     check_incarnation(shared, key.incarnation)?;
+    check_fields(&request.submission)?;
     let wait = shared.wait_time(Some(request.wait_ms));
     ok(&shared.submit_here(&key, request.submission, wait).await?)
 }
@@ -118,6 +134,7 @@
 
 fn loan(shared: &Arc<Shared>, body: &[u8]) -> Result<HttpResponse, Rejection> {
     let request: LoanRequest = from_msgpack(body)?;
+    check_id("borrower", &request.borrower)?;
     check_incarnation(shared, request.target_incarnation)?;
     ok(&shared.decide(|dispatcher, now| dispatcher.lend(now, &request)))
 }
--- a/crates/entry/src/reply.rs
+++ b/crates/entry/src/reply.rs
@@ -8,6 +8,9 @@
 use serde::Serialize;
 use thiserror::Error;
 
+/// Longest message of a rejection. Decoders repeat the input in their errors.
+const MAX_MESSAGE_CHARS: usize = 200;
+
 pub(crate) type HttpResponse = Response<Full<Bytes>>;
 
 /// A request that ends with a result code instead of a reply.
@@ -20,7 +23,11 @@
 
 impl Rejection {
     pub(crate) fn new(code: ResultCode, message: impl Into<String>) -> Self {
-        Self { code, message: message.into() }
+        let mut message: String = message.into();
+        if let Some((end, _)) = message.char_indices().nth(MAX_MESSAGE_CHARS) {
+            message.truncate(end);
+        }
+        Self { code, message }
     }
 
     pub(crate) fn to_reply(&self) -> ErrorReply {
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -3,10 +3,12 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use hinge_obs::Metrics;
 use hinge_wire::{LogEvent, ResultCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::Request;
@@ -18,13 +20,19 @@
 use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
-use tokio::time::timeout;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
 
 use crate::reply::{Encoding, HttpResponse, Rejection};
+use crate::write_limit::WriteLimit;
 
 /// Wait after a failed accept, so that running out of file descriptors does not busy the process.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
+/// Connections over the limit that are answered at a time, and the time for each.
+const MAX_REJECTIONS: usize = 64;
+const REJECTION_TIME: Duration = Duration::from_secs(1);
+
 /// Limits of one listener.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ServerLimits {
@@ -42,11 +50,14 @@
 
 /// What a listener serves.
 pub(crate) trait Handler: Clone + Send + Sync + 'static {
-    /// Encoding of errors that come before the handler.
-    const ENCODING: Encoding;
-
     /// Answers a request.
     fn handle(&self, request: WholeRequest) -> impl Future<Output = HttpResponse> + Send;
+
+    /// Counters of the instance.
+    fn metrics(&self) -> &Metrics;
+
+    /// Counts a request that is rejected before its handler, and answers it in the encoding of its path.
+    fn reject(&self, path: &str, rejection: &Rejection) -> HttpResponse;
 }
 
 #[derive(Serialize)]
@@ -55,6 +66,16 @@
     peer: SocketAddr,
 }
 
+/// A listener's connections; dropping it closes them.
+struct Connections<H> {
+    graceful: GracefulShutdown,
+    handler: H,
+    limits: ServerLimits,
+    permits: Arc<Semaphore>,
+    rejections: Arc<Semaphore>,
+    tasks: JoinSet<()>,
+}
+
 /// Serves connections until `stop` is true, then finishes the requests under way.
 pub(crate) async fn serve<H: Handler>(
     listener: TcpListener,
@@ -62,61 +83,80 @@
     limits: ServerLimits,
     mut stop: watch::Receiver<bool>,
 ) {
-    let graceful = GracefulShutdown::new();
-    let permits = Arc::new(Semaphore::new(limits.max_connections));
+    let mut connections = Connections {
+        graceful: GracefulShutdown::new(),
+        handler,
+        limits,
+        permits: Arc::new(Semaphore::new(limits.max_connections)),
+        rejections: Arc::new(Semaphore::new(MAX_REJECTIONS)),
+        tasks: JoinSet::new(),
+    };
+    let mut stopped = pin!(async move { drop(stop.wait_for(|stop| *stop).await) });
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|stop| *stop) => break,
-        };
-        let Ok((stream, peer)) = accepted else {
-            tokio::time::sleep(ACCEPT_BACKOFF).await;
-            continue;
-        };
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, peer)) => connections.accept(stream, peer),
+                Err(_) => sleep(ACCEPT_BACKOFF).await,
+            },
+            Some(_) = connections.tasks.join_next() => {}
+            () = &mut stopped => break,
+        }
+    }
+    drop(listener);
+    connections.graceful.shutdown().await;
+}
+
+impl<H: Handler> Connections<H> {
+    fn accept(&mut self, stream: TcpStream, peer: SocketAddr) {
         let _ = stream.set_nodelay(true);
-        match permits.clone().try_acquire_owned() {
-            Ok(permit) => serve_connection(stream, peer, handler.clone(), limits, &graceful, permit),
-            Err(_) => {
-                tokio::spawn(reject_connection(stream, H::ENCODING));
+        if let Ok(permit) = self.permits.clone().try_acquire_owned() {
+            self.serve(stream, peer, permit);
+            return;
+        }
+        // Beyond the number of rejections under way, the connection is closed without an answer.
+        match self.rejections.clone().try_acquire_owned() {
+            Ok(permit) => {
+                self.tasks.spawn(reject_connection(stream, self.handler.clone(), self.limits, permit));
             }
+            Err(_) => self.handler.metrics().count(ResultCode::TooManyConnections.name(), 1),
         }
     }
-    drop(listener);
-    graceful.shutdown().await;
+
+    fn serve(&mut self, stream: TcpStream, peer: SocketAddr, permit: OwnedSemaphorePermit) {
+        let (handler, limits) = (self.handler.clone(), self.limits);
+        let service = service_fn(move |request| {
+            let handler = handler.clone();
+            async move { Ok::<_, Infallible>(respond(request, &handler, limits).await) }
+        });
+        let stream = WriteLimit::new(stream, limits.idle_timeout);
+        let connection = builder(limits).serve_connection(TokioIo::new(stream), service);
+        let connection = self.graceful.watch(connection);
+        let handler = self.handler.clone();
+        self.tasks.spawn(async move {
+            if let Err(error) = connection.await {
+                handler.metrics().count("connections_failed", 1);
+                let details = ConnectionFailed { error: error.to_string(), peer };
+                hinge_obs::emit(LogEvent::ConnectionFailed, &details);
+            }
+            drop(permit);
+        });
+    }
 }
 
-fn serve_connection<H: Handler>(
-    stream: TcpStream,
-    peer: SocketAddr,
-    handler: H,
-    limits: ServerLimits,
-    graceful: &GracefulShutdown,
-    permit: OwnedSemaphorePermit,
-) {
-    let service = service_fn(move |request| {
-        let handler = handler.clone();
-        async move { Ok::<_, Infallible>(respond(request, &handler, limits).await) }
-    });
-    let connection = http1::Builder::new()
+fn builder(limits: ServerLimits) -> http1::Builder {
+    let mut builder = http1::Builder::new();
+    builder
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
-        .max_buf_size(limits.max_header_bytes)
-        .serve_connection(TokioIo::new(stream), service);
-    let connection = graceful.watch(connection);
-    tokio::spawn(async move {
-        if let Err(error) = connection.await {
-            let details = ConnectionFailed { error: error.to_string(), peer };
-            hinge_obs::emit(LogEvent::ConnectionFailed, &details);
-        }
-        drop(permit);
-    });
+        .max_buf_size(limits.max_header_bytes);
+    builder
 }
 
 async fn respond<H: Handler>(request: Request<Incoming>, handler: &H, limits: ServerLimits) -> HttpResponse {
     let (parts, body) = request.into_parts();
     match read_body(body, limits).await {
         Ok(body) => handler.handle(WholeRequest { body, parts }).await,
-        Err(rejection) => H::ENCODING.rejection(&rejection),
+        Err(rejection) => handler.reject(parts.uri.path(), &rejection),
     }
 }
 
@@ -138,11 +178,25 @@
 }
 
 /// Answers the first request of a connection over the limit and closes it.
-async fn reject_connection(stream: TcpStream, encoding: Encoding) {
-    let service = service_fn(move |_request: Request<Incoming>| async move {
-        let rejection = Rejection::new(ResultCode::TooManyConnections, "");
-        Ok::<_, Infallible>(encoding.rejection(&rejection))
+async fn reject_connection<H: Handler>(
+    stream: TcpStream,
+    handler: H,
+    limits: ServerLimits,
+    permit: OwnedSemaphorePermit,
+) {
+    let rejection = Rejection::new(ResultCode::TooManyConnections, "");
+    handler.metrics().count(rejection.code.name(), 1);
+    let service = service_fn(move |request: Request<Incoming>| {
+        let response = rejection_response(request.uri().path(), &rejection);
+        async move { Ok::<_, Infallible>(response) }
     });
-    let connection = http1::Builder::new().keep_alive(false).serve_connection(TokioIo::new(stream), service);
-    let _ = timeout(Duration::from_secs(1), connection).await;
+    let connection = builder(limits).keep_alive(false).serve_connection(TokioIo::new(stream), service);
+    let _ = timeout(REJECTION_TIME, connection).await;
+    drop(permit);
+}
+
+/// Peers use MessagePack, callers and operators JSON.
+pub(crate) fn rejection_response(path: &str, rejection: &Rejection) -> HttpResponse {
+    let encoding = if path.starts_with("/peer/") { Encoding::Msgpack } else { Encoding::Json };
+    encoding.rejection(rejection)
 }
--- a/crates/entry/src/submissions.rs
+++ b/crates/entry/src/submissions.rs
@@ -229,14 +229,18 @@
     texts.iter().map(|text| parse_key(text)).collect()
 }
 
-fn check_fields(submission: &Submission) -> Result<(), Rejection> {
-    for (field, value) in [("service", &submission.service), ("team", &submission.team)] {
-        if !is_valid_id(value) {
-            let message = format!("{field} must be 1 to 64 letters, digits, `-` or `_`");
-            return Err(Rejection::new(ResultCode::InvalidField, message));
-        }
+/// Checks the fields that become ids.
+pub(crate) fn check_fields(submission: &Submission) -> Result<(), Rejection> {
+    check_id("service", &submission.service)?;
+    check_id("team", &submission.team)
+}
+
+pub(crate) fn check_id(field: &str, value: &str) -> Result<(), Rejection> {
+    if is_valid_id(value) {
+        return Ok(());
     }
-    Ok(())
+    let message = format!("{field} must be 1 to 64 letters, digits, `-` or `_`");
+    Err(Rejection::new(ResultCode::InvalidField, message))
 }
 
 fn as_millis(time: Duration) -> u64 {
