wire: limit the nesting of MessagePack messages to 64

Cause: the decoder's own limit of 1024 levels overflows the 2 MB stack of a worker thread in builds without optimization. Fifteen kilobytes from a peer ended the process.

Change: from_msgpack sets the limit.

--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -3,6 +3,8 @@
 #![allow(dead_code, clippy::panic, clippy::unwrap_used, reason = "test support, used in part by each test")]
 
 use std::net::SocketAddr;
+use std::sync::Once;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use hinge_conf::{EntrySettings, Flags};
@@ -103,6 +105,7 @@
 }
 
 pub(crate) async fn start(flags: &Flags) -> Entry {
+    watch_panics();
     Entry::start(EntrySettings::from_flags(flags, |_| None).unwrap()).await.unwrap()
 }
 
@@ -233,3 +236,21 @@
     assert_eq!(response.status, 200, "{}", response.text());
     sleep(Duration::from_millis(200)).await;
 }
+
+static PANICS: AtomicUsize = AtomicUsize::new(0);
+
+/// Counts panics from the first call of [`start`] on, because those of spawned tasks end no test.
+fn watch_panics() {
+    static WATCH: Once = Once::new();
+    WATCH.call_once(|| {
+        let report = std::panic::take_hook();
+        std::panic::set_hook(Box::new(move |info| {
+            PANICS.fetch_add(1, Ordering::Relaxed);
+            report(info);
+        }));
+    });
+}
+
+pub(crate) fn assert_no_panics() {
+    assert_eq!(PANICS.load(Ordering::Relaxed), 0, "a task has panicked");
+}
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -9,6 +9,10 @@
 /// Version of the messages between entry instances, sent in the header `x-hinge-version`.
 pub const WIRE_VERSION: u32 = 1;
 
+/// Deepest nesting of a MessagePack message, above that of every message type. The library's own limit of 1024 overflows
+/// the 2 MB stack of a worker thread in builds without optimization.
+const MAX_DEPTH: usize = 64;
+
 /// Why bytes could not be turned into a message or a message into bytes.
 #[derive(Debug, Error)]
 pub enum CodecError {
@@ -59,7 +63,9 @@
 /// Fails when the bytes are not MessagePack of the message's shape, or when bytes follow it.
 pub fn from_msgpack<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, CodecError> {
     let mut rest = bytes;
-    let message = rmp_serde::from_read(&mut rest)?;
+    let mut decoder = rmp_serde::Deserializer::new(&mut rest);
+    decoder.set_max_depth(MAX_DEPTH);
+    let message = T::deserialize(&mut decoder)?;
     if !rest.is_empty() {
         return Err(CodecError::TrailingBytes(rest.len()));
     }
