route, dispatch: report the slots that can be lent, for all services

Cause: an entry reported the free slots of the services that its own callers had named, so that one without callers reported none and was never asked for a loan. The report also counted probation, borrowed and reserved slots, which cannot be lent.

Change: Router::lendable_slots sums what lend would give, over all services; Dispatcher::free_slots returns it. Dispatcher::is_running tells whether a start has ended.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -166,10 +166,10 @@
         self.quotas.report(now)
     }
 
-    /// Free slots that could be lent, over all services.
+    /// Free slots that could be lent, over all services, also those that no submission here has named yet.
     #[must_use]
-    pub fn free_slots(&self, now: Instant) -> u32 {
-        self.schedulers.keys().map(|service| self.router.free_slots(now, service)).sum()
+    pub fn free_slots(&self, _now: Instant) -> u32 {
+        self.router.lendable_slots()
     }
 
     /// Queued tasks, over all services.
@@ -184,6 +184,12 @@
         self.running.len()
     }
 
+    /// Whether the end of a start has not been reported yet.
+    #[must_use]
+    pub fn is_running(&self, start: StartId) -> bool {
+        self.running.contains_key(&start)
+    }
+
     /// Submissions that are not final.
     #[must_use]
     pub fn in_progress(&self) -> usize {
--- a/crates/route/src/lending.rs
+++ b/crates/route/src/lending.rs
@@ -46,10 +46,7 @@
         if !self.policy.loans_enabled || *request.borrower == *self.own {
             return reply;
         }
-        let offer = self.table.pools[service].offer;
-        let reserve = (u64::from(offer.led_slots) * self.policy.reserve_percent).div_ceil(100);
-        let lendable = u64::from(offer.led_free).saturating_sub(reserve);
-        let count = lendable.min(u64::from(request.slots)).min(self.policy.max_loan_slots);
+        let count = self.lendable(service).min(u64::from(request.slots)).min(self.policy.max_loan_slots);
         let mut parts: Vec<(usize, u32)> = Vec::new();
         for _ in 0..count {
             let Some(position) = self.table.pools[service].led.find(|_| false, |_| false) else { break };
@@ -73,6 +70,19 @@
         reply
     }
 
+    fn lendable(&self, service: usize) -> u64 {
+        let offer = self.table.pools[service].offer;
+        let reserve = (u64::from(offer.led_slots) * self.policy.reserve_percent).div_ceil(100);
+        u64::from(offer.led_free).saturating_sub(reserve)
+    }
+
+    /// Slots that could be lent now, over all services; to be reported to peers.
+    #[must_use]
+    pub fn lendable_slots(&self) -> u32 {
+        let lendable: u64 = (0..self.table.pools.len()).map(|service| self.lendable(service)).sum();
+        u32::try_from(lendable).unwrap_or(u32::MAX)
+    }
+
     fn loan_slots(&self, (position, slots): (usize, u32)) -> LoanSlots {
         LoanSlots { slots, upstream: self.table.upstreams[position].entry.id.clone() }
     }
