entry: stop tasks whose start is on its way, cancel together, and answer DRAINING for keys

Cause: the request to stop a task uses another connection than the one to start it and can arrive first; the upstream then knew no such task and ran it to its end. Of 10,000 cancelled tasks one or more held a slot for its whole run time. Cancellations of one message were decided one by one, so that a task of the message could start in a slot that another one had left. A draining entry answered requests for keys with NOT_READY and issued a key for a submission without one.

Change: a stop is repeated up to seven times within a second while the upstream does not know the task and the start has not ended; the keys of a message are cancelled under one lock; check_ready precedes each issue of keys.

--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -80,9 +80,7 @@
     if request.count == 0 || request.count as usize > MAX_KEYS {
         return Err(Rejection::new(ResultCode::InvalidField, format!("count must be 1 to {MAX_KEYS}")));
     }
-    if let Some(reason) = shared.unready_reason() {
-        return Err(Rejection::new(ResultCode::NotReady, reason));
-    }
+    shared.check_ready()?;
     let keys = shared.decide(|dispatcher, now| dispatcher.issue_keys(now, request.count))?;
     let reply = KeysReply {
         keys: keys.iter().map(ToString::to_string).collect(),
--- a/crates/entry/src/peer_server.rs
+++ b/crates/entry/src/peer_server.rs
@@ -123,13 +123,11 @@
 fn cancel(shared: &Arc<Shared>, body: &[u8]) -> Result<HttpResponse, Rejection> {
     let request: PeerCancelRequest = from_msgpack(body)?;
     check_incarnation(shared, request.target_incarnation)?;
-    let mut reply = CancelReply { cancelled: 0, ignored: 0 };
-    for key in parse_keys(&request.keys)? {
-        let cancelled = key.incarnation == shared.incarnation && shared.cancel_here(&key);
-        reply.cancelled += u32::from(cancelled);
-        reply.ignored += u32::from(!cancelled);
-    }
-    ok(&reply)
+    let keys = parse_keys(&request.keys)?;
+    let own: Vec<_> = keys.iter().filter(|key| key.incarnation == shared.incarnation).collect();
+    let cancelled = shared.cancel_here(&own);
+    let ignored = u32::try_from(keys.len()).unwrap_or(u32::MAX) - cancelled;
+    ok(&CancelReply { cancelled, ignored })
 }
 
 fn loan(shared: &Arc<Shared>, body: &[u8]) -> Result<HttpResponse, Rejection> {
--- a/crates/entry/src/submissions.rs
+++ b/crates/entry/src/submissions.rs
@@ -112,22 +112,21 @@
     /// Cancels submissions at their owners, with one message to each owner.
     pub(crate) async fn cancel(self: &Arc<Self>, keys: &[SubmissionKey]) -> CancelReply {
         let mut reply = CancelReply { cancelled: 0, ignored: 0 };
+        let mut own = Vec::new();
         let mut remote: FastMap<(SocketAddr, u64), Vec<String>> = FastMap::default();
         for key in keys {
             match self.owner(key) {
-                Owner::Own => {
-                    let cancelled = self.cancel_here(key);
-                    reply.cancelled += u32::from(cancelled);
-                    reply.ignored += u32::from(!cancelled);
-                }
+                Owner::Own => own.push(key),
                 Owner::Peer { address, incarnation } => {
                     remote.entry((address, incarnation)).or_default().push(key.to_string());
                 }
                 Owner::Gone | Owner::Unknown => reply.ignored += 1,
             }
         }
+        reply.cancelled += self.cancel_here(&own);
+        reply.ignored += count(&own) - reply.cancelled;
         for ((address, target_incarnation), keys) in remote {
-            let count = u32::try_from(keys.len()).unwrap_or(u32::MAX);
+            let count = count(&keys);
             let request = PeerCancelRequest { keys, target_incarnation };
             let time = self.settings.peer_timeout;
             match call::<_, CancelReply>(self, address, "/peer/v1/cancel", &request, time).await {
@@ -141,12 +140,27 @@
         reply
     }
 
-    /// Cancels a submission of this process; false when it is final or unknown.
-    pub(crate) fn cancel_here(self: &Arc<Self>, key: &SubmissionKey) -> bool {
-        self.decide(|dispatcher, now| dispatcher.cancel(now, key.sequence))
+    /// Cancels submissions of this process and returns how many were neither final nor unknown. They are cancelled
+    /// together, so that none starts in a slot that another one of them has left.
+    pub(crate) fn cancel_here(self: &Arc<Self>, keys: &[&SubmissionKey]) -> u32 {
+        self.decide(|dispatcher, now| {
+            let cancelled = keys.iter().filter(|key| dispatcher.cancel(now, key.sequence));
+            u32::try_from(cancelled.count()).unwrap_or(u32::MAX)
+        })
+    }
+
+    /// Fails when the instance issues no keys.
+    pub(crate) fn check_ready(&self) -> Result<(), Rejection> {
+        let Some(reason) = self.unready_reason() else { return Ok(()) };
+        let code = match self.life_state() {
+            InstanceState::Draining | InstanceState::Stopped => ResultCode::Draining,
+            InstanceState::Ready | InstanceState::Starting => ResultCode::NotReady,
+        };
+        Err(Rejection::new(code, reason))
     }
 
     fn issue_key(self: &Arc<Self>) -> Result<SubmissionKey, Rejection> {
+        self.check_ready()?;
         let keys = self.decide(|dispatcher, now| dispatcher.issue_keys(now, 1))?;
         keys.into_iter().next().ok_or_else(|| ResultCode::RecordsFull.into())
     }
@@ -243,6 +257,10 @@
     Err(Rejection::new(ResultCode::InvalidField, message))
 }
 
+fn count<T>(items: &[T]) -> u32 {
+    u32::try_from(items.len()).unwrap_or(u32::MAX)
+}
+
 fn as_millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/entry/src/upstreams.rs
+++ b/crates/entry/src/upstreams.rs
@@ -1,5 +1,6 @@
 //! Runs and stops tasks on upstreams over HTTP.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,7 +12,7 @@
 use hyper::http::request::Builder;
 use hyper::{Method, Request, Response, StatusCode};
 use serde::Serialize;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 use crate::connections::SendError;
 use crate::shared::{PreparedStart, Shared};
@@ -20,6 +21,9 @@
 const LEASE_GRACE: Duration = Duration::from_millis(500);
 /// Time for an upstream to confirm that it stops a task.
 const STOP_TIMEOUT: Duration = Duration::from_secs(2);
+/// Requests to stop one task, and the delay after the first, which doubles; together they wait for about a second.
+const STOP_ATTEMPTS: u32 = 7;
+const STOP_DELAY: Duration = Duration::from_millis(10);
 
 /// Largest response to a stop, which is not used.
 const MAX_STOP_BYTES: usize = 64 << 10;
@@ -97,15 +101,33 @@
 }
 
 /// Asks an upstream to stop a task; the end of the task's own request reports the result.
+///
+/// The request to stop can overtake the one to start, because they use different connections. It is repeated while the
+/// upstream does not know the task and the task's own request has not ended.
 pub(crate) async fn stop(shared: Arc<Shared>, start: StartId, upstream: UpstreamId) {
-    let Some(address) = shared.upstream_address(&upstream) else { return };
+    let mut delay = STOP_DELAY;
+    for _ in 0..STOP_ATTEMPTS {
+        let Some(address) = shared.upstream_address(&upstream) else { return };
+        if send_stop(&shared, address, start).await {
+            return;
+        }
+        sleep(delay).await;
+        delay *= 2;
+        if !shared.decide(|dispatcher, _| dispatcher.is_running(start)) {
+            return;
+        }
+    }
+}
+
+/// True when the upstream has confirmed the stop.
+async fn send_stop(shared: &Shared, address: SocketAddr, start: StartId) -> bool {
     let request = Request::builder()
         .method(Method::DELETE)
-        .uri(format!("/tasks/{}", task_id(&shared, start)))
+        .uri(format!("/tasks/{}", task_id(shared, start)))
         .header(HOST, address.to_string());
-    if let Some(request) = with_body(request, Bytes::new()) {
-        let _ = shared.connections.send(address, request, STOP_TIMEOUT, MAX_STOP_BYTES).await;
-    }
+    let Some(request) = with_body(request, Bytes::new()) else { return false };
+    let response = shared.connections.send(address, request, STOP_TIMEOUT, MAX_STOP_BYTES).await;
+    response.is_ok_and(|response| response.status().is_success())
 }
 
 /// Id of a start, unique over all entries and their restarts.
--- /dev/null
+++ b/crates/entry/tests/stopping.rs
@@ -0,0 +1,224 @@
+//! Stopped tasks, cancellations and the planned stop.
+
+#![allow(clippy::unwrap_used, reason = "tests")]
+
+mod support;
+
+use std::future::{pending, ready};
+use std::sync::Arc;
+use std::time::Duration;
+
+use hinge_entry::{Entry, StopReport};
+use hinge_wire::{Answer, CancelReply, Class, Submission, from_json, to_json};
+use support::{
+    Response, Site, assert_no_panics, exchange, http, keys, request_bytes, start, state, submission, submit,
+    wait_state, wait_until,
+};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+/// Submits in the background; none when the connection closes without a response.
+fn spawn_submit(entry: &Entry, submission: &Submission) -> JoinHandle<Option<Response>> {
+    let bytes = request_bytes("POST", "/v1/submissions", "", &to_json(submission).unwrap());
+    let address = entry.address();
+    tokio::spawn(async move { exchange(address, &bytes).await })
+}
+
+fn answer(response: &Response) -> Answer {
+    from_json(&response.body).unwrap_or_else(|_| Answer {
+        code: u16::MAX,
+        key: String::new(),
+        message: response.text(),
+        outcome: hinge_wire::Outcome::Complete,
+        queued_ms: 0,
+        results: Vec::new(),
+        total_ms: 0,
+    })
+}
+
+/// Guards against tasks of a failed job that go on using slots of the upstreams.
+#[tokio::test]
+async fn a_failed_job_stops_its_other_tasks_at_the_upstreams() {
+    let site = Site::start(2, 2).await;
+    let entry = site.entry(|_| {}).await;
+    let mut job = submission(Class::Batch, 6, 60_000);
+    job.tasks[1].payload = r#"{"run_ms":300,"fail":true}"#.into();
+    let response = submit(&entry, &job).await;
+    let answer = answer(&response);
+    assert_eq!((answer.code, answer.results.len()), (170, 0), "{}", response.text());
+    wait_until("free slots", || site.running() == 0).await;
+    assert!(site.starts() <= 4);
+    // The slots serve other work at once.
+    assert_eq!(submit(&entry, &submission(Class::Batch, 4, 1)).await.status, 200);
+}
+
+/// Guards against tasks of a cancelled job that go on running or start later.
+#[tokio::test]
+async fn a_cancelled_job_stops_at_the_upstreams() {
+    let site = Site::start(2, 2).await;
+    let entry = site.entry(|_| {}).await;
+    let mut job = submission(Class::Batch, 10, 60_000);
+    job.key = keys(&entry, 1).await.pop();
+    let caller = spawn_submit(&entry, &job);
+    wait_until("four starts", || site.running() == 4).await;
+    let path = format!("/v1/submissions/{}", job.key.unwrap());
+    let reply: CancelReply = from_json(&http(entry.address(), "DELETE", &path, b"").await.body).unwrap();
+    assert_eq!(reply.cancelled, 1);
+    assert_eq!(answer(&caller.await.unwrap().unwrap()).code, 161);
+    wait_until("free slots", || site.running() == 0).await;
+    assert_eq!(site.starts(), 4);
+    let state = state(&entry).await;
+    assert_eq!((state["queued_tasks"].as_u64(), state["in_progress"].as_u64()), (Some(0), Some(0)));
+    assert_eq!(submit(&entry, &submission(Class::Batch, 4, 1)).await.status, 200);
+}
+
+/// Guards against a wave of cancellations that leaves queued work, held slots or waiting callers behind.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_wave_of_10_000_cancellations_frees_everything() {
+    let site = Site::start(2, 4).await;
+    let entry = Arc::new(site.entry(|_| {}).await);
+    support::change(&entry, 0, r#"{"action":"set_default","setting":"quotas_enabled","value":false}"#).await;
+    let mut all = Vec::new();
+    for _ in 0..10 {
+        all.extend(keys(&entry, 1000).await);
+    }
+    let callers: Vec<_> = all.chunks(1250).map(|keys| submit_all(&entry, keys.to_vec())).collect();
+    let mut accepted = 0;
+    for caller in callers {
+        accepted += caller.await.unwrap();
+    }
+    let mut cancelled = 0;
+    for keys in all.chunks(1000) {
+        let body = serde_json::json!({ "keys": keys }).to_string();
+        let response = http(entry.address(), "POST", "/v1/cancellations", body.as_bytes()).await;
+        let reply: CancelReply = from_json(&response.body).unwrap();
+        assert_eq!(reply.cancelled + reply.ignored, 1000);
+        cancelled += reply.cancelled;
+    }
+    assert_eq!((accepted, cancelled), (10_000, 10_000));
+    wait_until("free slots", || site.running() == 0).await;
+    wait_state(&entry, "nothing held", |state| {
+        state["queued_tasks"] == 0 && state["in_progress"] == 0 && state["running_tasks"] == 0
+    })
+    .await;
+    assert_eq!(submit(&entry, &submission(Class::Batch, 8, 1)).await.status, 200);
+    assert_no_panics();
+}
+
+/// Submits long tasks under the keys without waiting, over one connection; returns how many were accepted.
+fn submit_all(entry: &Arc<Entry>, keys: Vec<String>) -> JoinHandle<u32> {
+    let address = entry.address();
+    tokio::spawn(async move {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let mut accepted = 0;
+        for key in keys {
+            let mut body = submission(Class::Batch, 1, 60_000);
+            (body.key, body.wait_ms) = (Some(key), Some(0));
+            // A short declared time keeps the estimated wait of ten thousand tasks under their deadline.
+            body.tasks[0].run_time_ms = Some(1);
+            let body = to_json(&body).unwrap();
+            let head =
+                format!("POST /v1/submissions HTTP/1.1\r\nhost: a\r\ncontent-length: {}\r\n\r\n", body.len());
+            stream.write_all(&[head.as_bytes(), &body].concat()).await.unwrap();
+            let mut buffer = [0; 4096];
+            let count = stream.read(&mut buffer).await.unwrap();
+            accepted += u32::from(buffer[..count].starts_with(b"HTTP/1.1 202"));
+        }
+        accepted
+    })
+}
+
+/// Guards against a planned stop that loses queued work because the draining entry leads no upstream any more.
+#[tokio::test]
+async fn an_entry_that_drains_alone_finishes_its_queue() {
+    let site = Site::start(1, 1).await;
+    let entry = site.entry(|_| {}).await;
+    let caller = spawn_submit(&entry, &submission(Class::Batch, 6, 100));
+    wait_until("the first start", || site.starts() > 0).await;
+    let report = entry.drain(pending()).await;
+    assert_eq!(report, StopReport { lost_submissions: 0, lost_tasks: 0 });
+    assert_eq!(answer(&caller.await.unwrap().unwrap()).results.len(), 6);
+}
+
+/// Guards against the same loss where other entries take over the leadership.
+#[tokio::test]
+async fn an_entry_that_drains_beside_others_finishes_its_queue() {
+    let site = Site::start(2, 1).await;
+    let entry = site.entry(|_| {}).await;
+    let mut flags = site.flags("entry-1");
+    flags.peers = Some(entry.peer_address().to_string());
+    let other = start(&flags).await;
+    wait_until("readiness", || other.is_ready()).await;
+    wait_state(&entry, "a known peer", |state| state["members"].as_array().unwrap().len() == 2).await;
+    let caller = spawn_submit(&entry, &submission(Class::Batch, 12, 100));
+    wait_until("the first start", || site.starts() > 0).await;
+    let report = entry.drain(pending()).await;
+    assert_eq!(report, StopReport { lost_submissions: 0, lost_tasks: 0 });
+    assert_eq!(answer(&caller.await.unwrap().unwrap()).results.len(), 12);
+    assert!(other.is_ready());
+}
+
+/// Guards against a drain that refuses connections on which callers fetch answers, that issues keys or takes new
+/// work, and against connections which stay open after its end.
+#[tokio::test]
+async fn answers_can_be_fetched_while_the_entry_drains() {
+    let site = Site::start(1, 2).await;
+    let entry = site.entry(|flags| flags.drain_linger_ms = Some("1500".into())).await;
+    let (address, peers) = (entry.address(), entry.peer_address());
+    let mut issued = keys(&entry, 2).await;
+    let (mut known, mut unknown) = (submission(Class::Booking, 1, 300), submission(Class::Booking, 1, 1));
+    (known.key, unknown.key) = (issued.pop(), issued.pop());
+    let caller = spawn_submit(&entry, &known);
+    wait_until("the start", || site.starts() == 1).await;
+    let mut idle = TcpStream::connect(address).await.unwrap();
+    let draining = tokio::spawn(entry.drain(pending()));
+    let post = |path: &'static str, body: Vec<u8>| async move { http(address, "POST", path, &body).await };
+    wait_ready_status(address, 503).await;
+    let unkeyed = to_json(&submission(Class::Booking, 1, 1)).unwrap();
+    for (path, body) in [
+        ("/v1/keys", br#"{"count":1}"#.to_vec()),
+        ("/v1/submissions", unkeyed),
+        ("/v1/submissions", to_json(&unknown).unwrap()),
+    ] {
+        let response = post(path, body).await;
+        assert!(response.text().contains(r#""code":143"#), "{path}: {}", response.text());
+    }
+    assert_eq!(answer(&caller.await.unwrap().unwrap()).code, 0);
+    // A resubmission of a known key and a lookup get the answer on new connections.
+    assert_eq!(answer(&post("/v1/submissions", to_json(&known).unwrap()).await).results, ["done"]);
+    let path = format!("/v1/submissions/{}", known.key.unwrap());
+    assert_eq!(http(address, "GET", &path, b"").await.status, 200);
+    assert_eq!(http(peers, "GET", "/admin/v1/config", b"").await.status, 200);
+    assert_eq!(draining.await.unwrap(), StopReport { lost_submissions: 0, lost_tasks: 0 });
+    assert_eq!(idle.read(&mut [0; 16]).await.unwrap_or(0), 0);
+    assert!(TcpStream::connect(address).await.is_err());
+    assert_eq!(site.starts(), 1);
+}
+
+async fn wait_ready_status(address: std::net::SocketAddr, status: u16) {
+    for _ in 0..1000 {
+        if http(address, "GET", "/readyz", b"").await.status == status {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(http(address, "GET", "/readyz", b"").await.status, status);
+}
+
+/// Guards against a second signal that waits for work or for callers, and against a loss that is not reported.
+#[tokio::test]
+async fn a_second_signal_ends_the_drain_at_once() {
+    let site = Site::start(1, 1).await;
+    let entry = site.entry(|_| {}).await;
+    let address = entry.address();
+    let caller = spawn_submit(&entry, &submission(Class::Batch, 3, 60_000));
+    wait_until("the first start", || site.starts() > 0).await;
+    let begun = tokio::time::Instant::now();
+    let report = entry.drain(ready(())).await;
+    assert_eq!(report, StopReport { lost_submissions: 1, lost_tasks: 1 });
+    // The caller's connection is closed with the entry; its task runs for a minute.
+    assert!(caller.await.unwrap().is_none());
+    assert!(TcpStream::connect(address).await.is_err());
+    assert!(begun.elapsed() < Duration::from_secs(30));
+}
