hinge-entry: count only signals towards the second signal

Cause: after an operator's drain the first SIGTERM, with which the platform stops the process, ended it at once and cut the requests that the drain was finishing.

Change: two signals are needed to end a drain that an operator has begun, one further signal after a drain by signal.

Conclusion: a test of an operator's drain followed by SIGTERM failed before and passes; another one shows that a second SIGTERM ends the process with status 1.

--- a/crates/celeryhinge/src/bin/hinge-entry.rs
+++ b/crates/celeryhinge/src/bin/hinge-entry.rs
@@ -58,11 +58,18 @@
     let mut interrupt = signal(SignalKind::interrupt())?;
     let entry = Entry::start(settings).await?;
     println!("listening {} {}", entry.address(), entry.peer_address());
-    tokio::select! {
-        () = next_signal(&mut terminate, &mut interrupt) => {}
-        () = entry.drain_requested() => {}
-    }
-    let report = entry.drain(next_signal(&mut terminate, &mut interrupt)).await;
+    let is_signalled = tokio::select! {
+        () = next_signal(&mut terminate, &mut interrupt) => true,
+        () = entry.drain_requested() => false,
+    };
+    // After an operator's drain, the platform's signal to stop is the first one and must not cut the drain short.
+    let second_signal = async {
+        if !is_signalled {
+            next_signal(&mut terminate, &mut interrupt).await;
+        }
+        next_signal(&mut terminate, &mut interrupt).await;
+    };
+    let report = entry.drain(second_signal).await;
     let lost = report.lost_submissions > 0 || report.lost_tasks > 0;
     Ok(ExitCode::from(if lost { STATUS_FAILED } else { 0 }))
 }
--- a/crates/celeryhinge/tests/processes.rs
+++ b/crates/celeryhinge/tests/processes.rs
@@ -90,3 +90,48 @@
     assert_eq!(from_json::<Answer>(&body).unwrap().results, ["slow"]);
     assert_eq!(cluster.entries[0].wait(), 0);
 }
+
+/// Starts a task of 1.5 s through the first entry and waits until it runs.
+fn start_slow(cluster: &Cluster) -> std::thread::JoinHandle<Option<(u16, Vec<u8>)>> {
+    let address = cluster.entries[0].address();
+    let body = to_json(&submission(Class::Booking, &[payload(1500, "slow")])).unwrap();
+    let caller = std::thread::spawn(move || try_http(address, "POST", "/v1/submissions", &body));
+    wait_until("the start", || !cluster.started_payloads().is_empty());
+    caller
+}
+
+fn wait_draining(cluster: &Cluster) {
+    let address = cluster.entries[0].address();
+    wait_until("draining", || {
+        try_http(address, "GET", "/readyz", b"").is_none_or(|(status, _)| status == 503)
+    });
+}
+
+/// Guards against an operator's drain that is cut short by the platform's own signal to stop.
+#[test]
+fn a_signal_after_an_operators_drain_interrupts_nothing() {
+    let mut cluster = Cluster::start(2, 2);
+    let caller = start_slow(&cluster);
+    let body = br#"{"instance": "entry-0"}"#;
+    let (status, _) = http(cluster.entries[0].peer_address(), "POST", "/admin/v1/drain", body);
+    assert_eq!(status, 200);
+    wait_draining(&cluster);
+    cluster.entries[0].signal("TERM");
+    let (status, body) = caller.join().unwrap().unwrap();
+    assert_eq!(status, 200);
+    assert_eq!(from_json::<Answer>(&body).unwrap().results, ["slow"]);
+    assert_eq!(cluster.entries[0].wait(), 0);
+}
+
+/// Guards against a second signal that waits for the work which is held.
+#[test]
+fn a_second_signal_ends_the_process() {
+    let mut cluster = Cluster::start(1, 2);
+    let caller = start_slow(&cluster);
+    cluster.entries[0].signal("TERM");
+    wait_draining(&cluster);
+    cluster.entries[0].signal("TERM");
+    // The status tells that work was lost.
+    assert_eq!(cluster.entries[0].wait(), 1);
+    assert!(caller.join().unwrap().is_none());
+}
