--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -134,8 +134,9 @@
             Event::Drain => self.draining = true,
             Event::LoanFailed { lender } => self.loans.failed(now, &lender),
             Event::LoanGranted { lender, lender_incarnation, reply, service } => {
+                let requested_at = self.loans.requested_at(&lender).unwrap_or(now);
                 self.totals.empty_loans += u64::from(self.loans.answered(now, &lender, &reply));
-                self.router.borrowed(now, &lender, lender_incarnation, &reply);
+                self.router.borrowed_since(now, requested_at, &lender, lender_incarnation, &reply);
                 self.update_capacity(now, &service);
             }
             Event::LoanReturned(request) => self.router.returned(now, &request),
@@ -149,6 +150,9 @@
             Event::Tick => self.tick(now),
             Event::Upstreams(upstreams) => self.router.set_upstreams(now, &upstreams),
         }
+        if self.draining {
+            self.return_loans(now);
+        }
         self.report_drained();
     }
 
@@ -162,10 +166,10 @@
         self.quotas.report(now)
     }
 
-    /// Free slots that could be lent, over all services.
+    /// Free slots that could be lent, over all services, also those that no submission here has named yet.
     #[must_use]
-    pub fn free_slots(&self, now: Instant) -> u32 {
-        self.schedulers.keys().map(|service| self.router.free_slots(now, service)).sum()
+    pub fn free_slots(&self, _now: Instant) -> u32 {
+        self.router.lendable_slots()
     }
 
     /// Queued tasks, over all services.
@@ -180,12 +184,24 @@
         self.running.len()
     }
 
+    /// Whether the end of a start has not been reported yet.
+    #[must_use]
+    pub fn is_running(&self, start: StartId) -> bool {
+        self.running.contains_key(&start)
+    }
+
     /// Submissions that are not final.
     #[must_use]
     pub fn in_progress(&self) -> usize {
         self.ledger.in_progress()
     }
 
+    /// Ends of tasks that were late, repeated or unknown, and were dropped.
+    #[must_use]
+    pub fn dropped_ends(&self) -> u64 {
+        self.totals.late_ends + self.ledger.ignored_ends().total()
+    }
+
     /// Counters.
     #[must_use]
     pub const fn totals(&self) -> &Totals {
@@ -291,7 +307,8 @@
     }
 
     fn request_loans(&mut self, now: Instant, service: &ServiceId) {
-        if !self.policy.loans_enabled || self.draining {
+        // A draining entry leads no upstream, so loans are the only slots on which it can finish its queued work.
+        if !self.policy.loans_enabled {
             return;
         }
         let Some(scheduler) = self.schedulers.get(service) else { return };
@@ -304,6 +321,13 @@
         }
     }
 
+    /// Returns borrowed slots that are free; queued work has had its turn on them.
+    fn return_loans(&mut self, now: Instant) {
+        for (lender, request) in self.router.return_loans(now) {
+            self.actions.push(Action::ReturnLoan { lender, request });
+        }
+    }
+
     fn set_config(&mut self, policy: &Policy, quotas: FastMap<TeamId, u64>, weights: FastMap<TeamId, u32>) {
         self.policy = policy.clone();
         self.estimates.set_policy(policy);
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -2,12 +2,13 @@
 
 use std::sync::Arc;
 
+use hinge_obs::Metrics;
 use hinge_wire::{CancelRequest, KeysReply, KeysRequest, LogEvent, ResultCode, Submission, from_json};
 use hyper::{Method, StatusCode};
 use serde::Serialize;
 
 use crate::reply::{Encoding, HttpResponse, Rejection, submission_response};
-use crate::server::{Handler, WholeRequest};
+use crate::server::{Handler, WholeRequest, rejection_response};
 use crate::shared::Shared;
 use crate::state_page;
 use crate::submissions::{MAX_KEYS, parse_key, parse_keys};
@@ -25,8 +26,6 @@
 }
 
 impl Handler for CallerHandler {
-    const ENCODING: Encoding = Encoding::Json;
-
     async fn handle(&self, request: WholeRequest) -> HttpResponse {
         let shared = &self.0;
         let result = match (request.parts.method.clone(), request.parts.uri.path()) {
@@ -46,6 +45,15 @@
         };
         result.unwrap_or_else(|rejection| reject(shared, &rejection))
     }
+
+    fn metrics(&self) -> &Metrics {
+        &self.0.metrics
+    }
+
+    fn reject(&self, path: &str, rejection: &Rejection) -> HttpResponse {
+        self.0.count_rejection(rejection);
+        rejection_response(path, rejection)
+    }
 }
 
 fn reject(shared: &Shared, rejection: &Rejection) -> HttpResponse {
@@ -72,9 +80,7 @@
     if request.count == 0 || request.count as usize > MAX_KEYS {
         return Err(Rejection::new(ResultCode::InvalidField, format!("count must be 1 to {MAX_KEYS}")));
     }
-    if let Some(reason) = shared.unready_reason() {
-        return Err(Rejection::new(ResultCode::NotReady, reason));
-    }
+    shared.check_ready()?;
     let keys = shared.decide(|dispatcher, now| dispatcher.issue_keys(now, request.count))?;
     let reply = KeysReply {
         keys: keys.iter().map(ToString::to_string).collect(),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -27,17 +27,22 @@
 mod actions;
 mod callers;
 mod connections;
+mod counters;
 mod entry;
 mod life;
 mod loops;
 mod operators;
 mod peer_server;
 mod peers;
+mod platform_list;
+mod quota_log;
 mod reply;
 mod server;
 mod shared;
 mod state_page;
 mod submissions;
 mod upstreams;
+mod waiters;
+mod write_limit;
 
 pub use entry::{Entry, StartError, StopReport};
--- a/crates/entry/src/submissions.rs
+++ b/crates/entry/src/submissions.rs
@@ -56,7 +56,12 @@
             return Err(Rejection::new(ResultCode::NotReady, self.unready_reason().unwrap_or_default()));
         }
         let submission = Arc::new(submission);
-        self.decide(|dispatcher, now| dispatcher.submit(now, key, submission))?;
+        let team = submission.clone();
+        let admitted = self.decide(|dispatcher, now| dispatcher.submit(now, key, submission));
+        if admitted == Err(ResultCode::QuotaExceeded) && self.quota_log.limited(Instant::now(), &team.team) {
+            self.metrics.count("quota_limits_logged", 1);
+        }
+        admitted?;
         self.wait_here(key, wait).await
     }
 
@@ -68,13 +73,12 @@
     ) -> Result<SubmissionStatus, Rejection> {
         let until = Instant::now() + wait;
         loop {
-            let waiter = self.waiter(key.sequence);
-            let mut notified = std::pin::pin!(waiter.notified());
+            let waiter = self.waiters.register(key.sequence);
+            let mut notified = std::pin::pin!(waiter.notify.notified());
             notified.as_mut().enable();
             let status = self.decide(|dispatcher, now| dispatcher.status(now, key));
             let settled = !matches!(&status, Ok(status) if status.state != SubmissionState::Done);
             if settled || timeout_at(until, notified).await.is_err() {
-                self.release_waiter(key.sequence);
                 return if settled { Ok(status?) } else { self.status_here(key) };
             }
         }
@@ -108,22 +112,21 @@
     /// Cancels submissions at their owners, with one message to each owner.
     pub(crate) async fn cancel(self: &Arc<Self>, keys: &[SubmissionKey]) -> CancelReply {
         let mut reply = CancelReply { cancelled: 0, ignored: 0 };
+        let mut own = Vec::new();
         let mut remote: FastMap<(SocketAddr, u64), Vec<String>> = FastMap::default();
         for key in keys {
             match self.owner(key) {
-                Owner::Own => {
-                    let cancelled = self.cancel_here(key);
-                    reply.cancelled += u32::from(cancelled);
-                    reply.ignored += u32::from(!cancelled);
-                }
+                Owner::Own => own.push(key),
                 Owner::Peer { address, incarnation } => {
                     remote.entry((address, incarnation)).or_default().push(key.to_string());
                 }
                 Owner::Gone | Owner::Unknown => reply.ignored += 1,
             }
         }
+        reply.cancelled += self.cancel_here(&own);
+        reply.ignored += count(&own) - reply.cancelled;
         for ((address, target_incarnation), keys) in remote {
-            let count = u32::try_from(keys.len()).unwrap_or(u32::MAX);
+            let count = count(&keys);
             let request = PeerCancelRequest { keys, target_incarnation };
             let time = self.settings.peer_timeout;
             match call::<_, CancelReply>(self, address, "/peer/v1/cancel", &request, time).await {
@@ -137,12 +140,27 @@
         reply
     }
 
-    /// Cancels a submission of this process; false when it is final or unknown.
-    pub(crate) fn cancel_here(self: &Arc<Self>, key: &SubmissionKey) -> bool {
-        self.decide(|dispatcher, now| dispatcher.cancel(now, key.sequence))
+    /// Cancels submissions of this process and returns how many were neither final nor unknown. They are cancelled
+    /// together, so that none starts in a slot that another one of them has left.
+    pub(crate) fn cancel_here(self: &Arc<Self>, keys: &[&SubmissionKey]) -> u32 {
+        self.decide(|dispatcher, now| {
+            let cancelled = keys.iter().filter(|key| dispatcher.cancel(now, key.sequence));
+            u32::try_from(cancelled.count()).unwrap_or(u32::MAX)
+        })
+    }
+
+    /// Fails when the instance issues no keys.
+    pub(crate) fn check_ready(&self) -> Result<(), Rejection> {
+        let Some(reason) = self.unready_reason() else { return Ok(()) };
+        let code = match self.life_state() {
+            InstanceState::Draining | InstanceState::Stopped => ResultCode::Draining,
+            InstanceState::Ready | InstanceState::Starting => ResultCode::NotReady,
+        };
+        Err(Rejection::new(code, reason))
     }
 
     fn issue_key(self: &Arc<Self>) -> Result<SubmissionKey, Rejection> {
+        self.check_ready()?;
         let keys = self.decide(|dispatcher, now| dispatcher.issue_keys(now, 1))?;
         keys.into_iter().next().ok_or_else(|| ResultCode::RecordsFull.into())
     }
@@ -225,14 +243,22 @@
     texts.iter().map(|text| parse_key(text)).collect()
 }
 
-fn check_fields(submission: &Submission) -> Result<(), Rejection> {
-    for (field, value) in [("service", &submission.service), ("team", &submission.team)] {
-        if !is_valid_id(value) {
-            let message = format!("{field} must be 1 to 64 letters, digits, `-` or `_`");
-            return Err(Rejection::new(ResultCode::InvalidField, message));
-        }
+/// Checks the fields that become ids.
+pub(crate) fn check_fields(submission: &Submission) -> Result<(), Rejection> {
+    check_id("service", &submission.service)?;
+    check_id("team", &submission.team)
+}
+
+pub(crate) fn check_id(field: &str, value: &str) -> Result<(), Rejection> {
+    if is_valid_id(value) {
+        return Ok(());
     }
-    Ok(())
+    let message = format!("{field} must be 1 to 64 letters, digits, `-` or `_`");
+    Err(Rejection::new(ResultCode::InvalidField, message))
+}
+
+fn count<T>(items: &[T]) -> u32 {
+    u32::try_from(items.len()).unwrap_or(u32::MAX)
 }
 
 fn as_millis(time: Duration) -> u64 {
