--- /dev/null
+++ b/crates/dispatch/tests/support/checks.rs
@@ -0,0 +1,195 @@
+//! What must hold, whatever happens.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use hinge_dispatch::Start;
+use hinge_wire::{Answer, ListState, Outcome, ResultCode, Sequence, StartId, UpstreamId};
+
+use super::node::promises_not_run;
+
+/// Time within which an upstream that leaves gets no more starts (target of the requirements).
+const LEAVING_LIMIT: Duration = Duration::from_secs(3);
+
+/// A check that failed.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub(crate) enum Violation {
+    AnsweredTwice,
+    DrainedWhileHolding,
+    NotRunButRan,
+    PartialAnswer,
+    StartedAfterAnswer,
+    StartedOnLeaving,
+    StartedTwice,
+    Unanswered,
+}
+
+/// One body sent under the key of a submission: number of the submission and which of its two bodies.
+pub(crate) type Body = (usize, usize);
+
+/// One process: index of the entry and its incarnation.
+pub(crate) type ProcessId = (usize, u64);
+
+/// Everything observed from outside.
+#[derive(Default)]
+pub(crate) struct Observed {
+    pub(crate) accepted: HashMap<(ProcessId, Sequence), Body>,
+    pub(crate) answers: HashMap<(ProcessId, Sequence), Answer>,
+    pub(crate) counts: HashMap<&'static str, u32>,
+    pub(crate) executions: HashMap<String, u32>,
+    leaving: HashMap<(ProcessId, UpstreamId), Duration>,
+    listed: HashMap<(ProcessId, UpstreamId), ListState>,
+    pub(crate) lost_processes: HashSet<ProcessId>,
+    not_run: HashSet<Body>,
+    pub(crate) running: HashMap<ProcessId, HashMap<StartId, UpstreamId>>,
+    pub(crate) violations: Vec<(Violation, String)>,
+}
+
+impl Observed {
+    pub(crate) fn count(&mut self, what: &'static str) {
+        *self.counts.entry(what).or_default() += 1;
+    }
+
+    fn violated(&mut self, violation: Violation, detail: String) {
+        self.violations.push((violation, detail));
+    }
+
+    /// An upstream has begun to run a payload.
+    pub(crate) fn executed(&mut self, payload: &str, repeatable: bool) {
+        let runs = self.executions.entry(payload.to_owned()).or_default();
+        *runs += 1;
+        if *runs > 1 && !repeatable {
+            let detail = format!("{payload} ran {runs} times");
+            self.violated(Violation::StartedTwice, detail);
+        }
+    }
+
+    pub(crate) fn rejected(&mut self, body: Body, code: ResultCode) {
+        self.count("rejected");
+        if promises_not_run(code.outcome()) {
+            self.not_run.insert(body);
+        }
+    }
+
+    pub(crate) fn started(&mut self, now: Duration, process: ProcessId, start: &Start) {
+        self.count("starts");
+        if self.answers.contains_key(&(process, start.task.sequence)) {
+            self.violated(Violation::StartedAfterAnswer, format!("{process:?} {start:?}"));
+        }
+        if let Some(since) = self.leaving.get(&(process, start.upstream.clone()))
+            && now > *since + LEAVING_LIMIT
+        {
+            self.violated(Violation::StartedOnLeaving, format!("{process:?} {start:?} since {since:?}"));
+        }
+        self.running.entry(process).or_default().insert(start.start, start.upstream.clone());
+    }
+
+    /// The entry was told of the end of a start.
+    pub(crate) fn ended(&mut self, now: Duration, process: ProcessId, start: StartId, says_leaving: bool) {
+        let Some(upstream) = self.running.entry(process).or_default().remove(&start) else { return };
+        if says_leaving {
+            self.count("refused leaving");
+            self.leaving.entry((process, upstream)).or_insert(now);
+        }
+    }
+
+    /// The entry was shown a list.
+    pub(crate) fn listed(
+        &mut self,
+        now: Duration,
+        process: ProcessId,
+        list: &[(UpstreamId, Option<ListState>)],
+    ) {
+        for (upstream, state) in list {
+            let place = (process, upstream.clone());
+            let state = state.unwrap_or(ListState::Leaving);
+            let before = self.listed.insert(place.clone(), state);
+            if state == ListState::Leaving {
+                self.leaving.entry(place).or_insert(now);
+            } else if before == Some(ListState::Leaving) {
+                self.leaving.remove(&place);
+            }
+        }
+    }
+
+    pub(crate) fn answered(&mut self, process: ProcessId, sequence: Sequence, answer: Answer) {
+        self.count(match answer.outcome {
+            Outcome::Complete => "complete",
+            Outcome::FailedNotRun => "not run",
+            Outcome::FailedMayHaveRun => "may have run",
+            Outcome::FailedRan => "ran and failed",
+        });
+        let Some(body) = self.accepted.get(&(process, sequence)).copied() else { return };
+        if promises_not_run(answer.outcome) {
+            self.not_run.insert(body);
+        }
+        self.check_whole(body, &answer);
+        if self.answers.insert((process, sequence), answer).is_some() {
+            self.violated(Violation::AnsweredTwice, format!("{process:?} {sequence}"));
+        }
+    }
+
+    /// An answer, also a stored one, is complete with all results in order, or failed and without results.
+    pub(crate) fn check_whole(&mut self, body: Body, answer: &Answer) {
+        let expected: Vec<String> = match answer.outcome {
+            Outcome::Complete => (0..tasks(body.0)).map(|task| result(&payload(body, task))).collect(),
+            _ => Vec::new(),
+        };
+        if answer.results != expected {
+            self.violated(Violation::PartialAnswer, format!("{body:?} {answer:?}"));
+        }
+    }
+
+    pub(crate) fn drained(&mut self, process: ProcessId) {
+        self.count("drained");
+        let running = self.running.get(&process).map_or(0, HashMap::len);
+        let open = self.open(process);
+        if running > 0 || open > 0 {
+            self.violated(
+                Violation::DrainedWhileHolding,
+                format!("{process:?} {running} running, {open} open"),
+            );
+        }
+    }
+
+    fn open(&self, process: ProcessId) -> usize {
+        let of_process = self.accepted.keys().filter(|(owner, _)| *owner == process);
+        of_process.filter(|key| !self.answers.contains_key(*key)).count()
+    }
+
+    /// Checks that need the whole run.
+    pub(crate) fn finish(&mut self) {
+        for body in self.not_run.clone() {
+            for task in 0..tasks(body.0) {
+                let payload = payload(body, task);
+                if self.executions.contains_key(&payload) {
+                    self.violated(Violation::NotRunButRan, payload);
+                }
+            }
+        }
+        let unanswered: Vec<_> = self
+            .accepted
+            .keys()
+            .filter(|(process, _)| !self.lost_processes.contains(process))
+            .filter(|key| !self.answers.contains_key(*key))
+            .copied()
+            .collect();
+        for key in unanswered {
+            self.violated(Violation::Unanswered, format!("{key:?}"));
+        }
+    }
+}
+
+/// Number of tasks of a submission: mostly single requests, some jobs.
+pub(crate) fn tasks(submission: usize) -> usize {
+    [1, 1, 1, 5, 1, 12][submission % 6]
+}
+
+pub(crate) fn payload(body: Body, task: usize) -> String {
+    format!("s{}.{}.{task}", body.0, body.1)
+}
+
+/// What an upstream returns for a payload.
+pub(crate) fn result(payload: &str) -> String {
+    format!("result of {payload}")
+}
--- /dev/null
+++ b/crates/dispatch/tests/support/world.rs
@@ -0,0 +1,521 @@
+//! Entries, upstreams and messages in virtual time.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use hinge_conf::Policy;
+use hinge_dispatch::{Action, Event, Lender, Origin, Refusal, Start, TaskResult};
+use hinge_wire::{
+    Class, FastMap, InstanceKind, ListEntry, ListState, LoanReply, LoanRequest, ResultCode, StartId,
+    Submission, SubmissionKey, TaskSpec, UpstreamId,
+};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::time::Instant;
+
+use super::checks::{Body, Observed, ProcessId, Violation, payload, result, tasks};
+use super::node::Node;
+
+const TICK: Duration = Duration::from_millis(50);
+const HEARTBEAT: Duration = Duration::from_millis(500);
+/// Submissions and faults arrive in this time.
+const BUSY: Duration = Duration::from_secs(6);
+/// By then every deadline and time-out is over.
+const END: Duration = Duration::from_secs(20);
+
+/// Size and seed of one run.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Plan {
+    pub(crate) entries: usize,
+    pub(crate) faults: usize,
+    pub(crate) seed: u64,
+    pub(crate) submissions: usize,
+    pub(crate) upstreams: usize,
+}
+
+#[derive(Clone)]
+pub(crate) enum Step {
+    Cancel { body: Body },
+    Deliver { event: Event, process: ProcessId },
+    Fault,
+    Heartbeat,
+    LoanAsked { borrower: ProcessId, lender: usize, request: LoanRequest },
+    Owned { body: Body, cancel: bool, owner: usize },
+    Publish { state: Option<ListState>, upstream: usize },
+    Reach { process: ProcessId, repeatable: bool, start: Start, text: String },
+    Resume(usize),
+    RunEnds { upstream: usize },
+    Submit { body: Body, via: usize },
+    Tick,
+}
+
+pub(crate) struct Entry<N> {
+    pub(crate) backlog: VecDeque<Step>,
+    pub(crate) incarnation: u64,
+    pub(crate) node: N,
+    pub(crate) paused: bool,
+    pub(crate) draining: bool,
+}
+
+pub(crate) struct Upstream {
+    pub(crate) dead: bool,
+    pub(crate) leaving: bool,
+    pub(crate) listed: Option<ListState>,
+    running: u32,
+    slots: u32,
+}
+
+pub(crate) struct World<N> {
+    base: Instant,
+    pub(crate) entries: Vec<Entry<N>>,
+    keys: Vec<SubmissionKey>,
+    next_incarnation: u64,
+    now: Duration,
+    pub(crate) observed: Observed,
+    pub(crate) plan: Plan,
+    pub(crate) policy: Policy,
+    queue: BTreeMap<(Duration, u64), Step>,
+    pub(crate) rng: SmallRng,
+    scheduled: u64,
+    pub(crate) upstreams: Vec<Upstream>,
+}
+
+impl<N: Node> World<N> {
+    /// Runs a plan to its end and returns what was observed.
+    pub(crate) fn run(plan: Plan) -> Observed {
+        let mut world = Self::new(plan);
+        world.prepare();
+        while let Some(((time, _), step)) = world.queue.pop_first() {
+            if time > END {
+                break;
+            }
+            world.now = time;
+            world.step(step);
+        }
+        world.observed.finish();
+        world.observed
+    }
+
+    fn new(plan: Plan) -> Self {
+        let mut rng = SmallRng::seed_from_u64(plan.seed);
+        let upstreams = (0..plan.upstreams)
+            .map(|_| Upstream {
+                dead: false,
+                leaving: false,
+                listed: Some(ListState::Live),
+                running: 0,
+                slots: rng.random_range(1..4),
+            })
+            .collect();
+        let policy = Policy { task_timeout_ms: 1500, ..Policy::default() };
+        let mut world = Self {
+            base: Instant::now(),
+            entries: Vec::new(),
+            keys: Vec::new(),
+            next_incarnation: 1,
+            now: Duration::ZERO,
+            observed: Observed::default(),
+            plan,
+            policy,
+            queue: BTreeMap::new(),
+            rng,
+            scheduled: 0,
+            upstreams,
+        };
+        for index in 0..plan.entries {
+            let entry = world.new_entry(index);
+            world.entries.push(entry);
+        }
+        world
+    }
+
+    pub(crate) fn new_entry(&mut self, index: usize) -> Entry<N> {
+        let incarnation = self.next_incarnation;
+        self.next_incarnation += 1;
+        let instance = format!("entry-{index}").as_str().into();
+        let origin = Origin { data_centre: "dc1".into(), incarnation, instance };
+        let node = N::new(origin, &self.policy, self.plan.seed + incarnation);
+        Entry { backlog: VecDeque::new(), incarnation, node, paused: false, draining: false }
+    }
+
+    fn prepare(&mut self) {
+        for index in 0..self.plan.entries {
+            self.show_list(index);
+        }
+        self.show_peers();
+        for index in 0..self.plan.submissions {
+            let owner = self.rng.random_range(0..self.plan.entries);
+            let key = self.entries[owner].node.issue(self.base);
+            self.keys.push(key);
+            let at = BUSY.mul_f64(self.rng.random());
+            let body = (index, 0);
+            self.submit_at(at, body);
+            for _ in 0..self.rng.random_range(0..3) {
+                let other = usize::from(self.rng.random_bool(0.1));
+                let again = self.rng.random_range(0..1500);
+                self.submit_at(at + Duration::from_millis(again), (index, other));
+            }
+            if self.rng.random_bool(0.1) {
+                let later = Duration::from_millis(self.rng.random_range(0..400));
+                self.at(at + later, Step::Cancel { body });
+            }
+        }
+        for _ in 0..self.plan.faults {
+            let at = BUSY.mul_f64(self.rng.random());
+            self.at(at, Step::Fault);
+        }
+        self.at(Duration::ZERO, Step::Tick);
+        self.at(HEARTBEAT, Step::Heartbeat);
+    }
+
+    fn submit_at(&mut self, at: Duration, body: Body) {
+        let via = self.rng.random_range(0..self.plan.entries);
+        self.at(at, Step::Submit { body, via });
+    }
+
+    pub(crate) fn at(&mut self, time: Duration, step: Step) {
+        self.scheduled += 1;
+        self.queue.insert((time, self.scheduled), step);
+    }
+
+    pub(crate) fn after_ms(&mut self, least: u64, most: u64, step: Step) {
+        let delay = Duration::from_millis(self.rng.random_range(least..=most));
+        self.at(self.now + delay, step);
+    }
+
+    fn time(&self) -> Instant {
+        self.base + self.now
+    }
+
+    pub(crate) fn process(&self, index: usize) -> ProcessId {
+        (index, self.entries[index].incarnation)
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Cancel { body } => self.forward(body, true),
+            Step::Fault => self.fault(),
+            Step::Heartbeat => {
+                self.show_peers();
+                self.at(self.now + HEARTBEAT, Step::Heartbeat);
+            }
+            Step::Publish { state, upstream } => {
+                self.upstreams[upstream].listed = state;
+                for index in 0..self.entries.len() {
+                    self.show_list(index);
+                }
+            }
+            Step::Reach { process, repeatable, start, text } => {
+                self.reach(process, repeatable, &start, &text)
+            }
+            Step::Resume(index) => self.resume(index),
+            Step::RunEnds { upstream } => self.upstreams[upstream].running -= 1,
+            Step::Tick => {
+                for index in 0..self.entries.len() {
+                    let process = self.process(index);
+                    self.local(index, Step::Deliver { event: Event::Tick, process });
+                }
+                self.at(self.now + TICK, Step::Tick);
+            }
+            Step::Submit { body, via } => self.local(via, Step::Submit { body, via }),
+            Step::Deliver { event, process } => self.local(process.0, Step::Deliver { event, process }),
+            Step::LoanAsked { borrower, lender, request } => {
+                self.local(lender, Step::LoanAsked { borrower, lender, request });
+            }
+            Step::Owned { body, cancel, owner } => self.local(owner, Step::Owned { body, cancel, owner }),
+        }
+    }
+
+    /// Handles what an entry has to do itself, now or when it is resumed.
+    fn local(&mut self, index: usize, step: Step) {
+        if self.entries[index].paused {
+            self.entries[index].backlog.push_back(step);
+            return;
+        }
+        match step {
+            Step::Deliver { event, process } => self.deliver(process, event),
+            Step::LoanAsked { borrower, lender, request } => self.loan_asked(borrower, lender, &request),
+            Step::Owned { body, cancel, owner } => self.owned(body, cancel, owner),
+            Step::Submit { body, .. } => self.forward(body, false),
+            _ => {}
+        }
+    }
+
+    pub(crate) fn resume(&mut self, index: usize) {
+        self.entries[index].paused = false;
+        for step in std::mem::take(&mut self.entries[index].backlog) {
+            self.local(index, step);
+        }
+    }
+
+    /// An entry passes a request on to the owner of its key.
+    fn forward(&mut self, body: Body, cancel: bool) {
+        let live: Vec<bool> = self.entries.iter().map(|entry| !entry.paused).collect();
+        let owner = N::owner(&self.keys[body.0], &live);
+        self.after_ms(0, 5, Step::Owned { body, cancel, owner });
+    }
+
+    fn owned(&mut self, body: Body, cancel: bool, owner: usize) {
+        let (now, key) = (self.time(), self.keys[body.0].clone());
+        let process = self.process(owner);
+        if cancel {
+            self.observed.count("cancellations");
+            self.entries[owner].node.cancel(now, &key);
+            return self.carry_out(owner);
+        }
+        let submission = Arc::new(submission(body));
+        match self.entries[owner].node.submit(now, &key, submission) {
+            Ok(()) => {
+                self.observed.accepted.entry((process, key.sequence)).or_insert(body);
+                if let Some(answer) = self.entries[owner].node.stored_answer(now, &key) {
+                    self.observed.count("stored answers");
+                    self.observed.check_whole(body, &answer);
+                }
+            }
+            Err(code) => self.observed.rejected(body, code),
+        }
+        self.carry_out(owner);
+    }
+
+    fn deliver(&mut self, process: ProcessId, event: Event) {
+        // The connections of an ended process end with it.
+        if self.process(process.0) != process {
+            return;
+        }
+        if let Event::TaskEnded { result, start, .. } = &event {
+            let says_leaving = *result == TaskResult::Refused(Refusal::Leaving);
+            self.observed.ended(self.now, process, *start, says_leaving);
+        }
+        if let Event::Upstreams(list) = &event {
+            let state = |id: &str| list.iter().find(|entry| entry.id == id).map(|entry| entry.state);
+            let shown: Vec<_> = (0..self.upstreams.len())
+                .map(|index| (upstream_id(index), state(&upstream_id(index))))
+                .collect();
+            self.observed.listed(self.now, process, &shown);
+        }
+        let now = self.time();
+        self.entries[process.0].node.handle(now, event);
+        self.carry_out(process.0);
+    }
+
+    fn loan_asked(&mut self, borrower: ProcessId, lender: usize, request: &LoanRequest) {
+        let name = entry_name(lender);
+        let now = self.time();
+        if request.target_incarnation != self.entries[lender].incarnation || self.rng.random_bool(0.1) {
+            let event = Event::LoanFailed { lender: name };
+            return self.after_ms(0, 200, Step::Deliver { event, process: borrower });
+        }
+        let reply: LoanReply = self.entries[lender].node.lend(now, request);
+        self.observed.count("loans");
+        self.carry_out(lender);
+        let event = Event::LoanGranted {
+            lender: name,
+            lender_incarnation: request.target_incarnation,
+            reply,
+            service: request.service.as_str().into(),
+        };
+        // Now and then the reply is lost, so that the lender counts slots as lent that nobody uses.
+        if !self.rng.random_bool(0.05) {
+            self.after_ms(0, 100, Step::Deliver { event, process: borrower });
+        }
+    }
+
+    pub(crate) fn carry_out(&mut self, index: usize) {
+        let process = self.process(index);
+        for action in self.entries[index].node.actions() {
+            match action {
+                Action::Answer { answer, sequence, .. } => self.observed.answered(process, sequence, answer),
+                Action::Claim { sequence, .. } => self.claim(process, sequence),
+                Action::Drained => self.observed.drained(process),
+                Action::RequestLoan { lender, request } => {
+                    let lender = entry_index(&lender);
+                    self.after_ms(0, 5, Step::LoanAsked { borrower: process, lender, request });
+                }
+                Action::ReturnLoan { lender, request } => {
+                    let lender = entry_index(&lender);
+                    if request.target_incarnation == self.entries[lender].incarnation
+                        && self.rng.random_bool(0.9)
+                    {
+                        let target = self.process(lender);
+                        let event = Event::LoanReturned(request);
+                        self.after_ms(0, 5, Step::Deliver { event, process: target });
+                    }
+                }
+                Action::Start(start) => self.send_start(process, start),
+                Action::Health(_) | Action::Shedding(_) | Action::Stop { .. } => {}
+            }
+        }
+    }
+
+    fn claim(&mut self, process: ProcessId, sequence: u64) {
+        let result = match self.rng.random_range(0..10) {
+            0 => Err(ResultCode::StoreUnavailable),
+            1 => Err(ResultCode::ClaimRefused),
+            _ => Ok(()),
+        };
+        let event = Event::ClaimSettled { result, sequence };
+        if self.rng.random_bool(0.1) {
+            self.after_ms(1, 300, Step::Deliver { event: event.clone(), process });
+        }
+        self.after_ms(1, 300, Step::Deliver { event, process });
+    }
+
+    fn send_start(&mut self, process: ProcessId, start: Start) {
+        self.observed.started(self.now, process, &start);
+        let Some(body) = self.entries[process.0].node.submission(start.task.sequence) else { return };
+        let repeatable = body.idempotent && body.tasks.len() == 1 && body.class == Class::Urgent;
+        let text = body.tasks[start.task.index as usize].payload.clone();
+        self.after_ms(0, 5, Step::Reach { process, repeatable, start, text });
+    }
+
+    /// A start reaches its upstream, which runs it or not; the report may be lost, late, crossed or doubled.
+    fn reach(&mut self, process: ProcessId, repeatable: bool, start: &Start, text: &str) {
+        let upstream = upstream_index(&start.upstream);
+        let state = &mut self.upstreams[upstream];
+        let chance = self.rng.random_range(0..100);
+        let refused = match chance {
+            _ if state.dead => Some(TaskResult::NotSent),
+            _ if state.leaving => Some(TaskResult::Refused(Refusal::Leaving)),
+            _ if state.running >= state.slots => Some(TaskResult::Refused(Refusal::Busy)),
+            0..3 => Some(TaskResult::NotSent),
+            3..6 => Some(TaskResult::Refused(Refusal::Busy)),
+            6..8 => Some(TaskResult::Lost),
+            _ => None,
+        };
+        if let Some(result) = refused {
+            return self.report(process, start.start, result, 0, 50);
+        }
+        state.running += 1;
+        self.observed.executed(text, repeatable);
+        let run_ms = self.rng.random_range(5..300);
+        self.after_ms(run_ms, run_ms, Step::RunEnds { upstream });
+        let done = TaskResult::Done(result(text));
+        let (first, second) = match chance {
+            8..14 => (TaskResult::Failed("failed".to_owned()), None),
+            14..20 => (TaskResult::Lost, None),
+            20..25 => (TaskResult::TimedOut, Some(done)),
+            25..30 => (done.clone(), Some(done)),
+            30..35 => (done.clone(), Some(TaskResult::Refused(Refusal::Busy))),
+            35..38 => {
+                // The answer comes back for a start that this entry does not know.
+                self.report(process, start.start + 1_000_000, done, run_ms, run_ms);
+                (TaskResult::Lost, None)
+            }
+            _ => (done, None),
+        };
+        self.report(process, start.start, first, run_ms, run_ms + 20);
+        if let Some(second) = second {
+            self.report(process, start.start, second, run_ms + 21, run_ms + 400);
+        }
+    }
+
+    fn report(&mut self, process: ProcessId, start: StartId, result: TaskResult, least: u64, most: u64) {
+        let event = Event::TaskEnded { result, run_time: Duration::from_millis(least), start };
+        self.after_ms(least, most, Step::Deliver { event, process });
+    }
+
+    /// Shows an entry the platform's list, with a lag.
+    pub(crate) fn show_list(&mut self, index: usize) {
+        let listed = self.upstreams.iter().enumerate();
+        let list =
+            listed.filter_map(|(index, upstream)| Some(list_entry(index, upstream.slots, upstream.listed?)));
+        let (event, process) = (Event::Upstreams(list.collect()), self.process(index));
+        // Lists of one source arrive in order.
+        self.at(self.now, Step::Deliver { event, process });
+    }
+
+    /// Shows the entries each other, some of them with a view in which one is missing.
+    fn show_peers(&mut self) {
+        let draining = |entry: &Entry<N>| entry.paused || entry.draining;
+        for index in 0..self.entries.len() {
+            let missing = self.rng.random_range(0..self.entries.len() * 4);
+            let seen = |peer: &usize| *peer == index || *peer != missing;
+            let peers: Vec<usize> = (0..self.entries.len()).filter(seen).collect();
+            let leads = |peer: &&usize| !draining(&self.entries[**peer]);
+            let leaders = peers.iter().filter(leads).map(|peer| entry_name(*peer)).collect();
+            let now = self.time();
+            let lender = |peer: &usize| Lender {
+                counter: self.now.as_millis() as u64,
+                free_slots: self.entries[*peer].node.free_slots(now),
+                incarnation: self.entries[*peer].incarnation,
+                instance: entry_name(*peer),
+            };
+            let lenders = peers.iter().filter(|peer| **peer != index).map(lender).collect();
+            let event = Event::Peers { leaders, lenders, listed: self.entries.len() as u32 };
+            let process = self.process(index);
+            self.after_ms(0, 100, Step::Deliver { event, process });
+        }
+    }
+
+    pub(crate) fn change_policy(&mut self) {
+        let mut policy = self.policy.clone();
+        policy.loans_enabled = self.rng.random_bool(0.8);
+        policy.ejection_enabled = self.rng.random_bool(0.8);
+        policy.max_attempts = self.rng.random_range(1..4);
+        policy.answer_memory_bytes = if self.rng.random_bool(0.2) { 100 } else { policy.answer_memory_bytes };
+        policy.key_validity_ms = if self.rng.random_bool(0.2) { 1000 } else { policy.key_validity_ms };
+        policy.max_queued_tasks = if self.rng.random_bool(0.2) { 8 } else { policy.max_queued_tasks };
+        for index in 0..self.entries.len() {
+            let event = Event::Config {
+                policy: Box::new(policy.clone()),
+                quotas: FastMap::default(),
+                weights: FastMap::default(),
+            };
+            let process = self.process(index);
+            self.after_ms(0, 500, Step::Deliver { event, process });
+        }
+    }
+}
+
+/// Violations of one run, each kind once.
+pub(crate) fn kinds(observed: &Observed) -> std::collections::BTreeSet<Violation> {
+    observed.violations.iter().map(|(violation, _)| *violation).collect()
+}
+
+fn submission(body: Body) -> Submission {
+    let classes = [Class::Urgent, Class::Booking, Class::Query, Class::Batch, Class::Urgent];
+    let task = |task| TaskSpec { memory_mb: None, payload: payload(body, task), run_time_ms: Some(100) };
+    Submission {
+        class: classes[body.0 % classes.len()],
+        deadline_ms: Some([500, 2000, 3000][body.0 % 3]),
+        definite: body.0 % 7 == 0,
+        idempotent: body.0 % 4 == 0,
+        key: None,
+        service: "deicing".to_owned(),
+        tasks: (0..tasks(body.0)).map(task).collect(),
+        team: format!("team-{}", body.0 % 3),
+        wait_ms: None,
+    }
+}
+
+fn list_entry(index: usize, slots: u32, state: ListState) -> ListEntry {
+    ListEntry {
+        address: format!("127.0.0.1:{}", 9000 + index),
+        data_centre: "dc1".to_owned(),
+        id: upstream_id(index).to_string(),
+        kind: InstanceKind::Upstream,
+        memory_mb: 32_000,
+        peer_address: String::new(),
+        rack: format!("rack-{}", index / 2),
+        service: "deicing".to_owned(),
+        slots,
+        state,
+    }
+}
+
+fn upstream_id(index: usize) -> UpstreamId {
+    format!("up-{index}").as_str().into()
+}
+
+fn upstream_index(id: &str) -> usize {
+    id.trim_start_matches("up-").parse().unwrap()
+}
+
+fn entry_name(index: usize) -> hinge_wire::InstanceId {
+    format!("entry-{index}").as_str().into()
+}
+
+fn entry_index(id: &str) -> usize {
+    id.trim_start_matches("entry-").parse().unwrap()
+}
