Learn from the refusal of a task that is being stopped

Cause: the end of a cancelled start was given to the router as Stopped whatever it was, so that a refusal as leaving or busy was lost and the next start went to the same upstream. Change: a refusal keeps its kind.

--- a/crates/dispatch/src/tasks.rs
+++ b/crates/dispatch/src/tasks.rs
@@ -24,7 +24,11 @@
         };
         let service = running.service.clone();
         self.running_tasks.remove(&running.queued.id);
-        let kind = if running.stopping { EndKind::Stopped } else { end_kind(&result) };
+        let kind = match (end_kind(&result), running.stopping) {
+            // A refusal tells about the upstream, also when the task is no longer wanted.
+            (kind @ (EndKind::Busy | EndKind::Leaving), _) | (kind, false) => kind,
+            (_, true) => EndKind::Stopped,
+        };
         self.router.ended(now, &running.slot, kind, run_time, running.expected);
         match result {
             TaskResult::Refused(_) | TaskResult::NotSent if !running.stopping => {
