Wait in a planned stop for requests forwarded to other owners

Cause: a drain counted only what the entry owned. A request that it had forwarded to the owner of its key was cut off one second after the linger time. Change: the servers finish the requests under way within the drain's own time limit.

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use hinge_conf::{EntrySettings, Policy};
 use hinge_dispatch::{Dispatcher, Origin};
@@ -139,24 +138,15 @@
     /// `drain_linger`, and ends at the latest after `drain_timeout` or when `abort` completes.
     pub async fn drain(mut self, abort: impl Future<Output = ()>) -> StopReport {
         self.shared.begin_drain();
-        let settings = &self.shared.settings;
-        let finish = async {
-            let mut drained = self.shared.drained.subscribe();
-            let _ = drained.wait_for(|drained| *drained).await;
-            sleep(settings.drain_linger).await;
-        };
+        let limit = self.shared.settings.drain_timeout;
+        let finish = finish(&self.shared, &self.stop_servers, &mut self.servers);
         let finished = tokio::select! {
-            finished = timeout(settings.drain_timeout, finish) => finished.is_ok(),
+            finished = timeout(limit, finish) => finished.is_ok(),
             () = abort => false,
         };
         let report = self.report();
         let event = if finished { LogEvent::Drained } else { LogEvent::DrainTimedOut };
         hinge_obs::emit(event, &report);
-        self.stop_servers.send_replace(true);
-        if finished {
-            let wait = async { while self.servers.join_next().await.is_some() {} };
-            let _ = timeout(Duration::from_secs(1), wait).await;
-        }
         self.shared.change_life(LifeEvent::Stop);
         self.shared.metrics.flush();
         self.tasks.shutdown().await;
@@ -170,6 +160,16 @@
     }
 }
 
+/// Waits until everything held has finished and every request under way is answered. The latter include requests that
+/// were forwarded to the owner of their key and last as long as the owner's work.
+async fn finish(shared: &Shared, stop_servers: &watch::Sender<bool>, servers: &mut JoinSet<()>) {
+    let mut drained = shared.drained.subscribe();
+    let _ = drained.wait_for(|drained| *drained).await;
+    sleep(shared.settings.drain_linger).await;
+    stop_servers.send_replace(true);
+    while servers.join_next().await.is_some() {}
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address).await.map_err(|source| StartError::Listen { address, source })
 }
