--- /dev/null
+++ b/crates/dispatch/tests/lending.rs
@@ -0,0 +1,32 @@
+//! What an entry offers to its peers.
+
+use hinge_conf::Policy;
+use hinge_dispatch::{Dispatcher, Event, Origin};
+use hinge_wire::{InstanceKind, ListEntry, ListState};
+use tokio::time::Instant;
+
+/// Guards against an entry that offers no slots before its first submission, so that its peers' tasks wait for ever
+/// beside idle upstreams.
+#[test]
+fn entry_without_submissions_offers_its_free_slots() {
+    let now = Instant::now();
+    let origin = Origin { data_centre: "dc1".into(), incarnation: 1, instance: "entry-0".into() };
+    let mut dispatcher = Dispatcher::new(origin, &Policy::default(), 1);
+    dispatcher.handle(now, Event::Peers { leaders: vec!["entry-0".into()], lenders: Vec::new(), listed: 2 });
+    let upstreams = ["deicing", "fuelling"].map(|service| ListEntry {
+        address: "127.0.0.1:9000".to_owned(),
+        data_centre: "dc1".to_owned(),
+        id: format!("up-{service}"),
+        kind: InstanceKind::Upstream,
+        memory_mb: 32_000,
+        peer_address: String::new(),
+        rack: "rack-0".to_owned(),
+        service: service.to_owned(),
+        slots: 8,
+        state: ListState::Live,
+    });
+    dispatcher.handle(now, Event::Upstreams(upstreams.to_vec()));
+    assert_eq!(dispatcher.free_slots(now), 16);
+    dispatcher.handle(now, Event::Upstreams(upstreams[..1].to_vec()));
+    assert_eq!(dispatcher.free_slots(now), 8);
+}
