Give a fresh entry without store the built-in configuration of a ready peer

Cause: while no configuration has been written, all peers report revision 0, and an entry that cannot reach the store looked only for higher revisions. It stayed not ready for ever. Change: an entry without any configuration asks a ready peer whatever its revision, and a request for revisions above 0 is answered with the document of revision 0 as well. Conclusion: configuration_reaches_an_entry_without_store_through_its_peers waited in vain for readiness before the change and passes after it.

--- a/crates/entry/src/loops.rs
+++ b/crates/entry/src/loops.rs
@@ -174,16 +174,21 @@
     loop {
         sleep(jittered(PEER_CONFIG_INTERVAL)).await;
         let own_revision = shared.config.resolved().revision;
-        let source = lock(&shared.members)
-            .latest_config()
-            .filter(|peer| !shared.config.status().loaded || peer.config_revision > own_revision)
-            .and_then(|peer| peer.peer_address.parse().ok());
-        if let Some(address) = source {
+        if let Some(address) = config_source(&shared, own_revision) {
             fetch_peer_config(&shared, address, own_revision).await;
         }
     }
 }
 
+/// The peer with the highest revision above the own one; without any configuration, also a ready peer of revision 0.
+fn config_source(shared: &Shared, own_revision: u64) -> Option<SocketAddr> {
+    let members = lock(&shared.members);
+    let latest = members.latest_config().filter(|peer| peer.config_revision > own_revision);
+    let first = || members.peers().find(|peer| peer.state == InstanceState::Ready);
+    let source = if shared.config.status().loaded { latest } else { latest.or_else(first) };
+    source.and_then(|peer| peer.peer_address.parse().ok())
+}
+
 async fn fetch_peer_config(shared: &Shared, address: SocketAddr, above_revision: u64) {
     let time = shared.settings.peer_timeout;
     let reply: Result<ConfigReply, _> =
--- a/crates/entry/src/peer_server.rs
+++ b/crates/entry/src/peer_server.rs
@@ -131,5 +131,8 @@
 
 fn config(shared: &Arc<Shared>, body: &[u8]) -> Result<HttpResponse, Rejection> {
     let request: ConfigFetch = from_msgpack(body)?;
-    ok(&shared.config.config_reply(Some(request.above_revision)))
+    // A peer that has no configuration asks with revision 0, and also needs the document of a store in which none has
+    // been written yet.
+    let above = Some(request.above_revision).filter(|revision| *revision > 0);
+    ok(&shared.config.config_reply(above))
 }
