--- a/crates/celeryhinge/tests/support/mod.rs
+++ b/crates/celeryhinge/tests/support/mod.rs
@@ -109,6 +109,11 @@
     }
 
     pub(crate) fn start_entry(&self, instance: &str, extra: &[&str]) -> Process {
+        self.start_entry_at_store(instance, self.platform.address(), extra)
+    }
+
+    /// Starts an entry with a store of its own choice; the list is the platform's.
+    pub(crate) fn start_entry_at_store(&self, instance: &str, store: SocketAddr, extra: &[&str]) -> Process {
         let platform = self.platform.address().to_string();
         let mut arguments = strings(&[
             "--instance",
@@ -120,7 +125,7 @@
             "--peer-listen",
             "127.0.0.1:0",
             "--store",
-            &platform,
+            &store.to_string(),
             "--list",
             &platform,
             "--drain-linger-ms",
@@ -130,8 +135,13 @@
         Process::start("hinge-entry", &arguments)
     }
 
-    /// Publishes all processes on the platform's list.
+    /// Publishes all processes on the platform's list as live.
     pub(crate) fn publish_list(&self) {
+        self.publish_list_with_leaving(None);
+    }
+
+    /// Publishes all processes on the platform's list, one upstream as leaving.
+    pub(crate) fn publish_list_with_leaving(&self, leaving: Option<usize>) {
         let upstreams = self.upstreams.iter().enumerate().map(|(index, process)| ListEntry {
             address: process.address().to_string(),
             data_centre: "dc1".to_owned(),
@@ -142,7 +152,7 @@
             rack: format!("rack-{}", index / 2),
             service: "deicing".to_owned(),
             slots: 8,
-            state: ListState::Live,
+            state: if leaving == Some(index) { ListState::Leaving } else { ListState::Live },
         });
         let entries = self.entries.iter().enumerate().map(|(index, process)| ListEntry {
             address: process.address().to_string(),
@@ -163,16 +173,16 @@
         assert!((200..300).contains(&status), "status {status}");
     }
 
+    /// What one upstream has started and refused.
+    pub(crate) fn starts_at(&self, upstream: usize) -> StartsReply {
+        let (_, body) = http(self.upstreams[upstream].address(), "GET", "/starts", b"");
+        from_json(&body).unwrap()
+    }
+
     /// Payloads of all starts at all upstreams, sorted.
     pub(crate) fn started_payloads(&self) -> Vec<String> {
-        let mut payloads: Vec<String> = self
-            .upstreams
-            .iter()
-            .flat_map(|upstream| {
-                let (_, body) = http(upstream.address(), "GET", "/starts", b"");
-                let reply: StartsReply = from_json(&body).unwrap();
-                reply.starts.into_iter().map(|start| start.payload)
-            })
+        let mut payloads: Vec<String> = (0..self.upstreams.len())
+            .flat_map(|upstream| self.starts_at(upstream).starts.into_iter().map(|start| start.payload))
             .collect();
         payloads.sort();
         payloads
