--- a/crates/celeryhinge/tests/failures.rs
+++ b/crates/celeryhinge/tests/failures.rs
@@ -175,7 +175,14 @@
         control_store(&cluster, &StoreControl::LoseAnswer { times: Some(1) });
         let result = format!("definite-{index}");
         let definite = Submission { definite: true, ..keyed(key, Class::Booking, &[payload(10, &result)]) };
-        assert_eq!(send(cluster.entries[0].address(), &definite).results, [result]);
+        let answer = send(cluster.entries[0].address(), &definite);
+        assert_eq!(answer.results, [result], "{answer:?}");
+        // The write of the outcome comes after the answer; the next fault must not hit it.
+        let path = format!("/kv/claims/{key}");
+        wait_until("the outcome in the store", || {
+            let (_, body) = http(cluster.platform.address(), "GET", &path, b"");
+            String::from_utf8_lossy(&body).contains("outcome")
+        });
     }
     assert_eq!(assert_started_once(&cluster).len(), 4);
 }
