Add a demonstration of the whole system in one process

A newcomer had no single command that shows the parts working together. hinge-demo starts the platform stand-ins, six upstreams and three entries on loopback, sends a mix of all classes, a job with progress, a resubmission, a cancellation and a request that can never run, and checks every answer and that no booking or task of a job started twice.

--- /dev/null
+++ b/crates/demo/src/lib.rs
@@ -0,0 +1,52 @@
+//! A demonstration of the whole system in one process on loopback.
+//!
+//! [`run`] starts the stand-ins of the platform (store, list, upstreams) and several entry instances, sends a mix of
+//! work through the callers' client, checks every answer and stops the entries as planned. The binary `hinge-demo`
+//! prints the resulting [`Report`] and exits with status 0 when every answer was as expected.
+//!
+//! ```
+//! use hinge_demo::{Options, run};
+//!
+//! # #[tokio::main]
+//! # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+//! let options = Options { duration_ms: 200, ..Options::default() };
+//! let report = run(&options, |_| async {}).await?;
+//! println!("{report}");
+//! assert!(report.is_as_expected());
+//! # Ok(())
+//! # }
+//! ```
+
+mod checks;
+mod cluster;
+mod mix;
+mod options;
+mod report;
+mod work;
+
+pub use cluster::{Cluster, DemoError};
+pub use options::Options;
+pub use report::{Report, Row};
+
+/// Starts a cluster, runs the mix, waits for `afterwards` and stops the cluster.
+///
+/// # Errors
+///
+/// Fails when the options are out of range, or when the cluster cannot start.
+pub async fn run<F, W>(options: &Options, afterwards: F) -> Result<Report, DemoError>
+where
+    F: FnOnce(&Report) -> W,
+    W: Future<Output = ()>,
+{
+    options.check()?;
+    let cluster = Cluster::start(options).await?;
+    println!("{cluster}");
+    let mut report = mix::run(&cluster, options).await?;
+    checks::check_starts(&cluster, &mut report);
+    afterwards(&report).await;
+    let lost = cluster.stop().await;
+    if lost > 0 {
+        report.fail(format!("the planned stop lost {lost} submissions or tasks"));
+    }
+    Ok(report)
+}
--- /dev/null
+++ b/crates/demo/tests/demo.rs
@@ -0,0 +1,46 @@
+//! The demonstration from start to planned stop.
+
+#![allow(clippy::unwrap_used, reason = "tests")]
+
+use std::time::Duration;
+
+use hinge_demo::{Options, Report, Row, run};
+use hinge_wire::Outcome;
+
+/// Guards against a demonstration that a change elsewhere has broken.
+#[tokio::test(flavor = "multi_thread")]
+async fn every_answer_is_as_expected() {
+    let options = Options { duration_ms: 500, ..Options::default() };
+    let report = run(&options, |_| async {}).await.unwrap();
+    assert!(report.is_as_expected(), "{report}");
+    assert_eq!(report.rows.len(), 7);
+}
+
+/// Guards against a verdict that overlooks a wrong answer, a failed check or work that was never sent.
+#[test]
+fn a_failure_anywhere_decides_the_verdict() {
+    let mut good = Row::new("good");
+    good.add(Duration::from_millis(5), Ok(Outcome::Complete));
+    let mut bad = good.clone();
+    bad.add(Duration::from_millis(7), Err("another result".to_owned()));
+    assert!(Report::new(vec![good.clone()]).is_as_expected());
+    assert!(!Report::new(vec![good.clone(), bad]).is_as_expected());
+    assert!(!Report::new(vec![good.clone(), Row::new("empty")]).is_as_expected());
+    assert!(!Report::new(Vec::new()).is_as_expected());
+    let mut failed = Report::new(vec![good]);
+    failed.fail("a task was started twice".to_owned());
+    assert!(!failed.is_as_expected());
+}
+
+/// Guards against options that start an unbounded load.
+#[tokio::test]
+async fn options_out_of_range_are_rejected() {
+    for options in [
+        Options { duration_ms: 60_001, ..Options::default() },
+        Options { entries: 0, ..Options::default() },
+        Options { entries: 9, ..Options::default() },
+        Options { upstreams: 51, ..Options::default() },
+    ] {
+        assert!(run(&options, |_| async {}).await.is_err());
+    }
+}
