--- a/crates/demo/src/cluster.rs
+++ b/crates/demo/src/cluster.rs
@@ -143,6 +143,12 @@
         Ok(listed)
     }
 
+    /// Addresses of the entries for callers.
+    #[must_use]
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(Entry::address).collect()
+    }
+
     /// A client of all entries.
     pub(crate) fn client(&self, options: &Options) -> Result<Client, DemoError> {
         let builder = Client::builder().seed(options.seed);
@@ -167,7 +173,7 @@
     }
 
     /// Stops the entries as planned, then the stand-ins; returns the number of submissions and tasks lost.
-    pub(crate) async fn stop(self) -> usize {
+    pub async fn stop(self) -> usize {
         let drains: Vec<_> =
             self.entries.into_iter().map(|entry| tokio::spawn(entry.drain(std::future::pending()))).collect();
         let mut lost = 0;
