Add hinge-load: measured costs per unit and a load tool over HTTP

`hinge-load slopes` measures processor time, memory, bytes and store calls per unit at two or more sizes and prints Markdown rows; `hinge-load http` runs a seeded open-loop mix through hinge-client, entry instances and stand-ins on loopback. Processor time is read per thread, so that entries, clients and stand-ins in one process are told apart.

--- /dev/null
+++ b/crates/load/src/live.rs
@@ -0,0 +1,285 @@
+//! Costs of whole entry instances over HTTP on loopback: tasks, idle, store calls, start.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread;
+use std::time::Duration;
+
+use hinge_fakes::{StoreControl, StoreCounts};
+use hinge_wire::StorePut;
+use tokio::time::Instant;
+
+use crate::cluster::{Cluster, ClusterError, Shape};
+use crate::decisions::heartbeat_body;
+use crate::fixture::{change, document};
+use crate::http::{Options, run_on};
+use crate::slope::Row;
+use crate::usage::{resident_bytes, threads_time};
+
+/// Time in which a cluster settles after its start.
+const SETTLE: Duration = Duration::from_secs(3);
+/// Time in which a start or a return of the store is watched.
+const WATCHED: Duration = Duration::from_secs(4);
+const SECOND: Duration = Duration::from_secs(1);
+
+/// An idle cluster that is measured while other measurements run.
+pub(crate) struct Idle {
+    before: Duration,
+    cluster: Cluster,
+    entries: usize,
+    memory_bytes: f64,
+    since: Instant,
+    upstreams: usize,
+}
+
+/// What an idle cluster used.
+#[derive(Clone, Copy, Debug)]
+struct IdleUse {
+    calls: StoreCounts,
+    core_percent: f64,
+    hours: f64,
+}
+
+impl Idle {
+    /// Starts an idle cluster with the design's configuration and lets it settle.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the cluster does not start.
+    pub(crate) fn start(name: &str, entries: usize, upstreams: usize) -> Result<Self, ClusterError> {
+        let shape = Shape { entries, entry_threads: 1, listed_only: upstreams, slots: 8, upstreams: 0 };
+        let resident = resident_bytes();
+        let cluster = Cluster::start(name, shape, &document(680, 200))?;
+        cluster.wait_ready()?;
+        thread::sleep(SETTLE);
+        let memory_bytes = resident_bytes() - resident;
+        cluster.platform.store.update(|store| store.control(&StoreControl::ResetCounts {}));
+        let before = cluster.entries_time();
+        Ok(Self { before, cluster, entries, memory_bytes, since: Instant::now(), upstreams })
+    }
+
+    /// Ends the cluster.
+    pub(crate) fn stop(self) {
+        self.cluster.abort();
+    }
+
+    fn measure(&self) -> IdleUse {
+        let time = self.since.elapsed();
+        let used = self.cluster.entries_time() - self.before;
+        IdleUse {
+            calls: counts(&self.cluster),
+            core_percent: 100.0 * used.as_secs_f64() / time.as_secs_f64() / self.entries as f64,
+            hours: time.as_secs_f64() / 3600.0,
+        }
+    }
+}
+
+fn counts(cluster: &Cluster) -> StoreCounts {
+    cluster.platform.store.update(|store| store.counts())
+}
+
+fn calls(counts: &StoreCounts) -> f64 {
+    (counts.leases + counts.reads + counts.watches + counts.writes + counts.refused_down) as f64
+}
+
+/// Rows of idle clusters, the first two of which differ in upstreams and the others in entries.
+#[must_use]
+pub(crate) fn idle_rows(idle: &[Idle; 4]) -> Vec<Row> {
+    let used: Vec<IdleUse> = idle.iter().map(Idle::measure).collect();
+    let core = |index: usize, size: usize| (size as f64, used[index].core_percent);
+    let memory = idle[1..].iter().map(|idle| (idle.entries as f64, idle.memory_bytes)).collect();
+    let per_hour = idle
+        .iter()
+        .zip(&used)
+        .skip(1)
+        .map(|(idle, used)| (idle.entries as f64, calls(&used.calls) / used.hours))
+        .collect();
+    let by_upstreams = vec![core(0, idle[0].upstreams), core(1, idle[1].upstreams)];
+    let by_peers = (1..idle.len()).map(|index| core(index, idle[index].entries - 1)).collect();
+    vec![
+        Row::new("idle entry, all control work", "upstream", "% of a core", by_upstreams),
+        Row::new("idle entry, all control work", "peer", "% of a core", by_peers),
+        Row::new(
+            "memory: idle entry in one process, 680 quotas and 200 exceptions",
+            "entry",
+            "bytes",
+            memory,
+        ),
+        Row::new("store calls per hour at idle", "entry", "calls/h", per_hour),
+    ]
+}
+
+/// Processor time per task through callers' HTTP, entries and upstreams' HTTP.
+///
+/// # Errors
+///
+/// Fails when the cluster does not start.
+pub(crate) fn task_rows(seconds: f64) -> Result<Vec<Row>, ClusterError> {
+    let shape = Shape { entries: 2, entry_threads: 1, listed_only: 0, slots: 64, upstreams: 8 };
+    let cluster = Cluster::start("task", shape, &document(680, 200))?;
+    cluster.wait_ready()?;
+    thread::sleep(SECOND);
+    let (mut entry, mut client, mut fakes) = (Vec::new(), Vec::new(), Vec::new());
+    for tasks in [1, 10, 110] {
+        let options = Options { rate: 1000.0 / f64::from(tasks).sqrt(), seconds, ..Options::uniform(tasks) };
+        let before = [cluster.entries_time(), threads_time("task-fake")];
+        let report = run_on(&cluster.addresses(), &options)?;
+        let after = [cluster.entries_time(), threads_time("task-fake")];
+        let submissions = report.complete().max(1) as f64;
+        let micros = |time: Duration| time.as_secs_f64() * 1e6 / submissions;
+        let size = f64::from(tasks);
+        entry.push((size, micros(after[0] - before[0])));
+        client.push((size, micros(report.client_time)));
+        fakes.push((size, micros(after[1] - before[1])));
+    }
+    cluster.abort();
+    Ok(vec![
+        Row::new("entry: a submission over HTTP, half of them forwarded", "task", "µs", entry),
+        Row::new("caller's client: a submission over HTTP", "task", "µs", client),
+        Row::new("stand-ins of upstreams: the tasks of a submission", "task", "µs", fakes),
+    ])
+}
+
+/// Store calls of a change, a start of all entries at once and a return of the store.
+///
+/// # Errors
+///
+/// Fails when a cluster does not start.
+pub(crate) fn store_rows(sizes: [usize; 2]) -> Result<Vec<Row>, ClusterError> {
+    let mut points: [Vec<(f64, f64)>; 5] = Default::default();
+    for entries in sizes {
+        let shape = Shape { entries, entry_threads: 1, listed_only: 36, slots: 8, upstreams: 0 };
+        let cluster = Cluster::start("store", shape, &document(680, 200))?;
+        let (all, peak) = watch_calls(&cluster);
+        cluster.wait_ready()?;
+        let figures = [all, peak, calls_per_change(&cluster)];
+        cluster.platform.store.update(|store| store.control(&StoreControl::Down { times: None }));
+        let (down, _) = watch_calls(&cluster);
+        cluster.platform.store.update(|store| store.control(&StoreControl::Clear {}));
+        let (_, peak_back) = watch_calls(&cluster);
+        cluster.abort();
+        let figures = [figures[0], figures[1], figures[2], down / WATCHED.as_secs_f64(), peak_back];
+        for (points, figure) in points.iter_mut().zip(figures) {
+            points.push((entries as f64, figure));
+        }
+    }
+    let [all, peak, change, down, back] = points;
+    Ok(vec![
+        Row::new("store calls in the first four seconds after a start at once", "entry", "calls", all),
+        Row::new("store calls in the fullest second after a start at once", "entry", "calls/s", peak),
+        Row::new("store calls of one configuration change", "entry", "calls", change),
+        Row::new("store calls per second in the first four seconds of an outage", "entry", "calls/s", down),
+        Row::new("store calls in the fullest second after the store's return", "entry", "calls/s", back),
+    ])
+}
+
+/// Calls in the watched time, and in its fullest second.
+fn watch_calls(cluster: &Cluster) -> (f64, f64) {
+    const STEP: Duration = Duration::from_millis(50);
+    cluster.platform.store.update(|store| store.control(&StoreControl::ResetCounts {}));
+    let steps = (WATCHED.as_millis() / STEP.as_millis()) as usize;
+    let mut totals = vec![0.0];
+    for _ in 0..steps {
+        thread::sleep(STEP);
+        totals.push(calls(&counts(cluster)));
+    }
+    let window = (SECOND.as_millis() / STEP.as_millis()) as usize;
+    let peak = totals.windows(window + 1).map(|part| part[window] - part[0]).fold(0.0, f64::max);
+    (totals.last().copied().unwrap_or(0.0), peak)
+}
+
+fn calls_per_change(cluster: &Cluster) -> f64 {
+    cluster.platform.store.update(|store| store.control(&StoreControl::ResetCounts {}));
+    let changed = hinge_conf::apply(&document(680, 200), &change(0)).ok();
+    let value = changed.and_then(|document| hinge_wire::to_json(&document).ok());
+    let value = value.map(|json| String::from_utf8_lossy(&json).into_owned()).unwrap_or_default();
+    let put = StorePut { expect_revision: 1, lease: 0, value };
+    let _ = cluster.wait(cluster.platform.store.put("config/current", &put));
+    thread::sleep(2 * SECOND);
+    calls(&counts(cluster))
+}
+
+/// Resident memory of open callers' connections that have made one request.
+///
+/// # Errors
+///
+/// Fails when the sockets cannot be used.
+pub(crate) fn connection_row() -> Result<Row, ClusterError> {
+    let shape = Shape { entries: 1, entry_threads: 1, listed_only: 36, slots: 8, upstreams: 0 };
+    let cluster = Cluster::start("conn", shape, &document(0, 0))?;
+    cluster.wait_ready()?;
+    let address = cluster.entries[0].address();
+    let (before, mut open, mut points) = (resident_bytes(), Vec::new(), Vec::new());
+    for count in [64, 256] {
+        while open.len() < count {
+            let mut stream = TcpStream::connect(address)?;
+            stream.set_read_timeout(Some(SECOND))?;
+            stream.write_all(format!("GET /healthz HTTP/1.1\r\nhost: {address}\r\n\r\n").as_bytes())?;
+            let _ = stream.read(&mut [0; 1024])?;
+            open.push(stream);
+        }
+        points.push((count as f64, resident_bytes() - before));
+    }
+    cluster.abort();
+    Ok(Row::new("memory: open connection of a caller", "connection", "bytes", points))
+}
+
+/// Bytes of a heartbeat and its reply on the wire, with the HTTP heads.
+///
+/// # Errors
+///
+/// Fails when the sockets cannot be used.
+pub(crate) fn wire_rows() -> Result<Vec<Row>, ClusterError> {
+    let shape = Shape { entries: 1, entry_threads: 1, listed_only: 36, slots: 8, upstreams: 0 };
+    let cluster = Cluster::start("wire", shape, &document(0, 0))?;
+    cluster.wait_ready()?;
+    let peer = TcpListener::bind("127.0.0.1:0")?;
+    let (request_head, version) = request_head(&cluster, &peer)?;
+    let now = Instant::now();
+    let (mut requests, mut replies) = (Vec::new(), Vec::new());
+    for peers in [2, 15, 64] {
+        let body = heartbeat_body(peers, now, 0);
+        requests.push((peers as f64, (request_head + body.len()) as f64));
+        replies.push((peers as f64, reply_bytes(cluster.entries[0].peer_address(), &version, &body)? as f64));
+    }
+    cluster.abort();
+    Ok(vec![
+        Row::new("heartbeat on the wire, with its HTTP head", "peer", "bytes", requests),
+        Row::new("reply to a heartbeat on the wire, with its HTTP head", "peer", "bytes", replies),
+    ])
+}
+
+/// Size of the head that an entry sends with a heartbeat, and its version header line.
+fn request_head(cluster: &Cluster, peer: &TcpListener) -> Result<(usize, String), ClusterError> {
+    let address = peer.local_addr()?.to_string();
+    let listed = crate::fixture::listed_entry(1, address.clone(), address);
+    cluster.platform.list.update(|list| {
+        let control = hinge_fakes::ListControl { upsert: vec![listed], ..Default::default() };
+        list.control(Instant::now(), &control);
+    });
+    let (mut stream, _) = peer.accept()?;
+    stream.set_read_timeout(Some(SECOND))?;
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte)?;
+        head.push(byte[0]);
+    }
+    let text = String::from_utf8_lossy(&head).into_owned();
+    let version = text.lines().find(|line| line.to_ascii_lowercase().contains("version:"));
+    Ok((head.len(), version.unwrap_or_default().to_owned()))
+}
+
+fn reply_bytes(address: SocketAddr, version: &str, body: &[u8]) -> Result<usize, ClusterError> {
+    let mut stream = TcpStream::connect(address)?;
+    stream.set_read_timeout(Some(SECOND))?;
+    let head = format!(
+        "POST /peer/v1/heartbeat HTTP/1.1\r\nhost: {address}\r\n{version}\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    stream.write_all(head.as_bytes())?;
+    stream.write_all(body)?;
+    let mut response = vec![0; 16_384];
+    // A reply is one segment on loopback.
+    Ok(stream.read(&mut response)?)
+}
