route: return lent slots as their last task ends

Cause: at 80% load most wasted messages were busy rejections within one view of membership. A loan lapsed at the lender after 1 s while the borrower's last task still ran there, and the lender started another task on the slot. Change: starts on a loan end after 500 ms; the borrower returns each slot when its task ends, and the lender waits up to loan_hold_ms (2 s) for that. The reserve that is not lent is 10%. Slots of a closed loan count as capacity while their last task runs.

--- a/crates/conf/src/policy.rs
+++ b/crates/conf/src/policy.rs
@@ -99,8 +99,10 @@
     pub task_timeout_ms: u64,
     ///Loans of slots between entries.
     pub loans_enabled: bool,
-    ///Time after which a loan of slots lapses.
+    ///Time in which a borrower may start tasks on lent slots.
     pub loan_duration_ms: u64,
+    ///Time after the end of a loan in which the lender waits for the borrower to return slots whose last task still runs.
+    pub loan_hold_ms: u64,
     ///Slots in one loan.
     pub max_loan_slots: u64,
     ///Led slots that are not lent.
@@ -168,9 +170,10 @@
             max_attempts: 3,
             task_timeout_ms: 30000,
             loans_enabled: true,
-            loan_duration_ms: 1000,
+            loan_duration_ms: 500,
+            loan_hold_ms: 2000,
             max_loan_slots: 32,
-            reserve_percent: 5,
+            reserve_percent: 10,
             busy_backoff_ms: 20,
             heartbeat_interval_ms: 500,
             heartbeat_fanout: 4,
@@ -308,6 +311,7 @@
             ("loan_duration_ms", SettingValue::Number(value)) => {
                 self.loan_duration_ms = *value;
             }
+            ("loan_hold_ms", SettingValue::Number(value)) => self.loan_hold_ms = *value,
             ("max_loan_slots", SettingValue::Number(value)) => {
                 self.max_loan_slots = *value;
             }
@@ -796,7 +800,17 @@
         kind: PolicyKind::Number {
             min: 50,
             max: 60000,
-            default: 1000,
+            default: 500,
+        },
+        scopes: &[ScopeKind::DataCentre],
+        unit: "ms",
+    },
+    PolicySpec {
+        name: "loan_hold_ms",
+        kind: PolicyKind::Number {
+            min: 0,
+            max: 60000,
+            default: 2000,
         },
         scopes: &[ScopeKind::DataCentre],
         unit: "ms",
@@ -816,7 +830,7 @@
         kind: PolicyKind::Number {
             min: 0,
             max: 50,
-            default: 5,
+            default: 10,
         },
         scopes: &[ScopeKind::DataCentre],
         unit: "percent",
--- a/crates/route/src/lending.rs
+++ b/crates/route/src/lending.rs
@@ -37,7 +37,7 @@
 impl Router {
     /// Lends free slots of led upstreams, but for a reserve that is kept for the own urgent work.
     ///
-    /// Lent slots count as in use until they are returned or the loan lapses. The caller checks that the request is
+    /// Lent slots count as in use until they are returned or the loan and `loan_hold_ms` after it are over. The caller checks that the request is
     /// for this incarnation.
     pub fn lend(&mut self, now: Instant, request: &LoanRequest) -> LoanReply {
         self.advance(now);
@@ -64,7 +64,7 @@
         reply.loan = self.next_loan;
         reply.duration_ms = self.policy.loan_duration_ms;
         reply.slots = parts.iter().map(|part| self.loan_slots(*part)).collect();
-        let lapses = now + Duration::from_millis(reply.duration_ms);
+        let lapses = now + Duration::from_millis(reply.duration_ms) + self.loan_hold();
         self.timers.add(lapses, Timer::LentLapses { loan: reply.loan });
         self.lent.insert(reply.loan, LentLoan { borrower: request.borrower.clone(), parts });
         reply
@@ -175,7 +175,8 @@
         if upstreams.is_empty() {
             return;
         }
-        self.timers.add(lapses, Timer::BorrowLapses { loan: id });
+        self.timers.add(lapses, Timer::BorrowCloses { loan: id });
+        self.timers.add(lapses + self.loan_hold(), Timer::BorrowLapses { loan: id });
         let lender = lender.clone();
         self.borrowed
             .insert(id, BorrowedLoan { duration, lender, lender_incarnation, loan: reply.loan, upstreams });
@@ -189,10 +190,36 @@
         if count == 0 || upstream.part(loan).is_some() {
             return 0;
         }
-        upstream.parts.push(Part { free: count, loan, min_free: count, total: count, window_start: now });
+        upstream.parts.push(Part {
+            closed: false,
+            done: 0,
+            free: count,
+            loan,
+            min_free: count,
+            total: count,
+            window_start: now,
+        });
         count
     }
 
+    fn loan_hold(&self) -> Duration {
+        Duration::from_millis(self.policy.loan_hold_ms)
+    }
+
+    /// Starts nothing more on a loan from a peer. Its slots are returned at once or as their tasks end, so that the
+    /// lender does not start a task beside one that still runs, which the upstream would reject as busy.
+    pub(crate) fn close_borrowed(&mut self, id: u64) {
+        let Some(loan) = self.borrowed.get(&id) else { return };
+        for position in loan.upstreams.clone() {
+            if let Some(part) = self.table.upstreams[position].part(id) {
+                part.closed = true;
+                part.done += std::mem::take(&mut part.free);
+                part.min_free = 0;
+            }
+            self.refresh(position);
+        }
+    }
+
     /// Ends a loan from a peer. Tasks that still run on its slots stay counted at their upstreams.
     pub(crate) fn lapse_borrowed(&mut self, id: u64) {
         let Some(loan) = self.borrowed.remove(&id) else { return };
@@ -206,7 +233,7 @@
     /// Sums over the borrowed slots of a service whose loan has lapsed without the router having noticed yet.
     pub(crate) fn lapsed(&self, now: Instant, service: &ServiceId, count: impl Fn(&Part) -> u32) -> u32 {
         let ids = self.timers.due(now).filter_map(|timer| match timer {
-            Timer::BorrowLapses { loan } => Some(*loan),
+            Timer::BorrowCloses { loan } => Some(*loan),
             _ => None,
         });
         let loans = ids.filter_map(|id| Some((id, self.borrowed.get(&id)?)));
@@ -220,7 +247,7 @@
             .sum()
     }
 
-    /// Borrowed slots that were idle for a quarter of their duration, to be returned early.
+    /// Borrowed slots that were idle for a quarter of their duration or whose loan has closed, to be returned.
     pub fn idle_loans(&mut self, now: Instant) -> Vec<(InstanceId, LoanReturn)> {
         self.advance(now);
         self.return_slots(|part, duration| {
@@ -257,8 +284,9 @@
             for position in upstreams {
                 let Some(part) = self.table.upstreams[position].part(id) else { continue };
                 let count = idle(part, duration).min(part.free);
+                part.free -= count;
+                let count = count + std::mem::take(&mut part.done);
                 if count > 0 {
-                    part.free -= count;
                     part.total -= count;
                     slots.push(self.loan_slots((position, count)));
                     self.drop_empty_part(id, position);
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -241,7 +241,7 @@
         let upstream = &mut self.table.upstreams[position];
         upstream.running -= 1;
         if let Some(part) = loan.and_then(|loan| upstream.part(loan)) {
-            part.free += 1;
+            *(if part.closed { &mut part.done } else { &mut part.free }) += 1;
         }
         if let Some(busy) = upstream.busy.as_mut().filter(|_| ran) {
             busy.credit += 1;
@@ -262,6 +262,7 @@
     pub(crate) fn advance(&mut self, now: Instant) {
         while let Some(timer) = self.timers.pop(now) {
             match timer {
+                Timer::BorrowCloses { loan } => self.close_borrowed(loan),
                 Timer::BorrowLapses { loan } => self.lapse_borrowed(loan),
                 Timer::BusyEnds { upstream } => self.end_busy(now, upstream),
                 Timer::EjectionEnds { epoch, upstream } => {
@@ -307,7 +308,7 @@
     #[must_use]
     pub fn capacity(&self, now: Instant, service: &ServiceId) -> u32 {
         let offer = self.table.pool(service).map(|pool| pool.offer).unwrap_or_default();
-        offer.capacity.saturating_sub(self.lapsed(now, service, |part| part.total))
+        offer.capacity.saturating_sub(self.lapsed(now, service, |part| part.free))
     }
 
     /// Applies timers and reports changes of upstream health since the last call.
--- a/crates/route/src/timers.rs
+++ b/crates/route/src/timers.rs
@@ -9,6 +9,8 @@
 pub(crate) enum Timer {
     /// A busy upstream is tried again.
     BusyEnds { upstream: usize },
+    /// Nothing more may start on a loan from a peer.
+    BorrowCloses { loan: u64 },
     /// A loan from a peer lapses.
     BorrowLapses { loan: u64 },
     /// An ejection ends, unless the upstream has changed state since.
--- a/crates/route/src/upstream.rs
+++ b/crates/route/src/upstream.rs
@@ -24,6 +24,10 @@
 /// Slots that one loan holds at one upstream.
 #[derive(Clone, Debug)]
 pub(crate) struct Part {
+    /// Nothing more may start; slots are returned as their tasks end.
+    pub(crate) closed: bool,
+    /// Slots to be returned after the loan closed.
+    pub(crate) done: u32,
     pub(crate) free: u32,
     pub(crate) loan: u64,
     /// Least number of free slots since `window_start`.
@@ -110,8 +114,9 @@
             return Offer::default();
         }
         let led_slots = if self.led { self.slots() } else { 0 };
-        let (loan_free, loan_total) =
-            self.parts.iter().fold((0, 0), |(free, total), part| (free + part.free, total + part.total));
+        let loan_free: u32 = self.parts.iter().map(|part| part.free).sum();
+        // Slots of a closed loan count while their last task runs, since the task counts as running.
+        let loan_total: u32 = self.parts.iter().map(|part| part.total - part.done).sum();
         // A loan can outlast a move of leadership to this entry; its slots then count once, as borrowed.
         let led_free = led_slots.saturating_sub(self.used() + loan_free);
         let capacity = if self.led { led_slots.saturating_sub(self.lent) } else { loan_total };
