entry: close a connection whose answer names another task

Cause: a connection went back to the pool after any whole response. Once an upstream's answers are crossed on it, all later ones are too.

Change: send_matched keeps a connection only when the echoed task id, if there is one, is that of the request.

--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -69,6 +69,19 @@
         request: Request<Full<Bytes>>,
         time: Duration,
         max_bytes: usize,
+    ) -> Result<Response<Bytes>, SendError> {
+        self.send_matched(address, request, time, max_bytes, |_| true).await
+    }
+
+    /// Like [`Self::send`]; a connection whose response does not match its request is closed, because the responses
+    /// that follow would be crossed as well.
+    pub(crate) async fn send_matched(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        time: Duration,
+        max_bytes: usize,
+        is_match: impl FnOnce(&Response<Bytes>) -> bool,
     ) -> Result<Response<Bytes>, SendError> {
         let deadline = Instant::now() + time;
         let mut sender = self.connection(address).await?;
@@ -88,8 +101,11 @@
             Ok(Err(_)) => return Err(SendError::Lost),
             Ok(Ok(body)) => body.to_bytes(),
         };
-        self.put_back(address, sender);
-        Ok(Response::from_parts(parts, body))
+        let response = Response::from_parts(parts, body);
+        if is_match(&response) {
+            self.put_back(address, sender);
+        }
+        Ok(response)
     }
 
     /// Drops connections that the other side has closed or that have been idle for long.
--- a/crates/entry/src/upstreams.rs
+++ b/crates/entry/src/upstreams.rs
@@ -17,6 +17,8 @@
 use crate::connections::SendError;
 use crate::shared::{PreparedStart, Shared};
 
+/// Header with the id of a task, echoed in its answer.
+const TASK_ID: &str = "x-task-id";
 /// Time after the lease's end in which the upstream's own report may still arrive.
 const LEASE_GRACE: Duration = Duration::from_millis(500);
 /// Time for an upstream to confirm that it stops a task.
@@ -53,12 +55,17 @@
         .method(Method::POST)
         .uri("/tasks")
         .header(HOST, address.to_string())
-        .header("x-task-id", &task_id)
+        .header(TASK_ID, &task_id)
         .header("x-service", &*start.service)
         .header("x-lease-ms", start.timeout.as_millis().to_string());
     let Some(request) = with_body(request, Bytes::from(payload)) else { return TaskResult::NotSent };
     let time = start.timeout + LEASE_GRACE;
-    match shared.connections.send(address, request, time, shared.settings.max_result_bytes).await {
+    let max_bytes = shared.settings.max_result_bytes;
+    // Rejections and failures need not name the task; a name that differs is always a sign of crossed answers.
+    let is_match = |response: &Response<Bytes>| {
+        response.headers().get(TASK_ID).is_none_or(|echoed| echoed.as_bytes() == task_id.as_bytes())
+    };
+    match shared.connections.send_matched(address, request, time, max_bytes, is_match).await {
         Ok(response) => read_response(shared, &response, &task_id, &start.upstream),
         Err(SendError::NotSent) => TaskResult::NotSent,
         Err(SendError::Lost) => TaskResult::Lost,
@@ -85,7 +92,7 @@
         let detail: String = text.unwrap_or_default().chars().take(200).collect();
         return TaskResult::Failed(format!("status {}: {detail}", response.status().as_u16()));
     }
-    if header("x-task-id") != Some(task_id) {
+    if header(TASK_ID) != Some(task_id) {
         return drop_answer(shared, "the answer is for another task", upstream);
     }
     match text {
