entry: ask other peers when the one with the highest revision delivers nothing

Cause: the configuration was fetched only from the peer with the highest announced revision. A peer that cannot be reached, or that announces an absurd revision, hid all others.

Change: after a fetch that applied nothing, the next one asks a random peer with a higher revision than the own one.

--- a/crates/entry/src/loops.rs
+++ b/crates/entry/src/loops.rs
@@ -7,8 +7,10 @@
 use hinge_conf::empty_document;
 use hinge_dispatch::{Event, Lender};
 use hinge_member::{Members, Notice as MemberNotice};
+use hinge_store::Offered;
 use hinge_wire::{ConfigFetch, ConfigReply, InstanceId, InstanceState, LogEvent};
 use rand::Rng;
+use rand::seq::IteratorRandom;
 use serde::Serialize;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 
@@ -137,17 +139,28 @@
 
 /// Fetches configuration revisions that peers have and the store has not delivered.
 pub(crate) async fn follow_peer_config(shared: Arc<Shared>) {
+    let mut is_applied = true;
     loop {
         sleep(jittered(PEER_CONFIG_INTERVAL)).await;
-        if let Some(address) = config_source(&shared) {
-            fetch_peer_config(&shared, address).await;
+        // A peer with the highest revision that cannot deliver it must not hide the others.
+        let source = if is_applied { latest_source(&shared) } else { any_source(&shared) };
+        if let Some(address) = source {
+            is_applied = fetch_peer_config(&shared, address).await;
         }
     }
 }
 
+/// A random peer with a revision above the own one.
+fn any_source(shared: &Shared) -> Option<SocketAddr> {
+    let own_revision = shared.config.resolved().revision;
+    let members = lock(&shared.members);
+    let newer = members.peers().filter(|peer| peer.config_revision > own_revision);
+    newer.choose(&mut rand::rng())?.peer_address.parse().ok()
+}
+
 /// The peer with the highest revision above the own one. Without any configuration, also a ready peer at revision 0:
 /// it runs on the built-in defaults because no document was ever written.
-fn config_source(shared: &Shared) -> Option<SocketAddr> {
+fn latest_source(shared: &Shared) -> Option<SocketAddr> {
     let own_revision = shared.config.resolved().revision;
     let is_loaded = shared.config.status().loaded;
     let members = lock(&shared.members);
@@ -156,17 +169,17 @@
     newer.or_else(ready)?.peer_address.parse().ok()
 }
 
-async fn fetch_peer_config(shared: &Shared, address: SocketAddr) {
+/// True when the peer's configuration is in force.
+async fn fetch_peer_config(shared: &Shared, address: SocketAddr) -> bool {
     let above_revision = shared.config.resolved().revision;
     let time = shared.settings.peer_timeout;
     let reply: Result<ConfigReply, _> =
         call(shared, address, "/peer/v1/config", &ConfigFetch { above_revision }, time).await;
-    let Ok(reply) = reply else { return };
+    let Ok(reply) = reply else { return false };
     // A peer without a configuration rejects the request, so that revision 0 always means the empty document.
     let document = reply.document.or_else(|| (reply.revision == 0).then(empty_document));
-    if let Some(document) = document {
-        let _ = shared.config.offer_from_peer(reply.revision, document);
-    }
+    let offered = document.map(|document| shared.config.offer_from_peer(reply.revision, document));
+    offered == Some(Offered::Applied)
 }
 
 /// A random time around `time`, so that instances which start together do not call together.
--- a/crates/entry/tests/wiring.rs
+++ b/crates/entry/tests/wiring.rs
@@ -4,15 +4,20 @@
 
 mod support;
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use hinge_fakes::{ListControl, StoreControl, UpstreamFaults};
-use hinge_wire::{Answer, Class, ListEntry, TaskSpec, from_json};
+use hinge_wire::{
+    Answer, Class, Heartbeat, InstanceState, ListEntry, MemberInfo, TaskSpec, from_json, to_msgpack,
+};
 use support::{
-    Site, change, counter, exchange, http, keys, list_entry, request_bytes, start, state, submission, submit,
-    wait_state, wait_until,
+    Site, change, counter, exchange, http, keys, list_entry, peer, request_bytes, start, state, submission,
+    submit, wait_state, wait_until,
 };
-use tokio::time::{Instant, sleep};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Guards against a fresh instance that stays not ready because no configuration document was ever written.
 #[tokio::test]
@@ -205,3 +210,65 @@
     let cancel = exchange(entry.address(), &request_bytes("DELETE", &path, "", b"")).await.unwrap();
     assert!(cancel.text().contains(r#""ignored":1"#), "{}", cancel.text());
 }
+
+/// Guards against a connection that is used again after an answer for another task, so that all later answers on it are
+/// crossed as well.
+#[tokio::test]
+async fn a_connection_with_a_crossed_answer_is_not_used_again() {
+    let site = Site::start(1, 1).await;
+    let listener = support::listener().await;
+    let address = listener.local_addr().unwrap();
+    let connections = Arc::new(AtomicU32::new(0));
+    let accepted = connections.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            accepted.fetch_add(1, Ordering::Relaxed);
+            tokio::spawn(async move {
+                while let Ok(1..) = stream.read(&mut [0; 8192]).await {
+                    let answer = b"HTTP/1.1 200 OK\r\nx-task-id: other\r\ncontent-length: 4\r\n\r\ndone";
+                    stream.write_all(answer).await.unwrap();
+                }
+            });
+        }
+    });
+    site.publish(vec![list_entry("crossing", address, 1)]);
+    let entry = site.entry(|_| {}).await;
+    for _ in 0..3 {
+        let response = submit(&entry, &submission(Class::Booking, 1, 1)).await;
+        assert!(response.text().contains(r#""code":171"#), "{}", response.text());
+    }
+    assert_eq!(connections.load(Ordering::Relaxed), 3);
+}
+
+/// Guards against a peer that announces the highest revision, cannot deliver it and hides the peers that can.
+#[tokio::test]
+async fn a_peer_with_an_absurd_revision_does_not_hide_the_others() {
+    let site = Site::start(1, 2).await;
+    let first = site.entry(|_| {}).await;
+    change(&first, 0, r#"{"action":"set_default","setting":"claims_per_s","value":7}"#).await;
+    let mut flags = site.flags("entry-1");
+    (flags.store, flags.peers) = (None, Some(first.peer_address().to_string()));
+    flags.peer_timeout_ms = Some("200".into());
+    let second = start(&flags).await;
+    let silent = support::listener().await;
+    let from = MemberInfo {
+        config_revision: u64::MAX,
+        counter: 1,
+        data_centre: "dc1".into(),
+        free_slots: 0,
+        incarnation: 9,
+        instance: "entry-9".into(),
+        peer_address: silent.local_addr().unwrap().to_string(),
+        queued_tasks: 0,
+        state: InstanceState::Ready,
+    };
+    let mut heartbeat = Heartbeat { demand: Vec::new(), from, members: Vec::new(), target_incarnation: 0 };
+    let reached = timeout(support::LIMIT, async {
+        while state(&second).await["config_revision"] != 1 {
+            heartbeat.from.counter += 1;
+            peer(second.peer_address(), "/peer/v1/heartbeat", &to_msgpack(&heartbeat).unwrap()).await;
+            sleep(Duration::from_millis(200)).await;
+        }
+    });
+    assert!(reached.await.is_ok());
+}
