entry: do not wait for a change when fetching the first list

Cause: the first request asked for a change after version 0, so that a list that is at version 0 kept a fresh instance not ready for the ten seconds of a long poll. Found by reading; no test of its own.

Change: the first request does not wait.

--- a/crates/entry/src/platform_list.rs
+++ b/crates/entry/src/platform_list.rs
@@ -56,9 +56,12 @@
 }
 
 async fn fetch(shared: &Shared, address: SocketAddr, version: u64) -> Option<InstanceList> {
+    // The first list must not wait for a change: a platform without changes so far has version 0 too.
+    let is_first = lock(&shared.members).list_version().is_none();
+    let wait = if is_first { Duration::ZERO } else { LIST_WAIT };
     let request = Request::builder()
         .method(Method::GET)
-        .uri(format!("/instances?after={version}&wait_ms={}", LIST_WAIT.as_millis()))
+        .uri(format!("/instances?after={version}&wait_ms={}", wait.as_millis()))
         .header(HOST, address.to_string());
     let time = LIST_WAIT + shared.settings.peer_timeout;
     let request = with_body(request, Bytes::new())?;
