entry: log a configuration change once, and test the log events

Cause: event 1205 was logged by the configuration sync and by the operators' interface, also for an operation that had been applied before.

Change: the operators' interface logs it, with its author, when a revision was written.

Conclusion: a test with a logger counts the events 1000 to 1004, 1006, 1205, 1402 and 1501; it failed before and passes.

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -8,7 +8,7 @@
 use hinge_dispatch::{Dispatcher, Origin};
 use hinge_member::Members;
 use hinge_obs::{Metrics, MetricsError};
-use hinge_store::{Claims, ConfigSync, HttpStore, SyncEvent};
+use hinge_store::{Claims, ConfigSync, HttpStore, Source, SyncEvent};
 use hinge_wire::{Incarnation, InstanceState, LogEvent, MemberInfo};
 use rand::Rng;
 use serde::Serialize;
@@ -224,6 +224,10 @@
 }
 
 fn log_sync(event: &SyncEvent) {
+    // The operators' interface logs a change with its author.
+    if matches!(event, SyncEvent::Applied { source: Source::Change, .. }) {
+        return;
+    }
     hinge_obs::emit(event.log_event(), &SyncDetails::new(event));
 }
 
--- a/crates/entry/src/operators.rs
+++ b/crates/entry/src/operators.rs
@@ -75,6 +75,7 @@
 async fn change(shared: &Arc<Shared>, body: &[u8]) -> Result<HttpResponse, Rejection> {
     let request: ChangeRequest = from_json(body)?;
     match shared.config.change(&request).await {
+        Ok(reply) if reply.already_applied => Ok(ok(&reply)),
         Ok(reply) => {
             let details = ConfigChanged {
                 author: &request.author,
