entry: test stops that overtake their task and cancellations through another entry

Cause: the repeat of a stop was covered only by the wave of cancellations, where the race is a matter of chance.

Change: a scripted upstream that does not know the task at first; jobs cancelled through an entry that is not their owner.

--- a/crates/entry/tests/stopping.rs
+++ b/crates/entry/tests/stopping.rs
@@ -6,6 +6,7 @@
 
 use std::future::{pending, ready};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use hinge_entry::{Entry, StopReport};
@@ -222,3 +223,71 @@
     assert!(TcpStream::connect(address).await.is_err());
     assert!(begun.elapsed() < Duration::from_secs(30));
 }
+
+/// Guards against a request to stop that arrives before the task it is for and is not repeated.
+#[tokio::test]
+async fn a_stop_that_overtakes_its_task_is_repeated() {
+    let site = Site::start(0, 1).await;
+    let listener = support::listener().await;
+    let address = listener.local_addr().unwrap();
+    let stops = Arc::new(AtomicU32::new(0));
+    let received = stops.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let received = received.clone();
+            tokio::spawn(async move {
+                let mut buffer = [0; 8192];
+                // Tasks are never answered; stops are, the first two as unknown.
+                while let Ok(count @ 1..) = stream.read(&mut buffer).await {
+                    if buffer[..count].starts_with(b"DELETE ") {
+                        let is_known = received.fetch_add(1, Ordering::Relaxed) >= 2;
+                        let status = if is_known { "200 OK" } else { "404 Not Found" };
+                        let answer = format!("HTTP/1.1 {status}\r\ncontent-length: 0\r\n\r\n");
+                        stream.write_all(answer.as_bytes()).await.unwrap();
+                    }
+                }
+            });
+        }
+    });
+    site.publish(vec![support::list_entry("slow", address, 1)]);
+    let entry = site.entry(|_| {}).await;
+    let mut job = submission(Class::Batch, 1, 60_000);
+    job.key = keys(&entry, 1).await.pop();
+    let caller = spawn_submit(&entry, &job);
+    wait_state(&entry, "a running task", |state| state["running_tasks"] == 1).await;
+    http(entry.address(), "DELETE", &format!("/v1/submissions/{}", job.key.unwrap()), b"").await;
+    assert_eq!(answer(&caller.await.unwrap().unwrap()).code, 161);
+    wait_until("three stops", || stops.load(Ordering::Relaxed) == 3).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(stops.load(Ordering::Relaxed), 3);
+}
+
+/// Guards against cancellations through another entry that do not reach the owner, or that are counted twice.
+#[tokio::test]
+async fn cancellations_through_another_entry_stop_the_owners_tasks() {
+    let site = Site::start(1, 4).await;
+    let owner = site.entry(|_| {}).await;
+    let mut flags = site.flags("entry-1");
+    flags.peers = Some(owner.peer_address().to_string());
+    let other = start(&flags).await;
+    wait_until("readiness", || other.is_ready()).await;
+    wait_state(&other, "a known peer", |state| state["members"].as_array().unwrap().len() == 2).await;
+    let issued = keys(&owner, 4).await;
+    let mut callers = Vec::new();
+    for key in &issued[..3] {
+        let mut job = submission(Class::Batch, 2, 60_000);
+        job.key = Some(key.clone());
+        callers.push(spawn_submit(&owner, &job));
+    }
+    wait_state(&owner, "three jobs", |state| state["in_progress"] == 3).await;
+    let unknown = "dc9.entry-9.00000000000000aa.1".to_owned();
+    let listed = [issued, vec![unknown]].concat();
+    let body = serde_json::json!({ "keys": listed }).to_string();
+    let response = http(other.address(), "POST", "/v1/cancellations", body.as_bytes()).await;
+    let reply: CancelReply = from_json(&response.body).unwrap();
+    assert_eq!((reply.cancelled, reply.ignored), (3, 2));
+    for caller in callers {
+        assert!([160, 161].contains(&answer(&caller.await.unwrap().unwrap()).code));
+    }
+    wait_until("free slots", || site.running() == 0).await;
+}
