Issue keys while the invariant tests run, also to restarted entries

Cause: all keys were issued at the start, so that an incarnation which replaced a killed entry never owned work. Change: each submission takes its key when it is made. A resubmission that attaches to a rejection is checked to get that rejection again.

--- a/crates/dispatch/tests/support/checks.rs
+++ b/crates/dispatch/tests/support/checks.rs
@@ -37,6 +37,7 @@
     listed: FastMap<(ProcessId, UpstreamId), ListState>,
     pub(crate) lost_processes: FastSet<ProcessId>,
     not_run: FastSet<Body>,
+    rejections: FastSet<(ProcessId, Sequence)>,
     pub(crate) running: FastMap<ProcessId, FastMap<StartId, UpstreamId>>,
     pub(crate) violations: Vec<(Violation, String)>,
 }
@@ -60,8 +61,26 @@
         }
     }
 
-    pub(crate) fn rejected(&mut self, body: Body, code: ResultCode) {
+    /// A submission was taken, or attached to an earlier copy; `stored` is the answer when it has ended.
+    pub(crate) fn attached(&mut self, place: (ProcessId, Sequence), body: Body, stored: Option<&Answer>) {
+        if let Some(answer) = stored {
+            self.count("stored answers");
+            self.check_whole(body, answer);
+        }
+        if !self.rejections.contains(&place) {
+            self.accepted.entry(place).or_insert(body);
+        } else if !stored.is_some_and(|answer| promises_not_run(answer.outcome)) {
+            // A rejection is final for its key.
+            self.violated(Violation::AnsweredTwice, format!("{place:?} {stored:?}"));
+        }
+    }
+
+    pub(crate) fn rejected(&mut self, place: (ProcessId, Sequence), body: Body, code: ResultCode) {
         self.count("rejected");
+        // A rejection of another body under a key in use says nothing about the first one.
+        if promises_not_run(code.outcome()) && code != ResultCode::KeyReused {
+            self.rejections.insert(place);
+        }
         if promises_not_run(code.outcome()) {
             self.not_run.insert(body);
         }
--- a/crates/dispatch/tests/support/world.rs
+++ b/crates/dispatch/tests/support/world.rs
@@ -40,6 +40,7 @@
     Deliver { event: Event, process: ProcessId },
     Fault,
     Heartbeat,
+    IssueKey { owner: usize, submission: usize },
     LoanAsked { borrower: ProcessId, lender: usize, request: LoanRequest },
     Owned { body: Body, cancel: bool, owner: usize },
     Publish { state: Option<ListState>, upstream: usize },
@@ -69,7 +70,7 @@
 pub(crate) struct World<N> {
     base: Instant,
     pub(crate) entries: Vec<Entry<N>>,
-    keys: Vec<SubmissionKey>,
+    keys: Vec<Option<SubmissionKey>>,
     next_incarnation: u64,
     now: Duration,
     pub(crate) observed: Observed,
@@ -112,7 +113,7 @@
         let mut world = Self {
             base: Instant::now(),
             entries: Vec::new(),
-            keys: Vec::new(),
+            keys: vec![None; plan.submissions],
             next_incarnation: 1,
             now: Duration::ZERO,
             observed: Observed::default(),
@@ -146,10 +147,9 @@
         self.show_peers();
         for index in 0..self.plan.submissions {
             let owner = self.rng.random_range(0..self.plan.entries);
-            let key = self.entries[owner].node.issue(self.base);
-            self.keys.push(key);
             let at = BUSY.mul_f64(self.rng.random());
             let body = (index, 0);
+            self.at(at, Step::IssueKey { owner, submission: index });
             self.submit_at(at, body);
             for _ in 0..self.rng.random_range(0..3) {
                 let other = usize::from(self.rng.random_bool(0.1));
@@ -200,6 +200,7 @@
                 self.show_peers();
                 self.at(self.now + HEARTBEAT, Step::Heartbeat);
             }
+            Step::IssueKey { owner, submission } => self.issue(owner, submission),
             Step::Publish { state, upstream } => {
                 self.upstreams[upstream].listed = state;
                 for index in 0..self.entries.len() {
@@ -249,15 +250,26 @@
         }
     }
 
+    /// A caller gets a key from the entry, or from another one while this one does not answer.
+    fn issue(&mut self, owner: usize, submission: usize) {
+        let count = self.entries.len();
+        let answering = |index: &usize| !self.entries[*index].paused;
+        let Some(owner) = (owner..owner + count).map(|index| index % count).find(answering) else { return };
+        let now = self.time();
+        self.keys[submission] = Some(self.entries[owner].node.issue(now));
+    }
+
     /// An entry passes a request on to the owner of its key.
     fn forward(&mut self, body: Body, cancel: bool) {
+        let Some(key) = &self.keys[body.0] else { return };
         let live: Vec<bool> = self.entries.iter().map(|entry| !entry.paused).collect();
-        let owner = N::owner(&self.keys[body.0], &live);
+        let owner = N::owner(key, &live);
         self.after_ms(0, 5, Step::Owned { body, cancel, owner });
     }
 
     fn owned(&mut self, body: Body, cancel: bool, owner: usize) {
-        let (now, key) = (self.time(), self.keys[body.0].clone());
+        let Some(key) = self.keys[body.0].clone() else { return };
+        let now = self.time();
         let process = self.process(owner);
         if cancel {
             self.observed.count("cancellations");
@@ -267,13 +279,10 @@
         let submission = Arc::new(submission(body));
         match self.entries[owner].node.submit(now, &key, submission) {
             Ok(()) => {
-                self.observed.accepted.entry((process, key.sequence)).or_insert(body);
-                if let Some(answer) = self.entries[owner].node.stored_answer(now, &key) {
-                    self.observed.count("stored answers");
-                    self.observed.check_whole(body, &answer);
-                }
+                let stored = self.entries[owner].node.stored_answer(now, &key);
+                self.observed.attached((process, key.sequence), body, stored.as_ref());
             }
-            Err(code) => self.observed.rejected(body, code),
+            Err(code) => self.observed.rejected((process, key.sequence), body, code),
         }
         self.carry_out(owner);
     }
