--- a/crates/celeryhinge/tests/callers_page.rs
+++ b/crates/celeryhinge/tests/callers_page.rs
@@ -56,7 +56,7 @@
     let actual: Value = serde_json::from_slice(&actual).unwrap();
     assert_eq!(actual_status.to_string(), status, "{request}: {actual}");
     let expected: Value = serde_json::from_str(expected).unwrap();
-    compare(&expected, &actual, names).unwrap_or_else(|error| panic!("{request}: {error}"));
+    assert_eq!(compare(&expected, &actual, names), Ok(()), "{request}");
 }
 
 /// Guards against examples that no longer show what an entry does.
