Fetch keys from each entry in turn

The first entry asked was the number of calls modulo the number of entries. With a batch that is a multiple of that number (the default of 64 and 8 entries) every request for keys asked the same entry, which then owned all submissions of the client: with 4 entries and a batch of 256, /state showed one entry with 2,082 queued tasks and three with none. Requests for keys now have a counter of their own.

--- a/crates/client/src/calls.rs
+++ b/crates/client/src/calls.rs
@@ -92,11 +92,10 @@
         deadline: Instant,
         backoff: &mut Backoff,
     ) -> Result<(), ClientError> {
-        let mut entry = self.first_entry();
         loop {
             let fetch = async {
                 let _single = self.inner.refill.lock().await;
-                if self.inner.pool.len() > 0 { Ok(()) } else { self.fetch_keys(entry).await }
+                if self.inner.pool.len() > 0 { Ok(()) } else { self.fetch_keys(self.next_key_entry()).await }
             };
             let last = match timeout_at(deadline, fetch).await {
                 Ok(Ok(())) => return Ok(()),
@@ -104,7 +103,6 @@
                 Ok(Err(CallError::Passing(error))) => error,
                 Err(_) => return Err(unreachable("no keys before the deadline".to_owned())),
             };
-            entry = self.entry_after(entry);
             self.pause(backoff, deadline, last).await?;
         }
     }
@@ -121,7 +119,7 @@
                 && client.inner.pool.len() < few
             {
                 // A failure shows again when a submission finds the pool empty.
-                let _ = client.fetch_keys(client.first_entry()).await;
+                let _ = client.fetch_keys(client.next_key_entry()).await;
             }
         });
     }
--- a/crates/client/src/client.rs
+++ b/crates/client/src/client.rs
@@ -42,6 +42,9 @@
 pub(crate) struct Inner<T> {
     /// Calls so far; varies the first entry and the jitter.
     calls: AtomicU64,
+    /// Requests for keys so far; names the entry to ask. Counted apart from the calls, because a batch as large as a
+    /// multiple of the number of entries would have every request for keys ask the same entry.
+    key_requests: AtomicU64,
     pub(crate) pool: KeyPool,
     /// Held while keys are fetched, so that waiting submissions share one request.
     pub(crate) refill: tokio::sync::Mutex<()>,
@@ -73,6 +76,7 @@
     pub(crate) fn new(settings: Settings, transport: T) -> Self {
         let inner = Inner {
             calls: AtomicU64::new(settings.seed),
+            key_requests: AtomicU64::new(settings.seed),
             pool: KeyPool::default(),
             refill: tokio::sync::Mutex::new(()),
             settings,
@@ -203,6 +207,13 @@
         entries[usize::try_from(calls).unwrap_or_default() % entries.len()]
     }
 
+    /// Entry to ask for the next keys, each in turn, because the entry that issues a key owns the submission.
+    pub(crate) fn next_key_entry(&self) -> SocketAddr {
+        let entries = &self.inner.settings.entries;
+        let requests = self.inner.key_requests.fetch_add(1, Ordering::Relaxed);
+        entries[usize::try_from(requests % entries.len() as u64).unwrap_or_default()]
+    }
+
     /// Entry to ask after `entry` failed.
     pub(crate) fn entry_after(&self, entry: SocketAddr) -> SocketAddr {
         let entries = &self.inner.settings.entries;
--- a/crates/client/tests/rules.rs
+++ b/crates/client/tests/rules.rs
@@ -308,3 +308,21 @@
     assert_eq!(Client::builder().build_with(Script::default()).err(), Some(BuildError::NoEntry));
     assert_eq!(builder().key_batch(0).build_with(Script::default()).err(), Some(BuildError::KeyBatch));
 }
+
+/// Guards against a client that takes all its keys from one entry, which then owns all its submissions: a batch as large
+/// as a multiple of the number of entries made every request for keys ask the same one.
+#[tokio::test(start_paused = true)]
+async fn keys_come_from_all_entries_in_turn() {
+    let steps = (0..16).map(|_| complete()).collect();
+    let script = Script { steps: Arc::new(Mutex::new(steps)), ..Script::default() };
+    let builder = builder().entry(([127, 0, 0, 1], 7004).into());
+    let client = builder.build_with(script.clone()).unwrap();
+    for _ in 0..16 {
+        assert_eq!(client.submit(submission()).await.unwrap().outcome, Outcome::Complete);
+    }
+    let seen = script.seen.lock().unwrap();
+    let mut owners: Vec<_> = seen.iter().map(|seen| seen.key.split('.').nth(1).unwrap()).collect();
+    owners.sort_unstable();
+    owners.dedup();
+    assert_eq!(owners.len(), 4);
+}
