Report free slots of services without submissions

free_slots summed over the schedulers, which exist from the first submission of a service on. An entry that nobody had submitted to reported 0 free slots, so no peer asked it for a loan. It now sums over the services of the listed upstreams.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -8,8 +8,8 @@
 use hinge_route::{Need, RetryBudget, Router, Slot};
 use hinge_sched::{Estimates, QueuedTask, Quotas, Scheduler};
 use hinge_wire::{
-    Class, FastMap, LoanReply, LoanRequest, RackId, ResultCode, Sequence, ServiceId, StartId, Submission,
-    SubmissionKey, SubmissionStatus, TaskId, TeamDemand, TeamId, UpstreamInfo,
+    Class, FastMap, ListEntry, LoanReply, LoanRequest, RackId, ResultCode, Sequence, ServiceId, StartId,
+    Submission, SubmissionKey, SubmissionStatus, TaskId, TeamDemand, TeamId, UpstreamInfo,
 };
 use tokio::time::Instant;
 
@@ -40,6 +40,8 @@
     pub(crate) running: FastMap<StartId, Running>,
     pub(crate) running_tasks: FastMap<TaskId, StartId>,
     pub(crate) schedulers: FastMap<ServiceId, Scheduler>,
+    /// Services of the listed upstreams; an entry lends slots also for services that nobody has submitted to it.
+    pub(crate) services: Vec<ServiceId>,
     pub(crate) totals: Totals,
     pub(crate) weights: FastMap<TeamId, u32>,
 }
@@ -84,6 +86,7 @@
             running: FastMap::default(),
             running_tasks: FastMap::default(),
             schedulers: FastMap::default(),
+            services: Vec::new(),
             totals: Totals::default(),
             weights: FastMap::default(),
             ledger: Ledger::new(origin, policy),
@@ -147,7 +150,7 @@
             }
             Event::TaskEnded { result, run_time, start } => self.task_ended(now, start, result, run_time),
             Event::Tick => self.tick(now),
-            Event::Upstreams(upstreams) => self.router.set_upstreams(now, &upstreams),
+            Event::Upstreams(upstreams) => self.set_upstreams(now, &upstreams),
         }
         self.report_drained();
     }
@@ -165,7 +168,7 @@
     /// Free slots that could be lent, over all services.
     #[must_use]
     pub fn free_slots(&self, now: Instant) -> u32 {
-        self.schedulers.keys().map(|service| self.router.free_slots(now, service)).sum()
+        self.services.iter().map(|service| self.router.free_slots(now, service)).sum()
     }
 
     /// Queued tasks, over all services.
@@ -304,6 +307,16 @@
         }
     }
 
+    fn set_upstreams(&mut self, now: Instant, upstreams: &[ListEntry]) {
+        self.services.clear();
+        for upstream in upstreams {
+            if !self.services.iter().any(|service| **service == *upstream.service) {
+                self.services.push(upstream.service.as_str().into());
+            }
+        }
+        self.router.set_upstreams(now, upstreams);
+    }
+
     fn set_config(&mut self, policy: &Policy, quotas: FastMap<TeamId, u64>, weights: FastMap<TeamId, u32>) {
         self.policy = policy.clone();
         self.estimates.set_policy(policy);
