--- a/crates/load/src/http.rs
+++ b/crates/load/src/http.rs
@@ -27,6 +27,8 @@
 const COOL_DOWN: Duration = Duration::from_secs(15);
 /// Allowance for the network round trips of a submission and of a task on loopback.
 const ROUND_TRIP: Duration = Duration::from_millis(1);
+/// Small batches spread the load of this one client over the entries, as many callers do.
+const KEY_BATCH: u32 = 8;
 const CLIENT_THREADS: &str = "load-client";
 
 /// What to submit.
@@ -226,7 +228,7 @@
 }
 
 async fn submit_all(entries: Vec<SocketAddr>, options: Options) -> Result<Report, ClusterError> {
-    let mut builder = Client::builder().seed(options.seed).key_batch(256);
+    let mut builder = Client::builder().seed(options.seed).key_batch(KEY_BATCH);
     for entry in entries {
         builder = builder.entry(entry);
     }
