--- a/crates/load/src/live.rs
+++ b/crates/load/src/live.rs
@@ -134,7 +134,7 @@
     }
     cluster.abort();
     Ok(vec![
-        Row::new("entry: a submission over HTTP, half of them forwarded", "task", "µs", entry),
+        Row::new("entry: a submission over HTTP at its owner", "task", "µs", entry),
         Row::new("caller's client: a submission over HTTP", "task", "µs", client),
         Row::new("stand-ins of upstreams: the tasks of a submission", "task", "µs", fakes),
     ])
