Do not resend an unchanged value at the end of a watch

A watch that ended without a change returned the whole document: 45,597 bytes with 680 quotas and 200 exceptions, 1.5 KB/s per instance of the 17 KB/s that control may take. The stand-in now answers 204, which HttpStore::watch reads as the known revision without its value. 1.5 KB/s before, under 0.01 KB/s after, worked out from the document's size.

--- a/crates/fakes/src/http.rs
+++ b/crates/fakes/src/http.rs
@@ -217,6 +217,13 @@
     response
 }
 
+/// The response to a wait that ended without a change.
+pub(crate) fn unchanged_reply() -> Response<Reply> {
+    let mut response = Response::new(Reply::whole(Bytes::new()));
+    *response.status_mut() = StatusCode::NO_CONTENT;
+    response
+}
+
 /// A response with an explanation as JSON.
 pub(crate) fn error_reply(status: StatusCode, error: &str) -> Response<Reply> {
     json_reply(status, &ErrorBody { error })
--- a/crates/fakes/src/list.rs
+++ b/crates/fakes/src/list.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use crate::http::{Closed, Handler, Reply, error_reply, json_reply, query_number};
+use crate::http::{Closed, Handler, Reply, error_reply, json_reply, query_number, unchanged_reply};
 use crate::shared::{Shared, Wait};
 use crate::store::MAX_WAIT;
 use crate::store_server::{body, invalid};
@@ -131,12 +131,6 @@
     }
 }
 
-fn no_content() -> Response<Reply> {
-    let mut response = Response::new(Reply::whole(Bytes::new()));
-    *response.status_mut() = StatusCode::NO_CONTENT;
-    response
-}
-
 impl Handler for Shared<FakeList> {
     async fn handle(&self, request: Request<Bytes>) -> Result<Response<Reply>, Closed> {
         Ok(match (request.method(), request.uri().path()) {
@@ -146,7 +140,7 @@
                 let after = query_number(&request, "after");
                 let wait = Duration::from_millis(query_number(&request, "wait_ms").unwrap_or(0));
                 match self.instances(after.unwrap_or(u64::MAX), wait).await {
-                    Some(list) if after == Some(list.version) => no_content(),
+                    Some(list) if after == Some(list.version) => unchanged_reply(),
                     Some(list) => json_reply(StatusCode::OK, &list),
                     None => error_reply(StatusCode::SERVICE_UNAVAILABLE, "the list is down"),
                 }
--- a/crates/fakes/src/store_server.rs
+++ b/crates/fakes/src/store_server.rs
@@ -8,7 +8,9 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::http::{Closed, Handler, Reply, error_reply, json_reply, percent_decode, query_number};
+use crate::http::{
+    Closed, Handler, Reply, error_reply, json_reply, percent_decode, query_number, unchanged_reply,
+};
 use crate::shared::Shared;
 use crate::store::{FakeStore, StoreControl, StoreRefusal};
 
@@ -30,7 +32,10 @@
             (&Method::GET, "watch", key) if !key.is_empty() => {
                 let after = query_number(&request, "after").unwrap_or(0);
                 let wait = Duration::from_millis(query_number(&request, "wait_ms").unwrap_or(0));
-                reply(self.watch(key, after, wait).await)
+                match self.watch(key, after, wait).await {
+                    Ok(value) if value.revision == after => Ok(unchanged_reply()),
+                    result => reply(result),
+                }
             }
             (&Method::POST, "leases", "") => match body::<LeaseGrant>(&request) {
                 Ok(grant) => reply(self.grant_lease(&grant).await),
--- a/crates/fakes/tests/http.rs
+++ b/crates/fakes/tests/http.rs
@@ -56,6 +56,8 @@
     let watched =
         send(&server, Method::GET, "/watch/config/current?after=0&wait_ms=60000", "").await.unwrap();
     assert_eq!(from_json::<StoreValue>(watched.body().as_bytes()).unwrap().value, "one");
+    let unchanged = send(&server, Method::GET, "/watch/config/current?after=1&wait_ms=1", "").await.unwrap();
+    assert_eq!((unchanged.status(), unchanged.body().as_str()), (StatusCode::NO_CONTENT, ""));
     let granted = send(&server, Method::POST, "/leases", r#"{"ttl_ms": 60000}"#).await.unwrap();
     let lease = from_json::<LeaseReply>(granted.body().as_bytes()).unwrap().lease;
     let renewed = send(&server, Method::POST, &format!("/leases/{lease}/renew"), "").await.unwrap();
--- a/crates/store/src/http_store.rs
+++ b/crates/store/src/http_store.rs
@@ -107,9 +107,9 @@
             .map_err(|error| StoreError::Invalid(error.to_string()))
     }
 
-    async fn read(&self, path: &str, wait: Duration) -> Result<StoreValue, StoreError> {
+    async fn read(&self, path: &str) -> Result<StoreValue, StoreError> {
         let request = self.request(Method::GET, path, Vec::new())?;
-        let (status, body) = self.call(Effect::Read, request, wait).await?;
+        let (status, body) = self.call(Effect::Read, request, Duration::ZERO).await?;
         match status {
             StatusCode::OK => decode_value(Effect::Read, &body),
             _ => Err(rejected(Effect::Read, status)),
@@ -120,7 +120,7 @@
 impl Store for HttpStore {
     async fn get(&self, key: &str) -> Result<StoreValue, StoreError> {
         check_key(key)?;
-        self.read(&format!("/kv/{key}"), Duration::ZERO).await
+        self.read(&format!("/kv/{key}")).await
     }
 
     async fn put(&self, key: &str, put: &StorePut) -> Result<StoreValue, StoreError> {
@@ -143,7 +143,15 @@
 
     async fn watch(&self, key: &str, after: u64, wait: Duration) -> Result<StoreValue, StoreError> {
         check_key(key)?;
-        self.read(&format!("/watch/{key}?after={after}&wait_ms={}", wait.as_millis()), wait).await
+        let path = format!("/watch/{key}?after={after}&wait_ms={}", wait.as_millis());
+        let (status, body) =
+            self.call(Effect::Read, self.request(Method::GET, &path, Vec::new())?, wait).await?;
+        match status {
+            StatusCode::OK => decode_value(Effect::Read, &body),
+            // Unchanged; the value is not sent again.
+            StatusCode::NO_CONTENT => Ok(StoreValue { revision: after, value: String::new() }),
+            _ => Err(rejected(Effect::Read, status)),
+        }
     }
 
     async fn grant_lease(&self, ttl: Duration) -> Result<LeaseReply, StoreError> {
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -46,7 +46,8 @@
     /// Writes a key when it has the expected revision.
     fn put(&self, key: &str, put: &StorePut) -> impl Future<Output = Result<StoreValue, StoreError>> + Send;
 
-    /// Waits until the key's revision differs from `after`, at most for `wait`, and reads the key.
+    /// Waits until the key's revision differs from `after`, at most for `wait`, and reads the key. The value may be left
+    /// out when the revision is still `after`.
     fn watch(
         &self,
         key: &str,
