--- a/crates/load/src/http.rs
+++ b/crates/load/src/http.rs
@@ -34,6 +34,8 @@
 /// What to submit.
 #[derive(Clone, Debug)]
 pub struct Options {
+    /// Whether keys come from the first entry and submissions go to the second, which forwards them.
+    pub forwarded: bool,
     /// Share of each class in percent of the submissions, in the order of [`Class::ALL`].
     pub mix: [u32; Class::COUNT],
     /// Submissions per second.
@@ -55,13 +57,31 @@
     #[must_use]
     pub fn uniform(tasks: u32) -> Self {
         let mix = if tasks == 1 { [100, 0, 0, 0] } else { [0, 0, 0, 100] };
-        Self { mix, rate: 100.0, run_ms: (5, 5), seconds: 1.0, seed: 1, tasks: (tasks, tasks), teams: 680 }
+        Self {
+            forwarded: false,
+            mix,
+            rate: 100.0,
+            run_ms: (5, 5),
+            seconds: 1.0,
+            seed: 1,
+            tasks: (tasks, tasks),
+            teams: 680,
+        }
     }
 
     /// The mix of the design: urgent requests, bookings, queries and jobs.
     #[must_use]
     pub fn mixed(rate: f64, seconds: f64, seed: u64) -> Self {
-        Self { mix: [50, 25, 20, 5], rate, run_ms: (50, 500), seconds, seed, tasks: (10, 110), teams: 680 }
+        Self {
+            forwarded: false,
+            mix: [50, 25, 20, 5],
+            rate,
+            run_ms: (50, 500),
+            seconds,
+            seed,
+            tasks: (10, 110),
+            teams: 680,
+        }
     }
 }
 
@@ -227,12 +247,17 @@
     Ok(report)
 }
 
+fn client(entries: &[SocketAddr], seed: u64) -> Result<Client, ClusterError> {
+    let builder = Client::builder().seed(seed).key_batch(KEY_BATCH);
+    Ok(entries.iter().fold(builder, |builder, entry| builder.entry(*entry)).build()?)
+}
+
 async fn submit_all(entries: Vec<SocketAddr>, options: Options) -> Result<Report, ClusterError> {
-    let mut builder = Client::builder().seed(options.seed).key_batch(KEY_BATCH);
-    for entry in entries {
-        builder = builder.entry(entry);
-    }
-    let client = builder.build()?;
+    let (owners, receivers) = match entries.split_first() {
+        Some((first, rest)) if options.forwarded => (vec![*first], rest),
+        _ => (entries.clone(), &entries[..]),
+    };
+    let (owner, client) = (client(&owners, options.seed)?, client(receivers, options.seed)?);
     let arrivals = arrivals(&options);
     let count = arrivals.len();
     let (sender, mut ends) = mpsc::unbounded_channel();
@@ -240,7 +265,8 @@
     for arrival in arrivals {
         sleep_until(start + arrival.at).await;
         let (client, sender) = (client.clone(), sender.clone());
-        tokio::spawn(async move { drop(sender.send(submit(&client, arrival).await)) });
+        let owner = options.forwarded.then(|| owner.clone());
+        tokio::spawn(async move { drop(sender.send(submit(&client, owner, arrival).await)) });
     }
     drop(sender);
     let mut report = Report {
@@ -258,9 +284,13 @@
     Ok(report)
 }
 
-async fn submit(client: &Client, arrival: Arrival) -> Ended {
+/// Submits under a key of `owner`, else under one of the client's own keys.
+async fn submit(client: &Client, owner: Option<Client>, arrival: Arrival) -> Ended {
     let begun = Instant::now();
-    let Arrival { longest, submission, .. } = arrival;
+    let Arrival { longest, mut submission, .. } = arrival;
+    if let Some(owner) = owner {
+        submission.key = owner.take_key().await.ok();
+    }
     let (class, tasks) = (submission.class, submission.tasks.len());
     let options = SubmitOptions { deadline: COOL_DOWN, ..SubmitOptions::default() };
     let answer: Result<Answer, ClientError> = client.submit_with(submission, &options, |_| {}).await;
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -42,15 +42,26 @@
     pub idle_seconds: f64,
     /// Factor of repetitions and sizes.
     pub scale: f64,
+    /// Time in which an idle cluster settles before it is measured.
+    pub settle_seconds: f64,
     /// Entries that start at once.
     pub starts: [usize; 2],
     /// Time of each run over HTTP.
     pub task_seconds: f64,
+    /// Time in which the store's calls are watched after a start, in an outage and after it.
+    pub watched_seconds: f64,
 }
 
 impl Default for Plan {
     fn default() -> Self {
-        Self { idle_seconds: 60.0, scale: 1.0, starts: [8, 32], task_seconds: 4.0 }
+        Self {
+            idle_seconds: 60.0,
+            scale: 1.0,
+            settle_seconds: 3.0,
+            starts: [8, 32],
+            task_seconds: 3.0,
+            watched_seconds: 4.0,
+        }
     }
 }
 
@@ -63,17 +74,18 @@
     // First, while the process is small.
     memory::rows(plan.scale).iter().for_each(&mut print);
     print(&live::connection_row()?);
+    let settle = Duration::from_secs_f64(plan.settle_seconds);
     let idle = [
-        Idle::start("idle-a", 2, 36)?,
-        Idle::start("idle-b", 2, 360)?,
-        Idle::start("idle-c", 8, 360)?,
-        Idle::start("idle-d", 16, 360)?,
+        Idle::start("idle-a", 2, 36, settle)?,
+        Idle::start("idle-b", 2, 360, settle)?,
+        Idle::start("idle-c", 8, 360, settle)?,
+        Idle::start("idle-d", 16, 360, settle)?,
     ];
     let begun = Instant::now();
     decisions::rows(plan.scale).iter().for_each(&mut print);
     live::task_rows(plan.task_seconds)?.iter().for_each(&mut print);
     live::wire_rows()?.iter().for_each(&mut print);
-    live::store_rows(plan.starts)?.iter().for_each(&mut print);
+    live::store_rows(plan.starts, Duration::from_secs_f64(plan.watched_seconds))?.iter().for_each(&mut print);
     let idle_time = Duration::from_secs_f64(plan.idle_seconds);
     std::thread::sleep(idle_time.saturating_sub(begun.elapsed()));
     live::idle_rows(&idle).iter().for_each(&mut print);
--- a/crates/load/src/live.rs
+++ b/crates/load/src/live.rs
@@ -16,10 +16,7 @@
 use crate::slope::Row;
 use crate::usage::{resident_bytes, threads_time};
 
-/// Time in which a cluster settles after its start.
-const SETTLE: Duration = Duration::from_secs(3);
-/// Time in which a start or a return of the store is watched.
-const WATCHED: Duration = Duration::from_secs(4);
+const MICROS: &str = "µs";
 const SECOND: Duration = Duration::from_secs(1);
 
 /// An idle cluster that is measured while other measurements run.
@@ -46,12 +43,17 @@
     /// # Errors
     ///
     /// Fails when the cluster does not start.
-    pub(crate) fn start(name: &str, entries: usize, upstreams: usize) -> Result<Self, ClusterError> {
+    pub(crate) fn start(
+        name: &str,
+        entries: usize,
+        upstreams: usize,
+        settle: Duration,
+    ) -> Result<Self, ClusterError> {
         let shape = Shape { entries, entry_threads: 1, listed_only: upstreams, slots: 8, upstreams: 0 };
         let resident = resident_bytes();
         let cluster = Cluster::start(name, shape, &document(680, 200))?;
         cluster.wait_ready()?;
-        thread::sleep(SETTLE);
+        thread::sleep(settle);
         let memory_bytes = resident_bytes() - resident;
         cluster.platform.store.update(|store| store.control(&StoreControl::ResetCounts {}));
         let before = cluster.entries_time();
@@ -119,25 +121,38 @@
     let cluster = Cluster::start("task", shape, &document(680, 200))?;
     cluster.wait_ready()?;
     thread::sleep(SECOND);
-    let (mut entry, mut client, mut fakes) = (Vec::new(), Vec::new(), Vec::new());
-    for tasks in [1, 10, 110] {
-        let options = Options { rate: 1000.0 / f64::from(tasks).sqrt(), seconds, ..Options::uniform(tasks) };
+    let [entry, client, fakes] = task_points(&cluster, &[1, 10, 110], seconds, false)?;
+    let [forwarded, ..] = task_points(&cluster, &[1, 10, 110], seconds, true)?;
+    cluster.abort();
+    Ok(vec![
+        Row::new("entry: a submission over HTTP at its owner", "task", MICROS, entry),
+        Row::new("entries: a submission over HTTP that one forwards to its owner", "task", MICROS, forwarded),
+        Row::new("caller's client: a submission over HTTP", "task", MICROS, client),
+        Row::new("stand-ins of upstreams: the tasks of a submission", "task", MICROS, fakes),
+    ])
+}
+
+/// Processor time of entries, client and stand-ins per submission with a number of tasks.
+fn task_points(
+    cluster: &Cluster,
+    sizes: &[u32],
+    seconds: f64,
+    forwarded: bool,
+) -> Result<[Vec<(f64, f64)>; 3], ClusterError> {
+    let mut points: [Vec<(f64, f64)>; 3] = Default::default();
+    for tasks in sizes {
+        let rate = 1000.0 / f64::from(*tasks).sqrt();
+        let options = Options { forwarded, rate, seconds, ..Options::uniform(*tasks) };
         let before = [cluster.entries_time(), threads_time("task-fake")];
         let report = run_on(&cluster.addresses(), &options)?;
-        let after = [cluster.entries_time(), threads_time("task-fake")];
+        let entries = cluster.entries_time() - before[0];
+        let fakes = threads_time("task-fake") - before[1];
         let submissions = report.complete().max(1) as f64;
-        let micros = |time: Duration| time.as_secs_f64() * 1e6 / submissions;
-        let size = f64::from(tasks);
-        entry.push((size, micros(after[0] - before[0])));
-        client.push((size, micros(report.client_time)));
-        fakes.push((size, micros(after[1] - before[1])));
+        for (points, time) in points.iter_mut().zip([entries, report.client_time, fakes]) {
+            points.push((f64::from(*tasks), time.as_secs_f64() * 1e6 / submissions));
+        }
     }
-    cluster.abort();
-    Ok(vec![
-        Row::new("entry: a submission over HTTP at its owner", "task", "µs", entry),
-        Row::new("caller's client: a submission over HTTP", "task", "µs", client),
-        Row::new("stand-ins of upstreams: the tasks of a submission", "task", "µs", fakes),
-    ])
+    Ok(points)
 }
 
 /// Store calls of a change, a start of all entries at once and a return of the store.
@@ -145,45 +160,46 @@
 /// # Errors
 ///
 /// Fails when a cluster does not start.
-pub(crate) fn store_rows(sizes: [usize; 2]) -> Result<Vec<Row>, ClusterError> {
+pub(crate) fn store_rows(sizes: [usize; 2], watched: Duration) -> Result<Vec<Row>, ClusterError> {
     let mut points: [Vec<(f64, f64)>; 5] = Default::default();
     for entries in sizes {
         let shape = Shape { entries, entry_threads: 1, listed_only: 36, slots: 8, upstreams: 0 };
         let cluster = Cluster::start("store", shape, &document(680, 200))?;
-        let (all, peak) = watch_calls(&cluster);
+        let (all, peak) = watch_calls(&cluster, watched);
         cluster.wait_ready()?;
         let figures = [all, peak, calls_per_change(&cluster)];
         cluster.platform.store.update(|store| store.control(&StoreControl::Down { times: None }));
-        let (down, _) = watch_calls(&cluster);
+        let (down, _) = watch_calls(&cluster, watched);
         cluster.platform.store.update(|store| store.control(&StoreControl::Clear {}));
-        let (_, peak_back) = watch_calls(&cluster);
+        let (_, peak_back) = watch_calls(&cluster, watched);
         cluster.abort();
-        let figures = [figures[0], figures[1], figures[2], down / WATCHED.as_secs_f64(), peak_back];
+        let figures = [figures[0], figures[1], figures[2], down / watched.as_secs_f64(), peak_back];
         for (points, figure) in points.iter_mut().zip(figures) {
             points.push((entries as f64, figure));
         }
     }
     let [all, peak, change, down, back] = points;
     Ok(vec![
-        Row::new("store calls in the first four seconds after a start at once", "entry", "calls", all),
+        Row::new("store calls in the watched time after a start at once", "entry", "calls", all),
         Row::new("store calls in the fullest second after a start at once", "entry", "calls/s", peak),
         Row::new("store calls of one configuration change", "entry", "calls", change),
-        Row::new("store calls per second in the first four seconds of an outage", "entry", "calls/s", down),
+        Row::new("store calls per second in the watched time of an outage", "entry", "calls/s", down),
         Row::new("store calls in the fullest second after the store's return", "entry", "calls/s", back),
     ])
 }
 
 /// Calls in the watched time, and in its fullest second.
-fn watch_calls(cluster: &Cluster) -> (f64, f64) {
+fn watch_calls(cluster: &Cluster, watched: Duration) -> (f64, f64) {
     const STEP: Duration = Duration::from_millis(50);
     cluster.platform.store.update(|store| store.control(&StoreControl::ResetCounts {}));
-    let steps = (WATCHED.as_millis() / STEP.as_millis()) as usize;
+    let steps = (watched.as_millis() / STEP.as_millis()) as usize;
     let mut totals = vec![0.0];
     for _ in 0..steps {
         thread::sleep(STEP);
         totals.push(calls(&counts(cluster)));
     }
     let window = (SECOND.as_millis() / STEP.as_millis()) as usize;
+    let window = window.min(steps);
     let peak = totals.windows(window + 1).map(|part| part[window] - part[0]).fold(0.0, f64::max);
     (totals.last().copied().unwrap_or(0.0), peak)
 }
--- a/crates/load/tests/slopes.rs
+++ b/crates/load/tests/slopes.rs
@@ -25,7 +25,14 @@
 /// Guards against a measurement that fails or prints nothing, which would leave a gap in the page.
 #[test]
 fn every_row_is_printed_at_tiny_sizes() {
-    let plan = Plan { idle_seconds: 0.0, scale: 0.001, starts: [1, 2], task_seconds: 0.1 };
+    let plan = Plan {
+        idle_seconds: 0.0,
+        scale: 0.001,
+        settle_seconds: 0.0,
+        starts: [1, 2],
+        task_seconds: 0.1,
+        watched_seconds: 0.1,
+    };
     let mut rows: Vec<Row> = Vec::new();
     slopes(&plan, |row| rows.push(row.clone())).unwrap();
     let columns = Row::head().lines().next().unwrap().matches('|').count();
@@ -48,6 +55,7 @@
         ("heartbeat on the wire", "peer"),
         ("configuration document", "team quota"),
         ("entry: a submission over HTTP", "task"),
+        ("entries: a submission over HTTP that one forwards", "task"),
         ("caller's client", "task"),
         ("store calls of one configuration change", "entry"),
         ("store calls in the fullest second after a start", "entry"),
@@ -57,7 +65,7 @@
     for (name, unit) in wanted {
         assert!(rows.iter().any(|row| row.name.starts_with(name) && row.unit == unit), "{name} per {unit}");
     }
-    assert_eq!(rows.len(), 41);
+    assert_eq!(rows.len(), 42);
 }
 
 /// Guards against a load tool that loses submissions or reports a class as empty.
