--- a/crates/entry/src/loops.rs
+++ b/crates/entry/src/loops.rs
@@ -86,8 +86,12 @@
 
 fn update_members(shared: &Arc<Shared>) {
     let now = Instant::now();
-    let (free_slots, queued, demand) = shared
-        .decide(|dispatcher, now| (dispatcher.free_slots(now), dispatcher.queued(), dispatcher.demand(now)));
+    // Demand counts as reported once it is asked for, and each report makes all quota rates be computed again.
+    let is_due = lock(&shared.members).heartbeat_is_due(now);
+    let (free_slots, queued, demand) = shared.decide(|dispatcher, now| {
+        let demand = if is_due { dispatcher.demand(now) } else { Vec::new() };
+        (dispatcher.free_slots(now), dispatcher.queued(), demand)
+    });
     let mut notices = Vec::new();
     let (outgoing, event) = {
         let mut members = lock(&shared.members);
--- a/crates/entry/src/platform_list.rs
+++ b/crates/entry/src/platform_list.rs
@@ -8,7 +8,7 @@
 use hinge_dispatch::Event;
 use hinge_wire::{FastSet, InstanceKind, InstanceList, ListEntry, LogEvent, from_json, is_valid_id};
 use hyper::header::HOST;
-use hyper::{Method, Request};
+use hyper::{Method, Request, StatusCode};
 use serde::Serialize;
 use tokio::time::{Instant, sleep};
 
@@ -33,14 +33,14 @@
 
 /// Keeps the platform's list in force, with one waiting call at a time.
 pub(crate) async fn follow(shared: Arc<Shared>, address: SocketAddr) {
-    let mut version = 0;
+    let mut version = None;
     let mut backoff = LIST_BACKOFF;
     loop {
         match fetch(&shared, address, version).await {
-            Some(list) => {
+            Some(answer) => {
                 backoff = LIST_BACKOFF;
-                if list.version != version || lock(&shared.members).list_version().is_none() {
-                    version = list.version;
+                if let Some(list) = answer.filter(|list| version != Some(list.version)) {
+                    version = Some(list.version);
                     apply(&shared, list);
                 }
                 sleep(LIST_PAUSE).await;
@@ -55,21 +55,25 @@
     }
 }
 
-async fn fetch(shared: &Shared, address: SocketAddr, version: u64) -> Option<InstanceList> {
+/// The list after `version`, `Some(None)` when it has not changed, or `None` when it cannot be had.
+async fn fetch(shared: &Shared, address: SocketAddr, version: Option<u64>) -> Option<Option<InstanceList>> {
     // The first list must not wait for a change: a platform without changes so far has version 0 too.
-    let is_first = lock(&shared.members).list_version().is_none();
-    let wait = if is_first { Duration::ZERO } else { LIST_WAIT };
+    let wait_ms = LIST_WAIT.as_millis();
+    let query = version.map(|version| format!("?after={version}&wait_ms={wait_ms}")).unwrap_or_default();
     let request = Request::builder()
         .method(Method::GET)
-        .uri(format!("/instances?after={version}&wait_ms={}", wait.as_millis()))
+        .uri(format!("/instances{query}"))
         .header(HOST, address.to_string());
     let time = LIST_WAIT + shared.settings.peer_timeout;
     let request = with_body(request, Bytes::new())?;
     let response = shared.connections.send(address, request, time, MAX_LIST_BYTES).await.ok()?;
+    if response.status() == StatusCode::NO_CONTENT {
+        return Some(None);
+    }
     if !response.status().is_success() {
         return None;
     }
-    from_json(response.body()).ok()
+    from_json(response.body()).ok().map(Some)
 }
 
 fn apply(shared: &Arc<Shared>, mut list: InstanceList) {
--- a/crates/fakes/tests/http.rs
+++ b/crates/fakes/tests/http.rs
@@ -56,6 +56,8 @@
     let watched =
         send(&server, Method::GET, "/watch/config/current?after=0&wait_ms=60000", "").await.unwrap();
     assert_eq!(from_json::<StoreValue>(watched.body().as_bytes()).unwrap().value, "one");
+    let unchanged = send(&server, Method::GET, "/watch/config/current?after=1&wait_ms=1", "").await.unwrap();
+    assert_eq!((unchanged.status(), unchanged.body().as_str()), (StatusCode::NO_CONTENT, ""));
     let granted = send(&server, Method::POST, "/leases", r#"{"ttl_ms": 60000}"#).await.unwrap();
     let lease = from_json::<LeaseReply>(granted.body().as_bytes()).unwrap().lease;
     let renewed = send(&server, Method::POST, &format!("/leases/{lease}/renew"), "").await.unwrap();
@@ -102,6 +104,8 @@
     let list = send(&server, Method::GET, "/instances?after=0&wait_ms=60000", "").await.unwrap();
     let list: InstanceList = from_json(list.body().as_bytes()).unwrap();
     assert_eq!((list.version, list.entries.len()), (1, 1));
+    let unchanged = send(&server, Method::GET, "/instances?after=1&wait_ms=1", "").await.unwrap();
+    assert_eq!((unchanged.status(), unchanged.body().as_str()), (StatusCode::NO_CONTENT, ""));
     server.shutdown().await;
 }
 
