Let a draining entry ask for loans

Cause: a draining entry leads no upstreams and asked for no loans, so that what it had queued waited until drain_timeout and was lost. Change: the exception for draining entries is removed.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -299,7 +299,8 @@
     }
 
     fn request_loans(&mut self, now: Instant, service: &ServiceId) {
-        if !self.policy.loans_enabled || self.draining {
+        // A draining entry leads no upstreams, so that its queued work depends on loans.
+        if !self.policy.loans_enabled {
             return;
         }
         let Some(scheduler) = self.schedulers.get(service) else { return };
