Settle a definite submission when another process answers for its owner

Cause: an entry that had not yet seen its peer's old incarnation end forwarded the submission to the new process and turned the rejection into OWNER_GONE, 'may have run', without reading the claim. Change: that case is settled by the claim as for an owner that is known to be gone.

--- a/crates/entry/src/submissions.rs
+++ b/crates/entry/src/submissions.rs
@@ -35,10 +35,17 @@
         match self.owner(&key) {
             Owner::Own => self.submit_here(&key, submission, wait).await,
             Owner::Peer { address, incarnation } => {
+                let definite = submission.definite;
                 let request =
                     ForwardRequest { submission, target_incarnation: incarnation, wait_ms: as_millis(wait) };
                 self.metrics.count("submissions_forwarded", 1);
-                self.ask_owner(address, "/peer/v1/forward", &request, wait).await
+                match self.ask_owner(address, "/peer/v1/forward", &request, wait).await {
+                    // Another process answers at the owner's address.
+                    Err(rejection) if rejection.code == ResultCode::OwnerGone => {
+                        self.settle(&key, definite).await
+                    }
+                    answer => answer,
+                }
             }
             Owner::Gone => self.settle(&key, submission.definite).await,
             Owner::Unknown => Err(unreachable()),
