--- a/crates/celeryhinge/tests/failures.rs
+++ b/crates/celeryhinge/tests/failures.rs
@@ -76,6 +76,14 @@
     assert_eq!(http(cluster.upstreams[upstream].address(), "POST", "/control", &body).0, 200);
 }
 
+/// Waits until the store holds the outcome of a definite submission.
+fn wait_for_outcome(cluster: &Cluster, key: &str) {
+    wait_until("the outcome in the store", || {
+        let (_, body) = http(cluster.platform.address(), "GET", &format!("/kv/claims/{key}"), b"");
+        String::from_utf8_lossy(&body).contains("outcome")
+    });
+}
+
 /// Fails when a payload was started twice.
 fn assert_started_once(cluster: &Cluster) -> Vec<String> {
     let started = cluster.started_payloads();
@@ -178,11 +186,7 @@
         let answer = send(cluster.entries[0].address(), &definite);
         assert_eq!(answer.results, [result], "{answer:?}");
         // The write of the outcome comes after the answer; the next fault must not hit it.
-        let path = format!("/kv/claims/{key}");
-        wait_until("the outcome in the store", || {
-            let (_, body) = http(cluster.platform.address(), "GET", &path, b"");
-            String::from_utf8_lossy(&body).contains("outcome")
-        });
+        wait_for_outcome(&cluster, key);
     }
     assert_eq!(assert_started_once(&cluster).len(), 4);
 }
@@ -192,12 +196,60 @@
 fn slow_store_delays_only_definite_submissions() {
     let cluster = Cluster::start(1, 1);
     let keys = keys(&cluster.entries[0], 2);
-    control_store(&cluster, &StoreControl::Slow { delay_ms: 600, times: None });
-    let definite = Submission { definite: true, ..keyed(&keys[0], Class::Booking, &[payload(10, "slow")]) };
-    let caller = send_in_thread(&cluster.entries[0], &definite);
-    let answer = send(cluster.entries[0].address(), &keyed(&keys[1], Class::Urgent, &[payload(10, "fast")]));
-    assert_eq!(answer.results, ["fast"]);
-    assert_eq!(caller.join().unwrap().results, ["slow"]);
+    let entry = cluster.entries[0].address();
+    // Below the entry's limit for a call; a claim takes three calls.
+    control_store(&cluster, &StoreControl::Slow { delay_ms: 1500, times: None });
+    let definite = Submission {
+        definite: true,
+        wait_ms: Some(0),
+        ..keyed(&keys[0], Class::Booking, &[payload(10, "slow")])
+    };
+    assert_eq!(http(entry, "POST", "/v1/submissions", &to_json(&definite).unwrap()).0, 202);
+    let fast = payload(10, "fast");
+    assert_eq!(send(entry, &keyed(&keys[1], Class::Urgent, std::slice::from_ref(&fast))).results, ["fast"]);
+    assert_eq!(cluster.started_payloads(), [fast]);
+    assert_eq!(send(entry, &Submission { wait_ms: None, ..definite }).results, ["slow"]);
+    assert_eq!(assert_started_once(&cluster).len(), 2);
+}
+
+/// Guards against a false "not run", and against one that is never given, when the owner of definite submissions is
+/// killed while the store is down.
+#[test]
+fn definite_submissions_of_a_killed_owner_are_settled_by_their_claims() {
+    let mut cluster = Cluster::start(2, 1);
+    let keys = keys(&cluster.entries[0], 3);
+    let definite = |index: usize, run_ms| {
+        let payloads = [payload(run_ms, &format!("definite-{index}"))];
+        Submission { definite: true, ..keyed(&keys[index], Class::Booking, &payloads) }
+    };
+    let owner = cluster.entries[0].address();
+    assert_eq!(send(owner, &definite(0, 10)).results, ["definite-0"]);
+    wait_for_outcome(&cluster, &keys[0]);
+    let running = Submission { wait_ms: Some(0), ..definite(1, 2000) };
+    assert_eq!(http(owner, "POST", "/v1/submissions", &to_json(&running).unwrap()).0, 202);
+    wait_until("the second start", || cluster.started_payloads().len() == 2);
+    control_store(&cluster, &StoreControl::Down { times: None });
+    cluster.entries[0].kill();
+    let other = cluster.entries[1].address();
+    for (index, run_ms) in [(0, 10), (1, 2000), (2, 10)] {
+        let reply = send(other, &definite(index, run_ms));
+        assert_eq!(reply.outcome, Outcome::FailedMayHaveRun, "{reply:?}");
+    }
+    control_store(&cluster, &StoreControl::Clear {});
+    cluster.entries[0] = cluster.start_entry("entry-0", &[]);
+    cluster.publish_list();
+    wait_ready(cluster.entries[0].address());
+    let settled = [ResultCode::AnswerEvicted, ResultCode::OwnerGone, ResultCode::OwnerGoneNotRun];
+    for entry in &cluster.entries {
+        for (index, (run_ms, code)) in [10, 2000, 10].into_iter().zip(settled).enumerate() {
+            wait_until("settlement", || {
+                let reply = send(entry.address(), &definite(index, run_ms));
+                // Only the submission that never reached its owner may be said not to have run.
+                assert!(index == 2 || reply.outcome != Outcome::FailedNotRun, "{reply:?}");
+                reply.is(code)
+            });
+        }
+    }
     assert_eq!(assert_started_once(&cluster).len(), 2);
 }
 
@@ -362,6 +414,21 @@
     assert_eq!(cluster.entries[1].wait(), 0);
 }
 
+/// Guards against a planned stop that drops work whose caller asks for the answer later.
+#[test]
+fn planned_stop_finishes_work_without_a_waiting_caller() {
+    let mut cluster = Cluster::start(2, 1);
+    let key = keys(&cluster.entries[0], 1).remove(0);
+    let (payloads, _) = job("unattended", 30, 200);
+    let job = Submission { wait_ms: Some(0), ..keyed(&key, Class::Batch, &payloads) };
+    let body = to_json(&job).unwrap();
+    assert_eq!(http(cluster.entries[0].address(), "POST", "/v1/submissions", &body).0, 202);
+    cluster.entries[0].signal("TERM");
+    // Status 0 says that nothing was lost.
+    assert_eq!(cluster.entries[0].wait(), 0);
+    assert_eq!(assert_started_once(&cluster).len(), 30);
+}
+
 /// Guards against a planned stop that cannot be cut short, or that hides what it lost.
 #[test]
 fn second_signal_ends_a_drain() {
