--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -4,7 +4,7 @@
 //! work through the callers' client, checks every answer and stops the entries as planned. The binary `hinge-demo`
 //! prints the resulting [`Report`] and exits with status 0 when every answer was as expected.
 //!
-//! ```
+//! ```no_run
 //! use hinge_demo::{Options, run};
 //!
 //! # #[tokio::main]
