route: give every entry an even part within one upstream

Cause: in the tenfold urgent flood of the Barfani deployment bookings of two of eight entries waited up to 7.6 s while the others waited 0.1 s. The bound of the division was one rounded-up part for every entry, so that 19 upstreams on three entries could be divided 7, 7 and 5; two entries' booking shares were then as small as their load. The test used 240 upstreams, which every number of entries divides, and could not see it. Change: the rounded-down part, and one upstream more for as many entries as the rest needs. The test divides 241 upstreams; it fails on the former code (79 led by one of three entries).

--- a/crates/route/src/rendezvous.rs
+++ b/crates/route/src/rendezvous.rs
@@ -38,7 +38,7 @@
 
 /// Divides upstreams among entries: position of each upstream with the index of its leader, none without entries.
 ///
-/// Every entry leads at most an even part of the slots, rounded up to whole upstreams. Within that bound the pairs of
+/// Every entry leads an even part of the slots, within one upstream. Within that bound the pairs of
 /// the greatest rendezvous weight win, so that a change of membership moves few upstreams, and every entry that sees
 /// the same members and upstreams computes the same division. Plain rendezvous hashing gave one of three entries a
 /// third of the upstreams of another, and its queue grew while the others had free slots.
@@ -46,7 +46,7 @@
     if candidates.is_empty() {
         return upstreams.iter().map(|one| (one.position, None)).collect();
     }
-    let mut room = vec![even_part(candidates.len(), upstreams); candidates.len()];
+    let mut room = Room::new(candidates.len(), upstreams);
     let mut pairs = Vec::with_capacity(candidates.len() * upstreams.len());
     for (index, upstream) in upstreams.iter().enumerate() {
         for (entry, candidate) in candidates.iter().enumerate() {
@@ -60,21 +60,47 @@
     let mut leaders = vec![None; upstreams.len()];
     for (_, upstream, entry) in pairs {
         let slots = upstreams[upstream].slots;
-        if leaders[upstream].is_none() && room[entry] >= slots {
+        if leaders[upstream].is_none() && room.take(entry, slots) {
             leaders[upstream] = Some(entry);
-            room[entry] -= slots;
         }
     }
-    assign_rest(&mut leaders, &mut room, candidates, upstreams);
+    assign_rest(&mut leaders, &mut room.slots, candidates, upstreams);
     upstreams.iter().zip(leaders).map(|(one, leader)| (one.position, leader)).collect()
 }
 
-/// Slots that each entry may lead: an even part, plus one upstream because upstreams are not divided.
-fn even_part(entries: usize, upstreams: &[Led]) -> u32 {
-    let total: u64 = upstreams.iter().map(|one| u64::from(one.slots)).sum();
-    let largest = upstreams.iter().map(|one| one.slots).max().unwrap_or_default().max(1);
-    let even = u32::try_from(total.div_ceil(entries as u64)).unwrap_or(u32::MAX);
-    even.div_ceil(largest).saturating_mul(largest)
+/// Slots that each entry may still lead: an even part in whole upstreams, and one more upstream for as many entries as
+/// it takes to lead them all.
+struct Room {
+    extra_slots: u32,
+    extras_left: u64,
+    has_extra: Vec<bool>,
+    slots: Vec<u32>,
+}
+
+impl Room {
+    fn new(entries: usize, upstreams: &[Led]) -> Self {
+        let total: u64 = upstreams.iter().map(|one| u64::from(one.slots)).sum();
+        let largest = upstreams.iter().map(|one| one.slots).max().unwrap_or_default().max(1);
+        let even = total / entries as u64 / u64::from(largest) * u64::from(largest);
+        let rest = total - even * entries as u64;
+        Self {
+            extra_slots: largest,
+            extras_left: rest.div_ceil(u64::from(largest)),
+            has_extra: vec![false; entries],
+            slots: vec![u32::try_from(even).unwrap_or(u32::MAX); entries],
+        }
+    }
+
+    fn take(&mut self, entry: usize, slots: u32) -> bool {
+        if self.slots[entry] < slots && self.extras_left > 0 && !self.has_extra[entry] {
+            self.extras_left -= 1;
+            self.has_extra[entry] = true;
+            self.slots[entry] += self.extra_slots;
+        }
+        let fits = self.slots[entry] >= slots;
+        self.slots[entry] -= if fits { slots } else { 0 };
+        fits
+    }
 }
 
 /// Gives upstreams that fit nowhere, because sizes differ, to the entries with the most room.
--- a/crates/route/tests/leadership.rs
+++ b/crates/route/tests/leadership.rs
@@ -9,7 +9,8 @@
 use proptest::test_runner::{Config, RngSeed};
 use tokio::time::Instant;
 
-const COUNT: usize = 240;
+/// Divisible by no number of entries above one, so that an uneven rest shows.
+const COUNT: usize = 241;
 
 fn leaders(router: &Router) -> Vec<String> {
     router.describe().into_iter().map(|upstream| upstream.leader).collect()
