--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,8 +1,10 @@
 //! Command line of the bench.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use hinge_bench::plots;
 use hinge_bench::policy_report::{self, ReportOptions};
 use hinge_conf::Policy;
 use hinge_wire::SettingValue;
@@ -30,6 +32,9 @@
     /// seed of the workload
     #[argh(option, default = "1")]
     seed: u64,
+    /// folder for the plots; none are written without it
+    #[argh(option)]
+    plots: Option<PathBuf>,
     /// policy setting that differs from its default, as name=value; may be repeated
     #[argh(option)]
     set: Vec<String>,
@@ -54,7 +59,14 @@
         }
     }
     let options = ReportOptions { duration_s: args.duration_s, only: args.only, policy, seed: args.seed };
-    print!("{}", policy_report::build(&options));
+    let results = policy_report::run_all(&options);
+    print!("{}", policy_report::tables(&results));
+    if let Some(folder) = args.plots
+        && let Err(error) = plots::write_all(&folder, &results)
+    {
+        eprintln!("{error}");
+        return ExitCode::FAILURE;
+    }
     ExitCode::SUCCESS
 }
 
--- a/crates/bench/src/policy_report.rs
+++ b/crates/bench/src/policy_report.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use hinge_conf::Policy;
+use hinge_dispatch::Totals;
 use hinge_wire::Class;
 use tokio::time::Instant;
 
 use crate::driver::{self, shortest_path};
 use crate::fleet::{BARFANI, COOPERATIVE, Shape};
 use crate::naive;
-use crate::recorder::{ClassFigures, Record, figures};
+use crate::recorder::{ClassFigures, Record, figures, work_by_team};
 use crate::scenario::Scenario;
 use crate::workload::{Arrival, Flood, WorkloadSpec, generate, standard_mix};
 
@@ -35,18 +36,52 @@
     pub seed: u64,
 }
 
-/// Runs all scenarios in both deployments and returns a Markdown page.
+/// Figures of one version in one scenario.
+#[derive(Clone, Debug)]
+pub struct VersionFigures {
+    /// Figures of the classes, most urgent first.
+    pub classes: Vec<ClassFigures>,
+    /// Completed work of the batch class by team, in slot seconds.
+    pub team_work_s: Vec<f64>,
+    /// Name of the version.
+    pub version: &'static str,
+    /// Messages that advanced no task, per start.
+    pub wasted_per_start: f64,
+}
+
+/// Both versions in one scenario.
+#[derive(Clone, Debug)]
+pub struct ScenarioFigures {
+    /// Deployment and scenario.
+    pub name: String,
+    /// Counters of the dispatcher.
+    pub totals: Totals,
+    /// The versions.
+    pub versions: [VersionFigures; 2],
+}
+
+/// Runs all scenarios in both deployments.
 #[must_use]
-pub fn build(options: &ReportOptions) -> String {
-    let mut page = String::new();
+pub fn run_all(options: &ReportOptions) -> Vec<ScenarioFigures> {
+    let mut results = Vec::new();
     for shape in [BARFANI, COOPERATIVE] {
         for scenario in scenarios(options, &shape) {
             let name = format!("{}, {}", shape.name, scenario.name);
             if name.contains(&options.only) {
-                run(&mut page, &name, &scenario);
+                results.push(run(name, &scenario));
             }
         }
     }
+    results
+}
+
+/// Markdown tables of the results.
+#[must_use]
+pub fn tables(results: &[ScenarioFigures]) -> String {
+    let mut page = String::new();
+    for result in results {
+        write_table(&mut page, result);
+    }
     page
 }
 
@@ -81,11 +116,37 @@
     ]
 }
 
-fn run(page: &mut String, name: &str, scenario: &Scenario) {
+fn run(name: String, scenario: &Scenario) -> ScenarioFigures {
     let arrivals = generate(&scenario.workload);
     let (real, totals) = driver::run(scenario, &arrivals, Instant::now());
     let naive = naive::run(scenario, &arrivals);
-    let _ = writeln!(page, "## {name}\n");
+    let versions = [
+        version_figures("celeryhinge", scenario, &arrivals, &real),
+        version_figures("naive", scenario, &arrivals, &naive),
+    ];
+    ScenarioFigures { name, totals, versions }
+}
+
+fn version_figures(
+    version: &'static str,
+    scenario: &Scenario,
+    arrivals: &[Arrival],
+    record: &Record,
+) -> VersionFigures {
+    let part = |part: f64| Duration::from_secs_f64(scenario.workload.duration_s * part);
+    let window = (part(WINDOW_PARTS.0), part(WINDOW_PARTS.1));
+    let path = shortest_path(&scenario.shape);
+    VersionFigures {
+        classes: Class::ALL.map(|class| figures(arrivals, record, class, window, path)).to_vec(),
+        team_work_s: work_by_team(arrivals, record, Class::Batch, window, TEAMS),
+        version,
+        wasted_per_start: record.messages.wasted as f64 / record.messages.starts.max(1) as f64,
+    }
+}
+
+fn write_table(page: &mut String, result: &ScenarioFigures) {
+    let ScenarioFigures { name, totals, versions } = result;
+    let _ = writeln!(page, "### {name}\n");
     let _ = writeln!(
         page,
         "Starts {}, busy rejections {}, loan requests {} of which empty {}, retries {}.\n",
@@ -96,24 +157,36 @@
          median, 99%, 99.9% | response ms: median, 99%, 99.9% | wasted messages per start |\n\
          |---|---|---|---|---|---|---|---|---|---|\n",
     );
-    write_rows(page, "celeryhinge", scenario, &arrivals, &real);
-    write_rows(page, "naive", scenario, &arrivals, &naive);
+    for version in versions {
+        write_rows(page, version);
+    }
+    for VersionFigures { team_work_s, version, .. } in versions {
+        let mut work = team_work_s.clone();
+        work.sort_by(f64::total_cmp);
+        let total: f64 = work.iter().sum();
+        let largest = work.last().copied().unwrap_or_default() / total.max(1.0) * 100.0;
+        let _ = writeln!(page, "\nBatch work, {version}: the largest of {TEAMS} teams got {largest:.0}%.");
+    }
     page.push('\n');
 }
 
-fn write_rows(page: &mut String, version: &str, scenario: &Scenario, arrivals: &[Arrival], record: &Record) {
-    let part = |part: f64| Duration::from_secs_f64(scenario.workload.duration_s * part);
-    let window = (part(WINDOW_PARTS.0), part(WINDOW_PARTS.1));
-    let wasted = record.messages.wasted as f64 / record.messages.starts.max(1) as f64;
-    for class in Class::ALL {
-        let row = figures(arrivals, record, class, window, shortest_path(&scenario.shape));
+fn write_rows(page: &mut String, figures: &VersionFigures) {
+    let VersionFigures { classes, version, wasted_per_start, .. } = figures;
+    for row in classes {
         let ClassFigures {
-            complete, complete_work_s, failed, ratio, rejected, response_ms, unanswered, ..
+            class,
+            complete,
+            complete_work_s,
+            failed,
+            ratio,
+            rejected,
+            response_ms,
+            unanswered,
         } = row;
         let _ = writeln!(
             page,
             "| {version} | {class} | {complete} | {rejected} | {failed} | {unanswered} | {complete_work_s:.0} | \
-             {:.2}, {:.2}, {:.2} | {:.0}, {:.0}, {:.0} | {wasted:.3} |",
+             {:.2}, {:.2}, {:.2} | {:.0}, {:.0}, {:.0} | {wasted_per_start:.3} |",
             ratio[0], ratio[1], ratio[2], response_ms[0], response_ms[1], response_ms[2]
         );
     }
