--- a/crates/bench/src/driver.rs
+++ b/crates/bench/src/driver.rs
@@ -315,7 +315,6 @@
 
     /// Shows an entry what the heartbeats of its data centre's other entries would have said by now.
     fn send_peer_view(&mut self, entry: usize) {
-        let now = self.now();
         self.entries[entry].heartbeats += 1;
         let data_centre = self.entries[entry].data_centre;
         let peers: Vec<usize> =
@@ -327,7 +326,7 @@
             .filter(|peer| **peer != entry)
             .map(|peer| Lender {
                 counter,
-                free_slots: self.entries[*peer].dispatcher.free_slots(now),
+                free_slots: self.entries[*peer].dispatcher.free_slots(),
                 incarnation: *peer as u64 + 1,
                 instance: self.entries[*peer].instance.clone(),
             })
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -57,6 +57,7 @@
 mod dispatcher;
 mod event;
 mod loans;
+mod placement;
 mod submit;
 mod tasks;
 
--- a/crates/dispatch/tests/lending.rs
+++ b/crates/dispatch/tests/lending.rs
@@ -13,10 +13,10 @@
     let origin = Origin { data_centre: "dc1".into(), incarnation: 1, instance: "entry-0".into() };
     let mut dispatcher = Dispatcher::new(origin, &Policy::default(), 1);
     dispatcher.handle(now, Event::Peers { leaders: vec!["entry-0".into()], lenders: Vec::new(), listed: 2 });
-    let upstreams = ["deicing", "fuelling"].map(|service| ListEntry {
+    let upstreams = [("a", "fuelling"), ("b", "fuelling"), ("c", "deicing")].map(|(id, service)| ListEntry {
         address: "127.0.0.1:9000".to_owned(),
         data_centre: "dc1".to_owned(),
-        id: format!("up-{service}"),
+        id: id.to_owned(),
         kind: InstanceKind::Upstream,
         memory_mb: 32_000,
         peer_address: String::new(),
@@ -26,12 +26,12 @@
         state: ListState::Live,
     });
     dispatcher.handle(now, Event::Upstreams(upstreams.to_vec()));
-    // Of the 8 slots of a service, the reserve of 10% keeps one.
-    assert_eq!(dispatcher.free_slots(now), 14);
-    dispatcher.handle(now, Event::Upstreams(upstreams[..1].to_vec()));
-    assert_eq!(dispatcher.free_slots(now), 7);
+    // The reserve of 10% keeps 2 of the 16 slots of one service and 1 of the 8 slots of the other.
+    assert_eq!(dispatcher.free_slots(), 21);
+    dispatcher.handle(now, Event::Upstreams(upstreams[2..].to_vec()));
+    assert_eq!(dispatcher.free_slots(), 7);
     assert_eq!(lent(&mut dispatcher, now), 7);
-    assert_eq!(dispatcher.free_slots(now), 0);
+    assert_eq!(dispatcher.free_slots(), 0);
 }
 
 /// Slots that the entry lends to a peer that asks for more than it has.
--- a/crates/dispatch/tests/support/node.rs
+++ b/crates/dispatch/tests/support/node.rs
@@ -21,7 +21,7 @@
     fn cancel(&mut self, now: Instant, key: &SubmissionKey);
     fn handle(&mut self, now: Instant, event: Event);
     fn lend(&mut self, now: Instant, request: &LoanRequest) -> LoanReply;
-    fn free_slots(&self, now: Instant) -> u32;
+    fn free_slots(&self) -> u32;
     fn submission(&self, sequence: Sequence) -> Option<Arc<Submission>>;
     fn stored_answer(&self, now: Instant, key: &SubmissionKey) -> Option<Answer>;
     fn actions(&mut self) -> Vec<Action>;
@@ -59,8 +59,8 @@
         Self::lend(self, now, request)
     }
 
-    fn free_slots(&self, now: Instant) -> u32 {
-        Self::free_slots(self, now)
+    fn free_slots(&self) -> u32 {
+        Self::free_slots(self)
     }
 
     fn submission(&self, sequence: Sequence) -> Option<Arc<Submission>> {
@@ -215,7 +215,7 @@
         LoanReply { duration_ms: 0, loan: 0, slots: Vec::new() }
     }
 
-    fn free_slots(&self, _: Instant) -> u32 {
+    fn free_slots(&self) -> u32 {
         0
     }
 
--- a/crates/dispatch/tests/support/world.rs
+++ b/crates/dispatch/tests/support/world.rs
@@ -443,10 +443,9 @@
             let peers: Vec<usize> = (0..self.entries.len()).filter(seen).collect();
             let leads = |peer: &&usize| !draining(&self.entries[**peer]);
             let leaders = peers.iter().filter(leads).map(|peer| entry_name(*peer)).collect();
-            let now = self.time();
             let lender = |peer: &usize| Lender {
                 counter: self.now.as_millis() as u64,
-                free_slots: self.entries[*peer].node.free_slots(now),
+                free_slots: self.entries[*peer].node.free_slots(),
                 incarnation: self.entries[*peer].incarnation,
                 instance: entry_name(*peer),
             };
--- a/crates/entry/src/loops.rs
+++ b/crates/entry/src/loops.rs
@@ -90,7 +90,7 @@
     let is_due = lock(&shared.members).heartbeat_is_due(now);
     let (free_slots, queued, demand) = shared.decide(|dispatcher, now| {
         let demand = if is_due { dispatcher.demand(now) } else { Vec::new() };
-        (dispatcher.free_slots(now), dispatcher.queued(), demand)
+        (dispatcher.free_slots(), dispatcher.queued(), demand)
     });
     let mut notices = Vec::new();
     let (outgoing, event) = {
--- a/crates/entry/tests/stopping.rs
+++ b/crates/entry/tests/stopping.rs
@@ -12,7 +12,7 @@
 use hinge_entry::{Entry, StopReport};
 use hinge_wire::{Answer, CancelReply, Class, Submission, from_json, to_json};
 use support::{
-    Response, Site, assert_no_panics, exchange, http, keys, request_bytes, start, state, submission, submit,
+    Response, Site, assert_no_panics, exchange, http, keys, request_bytes, state, submission, submit,
     wait_state, wait_until,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -147,11 +147,7 @@
 async fn an_entry_that_drains_beside_others_finishes_its_queue() {
     let site = Site::start(2, 1).await;
     let entry = site.entry(|_| {}).await;
-    let mut flags = site.flags("entry-1");
-    flags.peers = Some(entry.peer_address().to_string());
-    let other = start(&flags).await;
-    wait_until("readiness", || other.is_ready()).await;
-    wait_state(&entry, "a known peer", |state| state["members"].as_array().unwrap().len() == 2).await;
+    let other = site.peer_of(&entry).await;
     let caller = spawn_submit(&entry, &submission(Class::Batch, 12, 100));
     wait_until("the first start", || site.starts() > 0).await;
     let report = entry.drain(pending()).await;
@@ -267,11 +263,7 @@
 async fn cancellations_through_another_entry_stop_the_owners_tasks() {
     let site = Site::start(1, 4).await;
     let owner = site.entry(|_| {}).await;
-    let mut flags = site.flags("entry-1");
-    flags.peers = Some(owner.peer_address().to_string());
-    let other = start(&flags).await;
-    wait_until("readiness", || other.is_ready()).await;
-    wait_state(&other, "a known peer", |state| state["members"].as_array().unwrap().len() == 2).await;
+    let other = site.peer_of(&owner).await;
     let issued = keys(&owner, 4).await;
     let mut callers = Vec::new();
     for key in &issued[..3] {
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -81,6 +81,18 @@
         entry
     }
 
+    /// A second entry; both know each other when it is returned.
+    pub(crate) async fn peer_of(&self, entry: &Entry) -> Entry {
+        let mut flags = self.flags("entry-1");
+        flags.peers = Some(entry.peer_address().to_string());
+        let peer = start(&flags).await;
+        wait_until("readiness", || peer.is_ready()).await;
+        for one in [entry, &peer] {
+            wait_state(one, "a known peer", |state| state["members"].as_array().unwrap().len() == 2).await;
+        }
+        peer
+    }
+
     pub(crate) fn starts(&self) -> u64 {
         self.upstreams.iter().map(|upstream| upstream.state.update(|state| state.starts(0).total)).sum()
     }
--- a/crates/entry/tests/wiring.rs
+++ b/crates/entry/tests/wiring.rs
@@ -54,11 +54,7 @@
 async fn a_forwarded_answer_may_be_larger_than_a_result() {
     let site = Site::start(1, 4).await;
     let owner = site.entry(|_| {}).await;
-    let mut flags = site.flags("entry-1");
-    flags.peers = Some(owner.peer_address().to_string());
-    let other = start(&flags).await;
-    wait_until("readiness", || other.is_ready()).await;
-    wait_state(&other, "a known peer", |state| state["members"].as_array().unwrap().len() == 2).await;
+    let other = site.peer_of(&owner).await;
     let result = "r".repeat(900_000);
     let payload = format!(r#"{{"run_ms":1,"result":"{result}"}}"#);
     let mut body = submission(Class::Query, 0, 0);
