--- a/crates/celeryhinge/src/lib.rs
+++ b/crates/celeryhinge/src/lib.rs
@@ -8,7 +8,36 @@
 //! - [`dispatch`]: the decision code that an entry instance drives, without I/O.
 //! - [`ledger`], [`sched`], [`route`], [`member`]: its parts, for use on their own.
 //! - [`store`], [`conf`]: the platform's key-value store and the operators' configuration.
+//! - [`ctl`]: the operators' program `hingectl` as a library.
 //! - [`obs`], [`wire`]: logs, metrics, messages and result codes.
+//!
+//! An entry and a caller in one program:
+//!
+//! ```no_run
+//! use celeryhinge::client::Client;
+//! use celeryhinge::conf::{EntrySettings, Flags};
+//! use celeryhinge::entry::Entry;
+//! use celeryhinge::wire::{Submission, from_json};
+//!
+//! # async fn run() -> Result<(), Box<dyn std::error::Error>> {
+//! let flags = Flags {
+//!     instance: Some("entry-1".into()),
+//!     data_centre: Some("dc1".into()),
+//!     store: Some("127.0.0.1:7000".into()),
+//!     list: Some("127.0.0.1:7001".into()),
+//!     ..Flags::default()
+//! };
+//! let entry = Entry::start(EntrySettings::from_flags(&flags, |_| None)?).await?;
+//!
+//! let client = Client::builder().entry(entry.address()).build()?;
+//! let submission: Submission = from_json(
+//!     br#"{"service": "deicing", "team": "apron-a", "class": "urgent", "tasks": [{"payload": "truck 7"}]}"#,
+//! )?;
+//! let answer = client.submit(submission).await?;
+//! println!("{}: {:?}", answer.outcome, answer.results);
+//! # Ok(())
+//! # }
+//! ```
 
 pub use hinge_client as client;
 pub use hinge_conf as conf;
