Give the binaries typed errors and share the bench's run loop

Both bench drivers repeated the loop up to the end of a run; the queue and the scenario now hold it.

--- a/crates/bench/src/clock.rs
+++ b/crates/bench/src/clock.rs
@@ -43,9 +43,9 @@
         self.at(self.now + delay, event);
     }
 
-    /// The next event; moves the time to it.
-    pub fn next_event(&mut self) -> Option<T> {
-        let scheduled = self.heap.pop()?;
+    /// The next event that is not after `end`; moves the time to it.
+    pub fn next_event_until(&mut self, end: Duration) -> Option<T> {
+        let scheduled = self.heap.pop().filter(|scheduled| scheduled.at <= end)?;
         self.now = scheduled.at;
         Some(scheduled.event)
     }
--- a/crates/bench/src/driver.rs
+++ b/crates/bench/src/driver.rs
@@ -19,8 +19,6 @@
 use crate::workload::Arrival;
 
 const TICK: Duration = Duration::from_millis(50);
-/// Time after the last arrival in which submissions may still end.
-const COOL_DOWN: Duration = Duration::from_secs(30);
 /// Keys that each entry hands out at a time.
 const KEYS: u32 = 1000;
 
@@ -79,11 +77,7 @@
 pub fn run(scenario: &Scenario, arrivals: &[Arrival], base: Instant) -> (Record, Totals) {
     let mut driver = Driver::new(scenario, arrivals, base);
     driver.start();
-    let end = Duration::from_secs_f64(scenario.workload.duration_s) + COOL_DOWN;
-    while let Some(step) = driver.queue.next_event() {
-        if driver.queue.now() > end {
-            break;
-        }
+    while let Some(step) = driver.queue.next_event_until(scenario.end()) {
         driver.step(step);
     }
     driver.finish()
--- a/crates/bench/src/naive.rs
+++ b/crates/bench/src/naive.rs
@@ -21,7 +21,6 @@
 const RETRY_DELAY_LIMIT: Duration = Duration::from_secs(1);
 /// Attempts of a failing task.
 const ATTEMPTS: u32 = 3;
-const COOL_DOWN: Duration = Duration::from_secs(30);
 /// Time after which a task without an answer counts as failed.
 const TASK_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -80,11 +79,7 @@
         scenario,
     };
     driver.start();
-    let end = Duration::from_secs_f64(scenario.workload.duration_s) + COOL_DOWN;
-    while let Some(step) = driver.queue.next_event() {
-        if driver.queue.now() > end {
-            break;
-        }
+    while let Some(step) = driver.queue.next_event_until(scenario.end()) {
         driver.step(step);
     }
     Record { ended: driver.ended, messages: driver.messages }
--- a/crates/bench/src/scenario.rs
+++ b/crates/bench/src/scenario.rs
@@ -7,6 +7,9 @@
 use crate::fleet::{Behaviour, Shape};
 use crate::workload::WorkloadSpec;
 
+/// Time after the last arrival in which submissions may still end.
+const COOL_DOWN: Duration = Duration::from_secs(30);
+
 /// A change of one upstream's behaviour during a run.
 #[derive(Clone, Copy, Debug)]
 pub struct Fault {
@@ -34,3 +37,11 @@
     /// Workload.
     pub workload: WorkloadSpec,
 }
+
+impl Scenario {
+    /// Virtual time at which a run ends.
+    #[must_use]
+    pub fn end(&self) -> Duration {
+        Duration::from_secs_f64(self.workload.duration_s) + COOL_DOWN
+    }
+}
--- a/crates/celeryhinge/src/bin/hinge-entry.rs
+++ b/crates/celeryhinge/src/bin/hinge-entry.rs
@@ -3,11 +3,12 @@
 use std::process::ExitCode;
 
 use celeryhinge::conf::{EntrySettings, Flags, LogLevel};
-use celeryhinge::entry::Entry;
+use celeryhinge::entry::{Entry, StartError};
 use celeryhinge::obs::{emit, init_logs};
 use celeryhinge::wire::LogEvent;
 use log::LevelFilter;
 use serde::Serialize;
+use thiserror::Error;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Exit status for settings that are not valid.
@@ -15,6 +16,15 @@
 /// Exit status when the instance cannot start or its planned stop lost work.
 const STATUS_FAILED: u8 = 1;
 
+/// Why the daemon could not run.
+#[derive(Debug, Error)]
+enum RunError {
+    #[error("cannot receive signals: {0}")]
+    Signal(#[from] std::io::Error),
+    #[error(transparent)]
+    Start(#[from] StartError),
+}
+
 #[derive(Serialize)]
 struct Rejected {
     error: String,
@@ -53,7 +63,7 @@
     }
 }
 
-async fn run(settings: EntrySettings) -> Result<ExitCode, Box<dyn std::error::Error>> {
+async fn run(settings: EntrySettings) -> Result<ExitCode, RunError> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let entry = Entry::start(settings).await?;
--- a/crates/client/src/bin/hinge-submit.rs
+++ b/crates/client/src/bin/hinge-submit.rs
@@ -7,8 +7,9 @@
 use std::time::Duration;
 
 use argh::FromArgs;
-use hinge_client::{Client, ClientError, SubmitOptions};
+use hinge_client::{BuildError, Client, ClientError, SubmitOptions};
 use hinge_wire::{Answer, Outcome, Submission, SubmissionStatus, to_json};
+use thiserror::Error;
 
 /// Submits one or several submissions and prints each answer as one line of JSON.
 ///
@@ -66,13 +67,26 @@
     })
 }
 
+/// Why nothing was submitted.
+#[derive(Debug, Error)]
+enum InputError {
+    #[error(transparent)]
+    Client(#[from] BuildError),
+    #[error("the input holds no submission")]
+    Empty,
+    #[error(transparent)]
+    Json(#[from] serde_json::Error),
+    #[error(transparent)]
+    Read(#[from] io::Error),
+}
+
 /// Submits everything in the input; an error means that nothing was submitted.
-async fn run(arguments: Arguments) -> Result<u8, Box<dyn std::error::Error>> {
+async fn run(arguments: Arguments) -> Result<u8, InputError> {
     let input = read_input(arguments.file.as_deref())?;
     let submissions =
         serde_json::Deserializer::from_slice(&input).into_iter().collect::<Result<Vec<Submission>, _>>()?;
     if submissions.is_empty() {
-        return Err("the input holds no submission".into());
+        return Err(InputError::Empty);
     }
     let options = SubmitOptions {
         deadline: Duration::from_millis(arguments.deadline_ms),
