--- /dev/null
+++ b/crates/jobs/src/lib.rs
@@ -0,0 +1,50 @@
+//! Jobs of one entry's callers: admission, choice of owners, attempts and answers.
+//!
+//! The entry that a caller sends a job to is the job's home. Its [`JobTable`] divides the tasks among the owners of
+//! upstreams by their reported [`Load`](hinge_runs::Load), repeats what failed while attempts are left, and ends
+//! each job with exactly one [`Answer`]. It performs no I/O and reads no clock.
+//!
+//! - A job that cannot end in time is rejected before any of its tasks starts, with the time after which a new
+//!   attempt makes sense. [`Answer::Rejected`] means that no task has run.
+//! - Tasks are placed again only when their earlier run is known to have ended. When that is unknown, the job fails.
+//!
+//! ```
+//! use std::time::Duration;
+//! use hinge_jobs::{Action, JobRequest, JobTable, OwnerLoad, QueuePolicy};
+//! use hinge_runs::{Load, Resources};
+//! use tokio::time::Instant;
+//!
+//! let now = Instant::now();
+//! let mut table = JobTable::new(7, 1);
+//! let load = Load { free_slots: 8, mean_run_ms: 60, queued: [0; 4], slots: 16 };
+//! table.set_load(now, OwnerLoad { last_assignment: 0, load, owner: 7, service: "deicing".into() });
+//! table.submit(now, JobRequest {
+//!     budget: Duration::from_millis(1_500),
+//!     estimate: Duration::from_millis(60),
+//!     id: "5c0e".into(),
+//!     need: Resources { cpu_millis: 7_000, gpus: 0, memory_mb: 64 },
+//!     queue: QueuePolicy {
+//!         max_attempts: 3,
+//!         name: "slot-check".into(),
+//!         priority: 0,
+//!         service: "deicing".into(),
+//!         stretch: 1.6,
+//!         target: Duration::from_millis(60),
+//!     },
+//!     run: 1,
+//!     spec: "truck 4".into(),
+//!     task_prefix: "5c0e.0.0".into(),
+//!     tasks: 8,
+//! });
+//! let assigned = table.drain_actions().filter(|action| matches!(action, Action::Assign { .. })).count();
+//! assert_eq!(assigned, 8);
+//! ```
+
+mod estimate;
+mod job;
+mod owners;
+mod table;
+
+pub use job::{Action, Answer, FailCause, JobNumber, JobRequest, Notice, QueuePolicy, RejectCause};
+pub use owners::OwnerLoad;
+pub use table::JobTable;
--- /dev/null
+++ b/crates/mesh/src/link.rs
@@ -0,0 +1,95 @@
+//! One connection between two entries.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use hinge_wire::{CodecError, from_msgpack, to_msgpack};
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::mpsc;
+use tokio::time::{error::Elapsed, timeout};
+use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
+
+use crate::{Hello, Message};
+
+/// Longest time between two messages of a live peer.
+pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(150);
+/// Silence after which a link is down. Stopping the runs of a lost home takes up to 0.2 s more, and its callers
+/// resubmit after 1.3 s.
+pub const SILENCE_LIMIT: Duration = Duration::from_millis(700);
+/// Largest message; a configuration has at most 1 MB.
+const MAX_FRAME_BYTES: usize = 2 * 1024 * 1024;
+/// Messages written together.
+const WRITE_BATCH: usize = 32;
+
+/// Why a link ended.
+#[derive(Debug, Error)]
+pub(crate) enum LinkError {
+    #[error("closed by the peer")]
+    Closed,
+    #[error("message not readable: {0}")]
+    Codec(#[from] CodecError),
+    #[error(transparent)]
+    Io(#[from] std::io::Error),
+    #[error("no message in time")]
+    Silent(#[from] Elapsed),
+    #[error("the first message does not say who the peer is")]
+    Unnamed,
+}
+
+pub(crate) struct Reader(FramedRead<OwnedReadHalf, LengthDelimitedCodec>);
+
+pub(crate) struct Writer(FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>);
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
+}
+
+/// Splits a connection and exchanges the first messages.
+pub(crate) async fn open(stream: TcpStream, own: &Hello) -> Result<(Hello, Reader, Writer), LinkError> {
+    stream.set_nodelay(true)?;
+    let (read, write) = stream.into_split();
+    let mut reader = Reader(FramedRead::new(read, codec()));
+    let mut writer = Writer(FramedWrite::new(write, codec()));
+    writer.write(&[Message::Hello(own.clone())]).await?;
+    match reader.next().await? {
+        Message::Hello(hello) => Ok((hello, reader, writer)),
+        _ => Err(LinkError::Unnamed),
+    }
+}
+
+impl Reader {
+    /// The next message; fails when the peer is silent for too long.
+    pub(crate) async fn next(&mut self) -> Result<Message, LinkError> {
+        let frame = timeout(SILENCE_LIMIT, self.0.next()).await?.ok_or(LinkError::Closed)??;
+        Ok(from_msgpack(&frame)?)
+    }
+}
+
+impl Writer {
+    async fn write(&mut self, messages: &[Message]) -> Result<(), LinkError> {
+        for message in messages {
+            self.0.feed(Bytes::from(to_msgpack(message)?)).await?;
+        }
+        timeout(SILENCE_LIMIT, SinkExt::<Bytes>::flush(&mut self.0)).await??;
+        Ok(())
+    }
+
+    /// Writes what is queued, and heartbeats in between, until the queue is closed.
+    pub(crate) async fn run(mut self, mut queue: mpsc::Receiver<Message>) -> LinkError {
+        let mut batch = Vec::with_capacity(WRITE_BATCH);
+        loop {
+            batch.clear();
+            match timeout(HEARTBEAT_INTERVAL, queue.recv_many(&mut batch, WRITE_BATCH)).await {
+                Ok(0) => return LinkError::Closed,
+                Ok(_) => {}
+                Err(_) => batch.push(Message::Heartbeat),
+            }
+            if let Err(error) = self.write(&batch).await {
+                return error;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/journal.rs
@@ -0,0 +1,132 @@
+//! Log lines for decisions and changes of belief.
+
+use std::time::Duration;
+
+use hinge_jobs::{Answer, Notice as JobNotice};
+use hinge_obs::emit;
+use hinge_runs::{HomeId, Notice as RunNotice, whole_ms};
+use hinge_wire::{InstanceId, LogEvent};
+use serde_json::json;
+
+/// A line for the log.
+#[derive(Clone, Debug)]
+pub enum Line {
+    /// A decision about a job.
+    Job(JobNotice),
+    /// A link is up.
+    PeerFound {
+        /// The peer's instance.
+        instance: InstanceId,
+        /// Its process.
+        peer: HomeId,
+    },
+    /// A link is down.
+    PeerLost {
+        /// Why.
+        error: String,
+        /// The peer's process.
+        peer: HomeId,
+        /// Whether the peer was silent.
+        silent: bool,
+    },
+    /// A decision about a run or an upstream.
+    Run(RunNotice),
+    /// The process stood still.
+    Suspended(Duration),
+}
+
+impl Line {
+    /// Writes the line.
+    pub(crate) fn write(&self) {
+        match self {
+            Self::Job(notice) => write_job(notice),
+            Self::PeerFound { instance, peer } => {
+                emit(LogEvent::PeerLinked, &json!({ "instance": instance, "peer": peer }));
+            }
+            Self::PeerLost { error, peer, silent } => {
+                emit(LogEvent::PeerLost, &json!({ "error": error, "peer": peer, "silent": silent }));
+            }
+            Self::Run(notice) => write_run(notice),
+            Self::Suspended(time) => {
+                emit(LogEvent::ProcessSuspended, &json!({ "for_ms": whole_ms(*time) }));
+            }
+        }
+    }
+}
+
+fn write_job(notice: &JobNotice) {
+    match notice {
+        JobNotice::Abandoned { id, total } => {
+            emit(LogEvent::JobAbandoned, &json!({ "job": id, "total_ms": whole_ms(*total) }));
+        }
+        JobNotice::Admitted { id, load_age, owners, queue, slack, tasks, wait } => emit(
+            LogEvent::JobAdmitted,
+            &json!({
+                "job": id, "load_age_ms": whole_ms(*load_age), "owners": owners, "queue": queue,
+                "slack_ms": whole_ms(*slack), "tasks": tasks, "wait_ms": whole_ms(*wait),
+            }),
+        ),
+        JobNotice::Answered { answer, id, queue, total } => {
+            let (outcome, cause) = match answer {
+                Answer::Completed => ("completed", String::new()),
+                Answer::Failed(cause) => ("failed", format!("{cause:?}")),
+                Answer::Rejected { cause, .. } => ("rejected", format!("{cause:?}")),
+            };
+            let total_ms = whole_ms(*total);
+            emit(
+                LogEvent::JobAnswered,
+                &json!({ "cause": cause, "job": id, "outcome": outcome, "queue": queue, "total_ms": total_ms }),
+            );
+        }
+        JobNotice::Repeated { id, outcome, task, upstream } => emit(
+            LogEvent::TaskRepeated,
+            &json!({ "job": id, "outcome": outcome, "task": task, "upstream": upstream }),
+        ),
+    }
+}
+
+fn write_run(notice: &RunNotice) {
+    match notice {
+        RunNotice::Available { upstream } => {
+            emit(LogEvent::UpstreamAvailable, &json!({ "upstream": upstream }));
+        }
+        RunNotice::Avoided { cause, for_time, upstream } => {
+            let for_ms = whole_ms(*for_time);
+            emit(
+                LogEvent::UpstreamAvoided,
+                &json!({ "cause": cause, "for_ms": for_ms, "upstream": upstream }),
+            );
+        }
+        RunNotice::Dropped { queued, reason, run } => {
+            let queued_ms = whole_ms(*queued);
+            emit(
+                LogEvent::TaskDropped,
+                &json!({ "queued_ms": queued_ms, "reason": reason, "run": run.run, "task": run.task }),
+            );
+        }
+        RunNotice::Ended { how, run, run_time, upstream } => emit(
+            LogEvent::RunEnded,
+            &json!({
+                "how": how, "run": run.run, "run_time_ms": whole_ms(*run_time), "task": run.task,
+                "upstream": upstream,
+            }),
+        ),
+        RunNotice::Owner { fence, state, upstream } => {
+            emit(LogEvent::UpstreamOwner, &json!({ "fence": fence, "state": state, "upstream": upstream }));
+        }
+        RunNotice::StartRejected { reason, run, upstream } => emit(
+            LogEvent::StartRejected,
+            &json!({ "reason": reason, "run": run.run, "task": run.task, "upstream": upstream }),
+        ),
+        RunNotice::Started { free, home, queued, run, upstream } => emit(
+            LogEvent::RunStarted,
+            &json!({
+                "free_cpu_millis": free.cpu_millis, "home": home, "queued_ms": whole_ms(*queued),
+                "run": run.run, "task": run.task, "upstream": upstream,
+            }),
+        ),
+        RunNotice::Unknown { run, upstream } => {
+            emit(LogEvent::UnknownRun, &json!({ "run": run.run, "task": run.task, "upstream": upstream }));
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,19 @@
+//! An entry instance that shares the upstreams of its data centre with its peers.
+//!
+//! - [`Engine`] is the decision code: it combines the jobs of the own callers
+//!   ([`JobTable`](hinge_jobs::JobTable)), the runs on the owned upstreams ([`Runner`](hinge_runs::Runner)) and the
+//!   view of the peers that decides which entry owns which upstream. [`Input`]s go in, [`Output`]s come out.
+//! - [`Node`] runs an engine: it carries out the outputs through an [`UpstreamPort`] and a [`Mesh`](hinge_mesh::Mesh).
+//!
+//! Upstreams are divided evenly among the live entries of their data centre. An entry takes over an upstream only when
+//! no live peer claims it; the fencing token at the upstream settles what the entries' views get wrong.
+
+mod engine;
+mod journal;
+mod node;
+mod ownership;
+mod peers;
+
+pub use engine::{Engine, EntryRecord, Input, Output, Ticket};
+pub use journal::Line;
+pub use node::{Node, NodeHandle, NodeSettings, Submitted, SuspendClock, UpstreamPort};
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,282 @@
+//! Runs an engine: carries out its outputs and feeds it what happens.
+
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hinge_jobs::{Answer, JobRequest};
+use hinge_mesh::{Hello, Mesh, MeshEvent, PeerAddress};
+use hinge_runs::{Fence, Hold, HoldReply, RunId, StartOrder, StartReply};
+use hinge_wire::FastMap;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{Instant, MissedTickBehavior, interval};
+
+use crate::engine::{Engine, FENCE_TIME_SHIFT, Input, Output, Ticket};
+
+/// Time between two ticks of the engine.
+const TICK: Duration = Duration::from_millis(20);
+/// Inputs that wait for the engine.
+const MAX_QUEUED_INPUTS: usize = 16_384;
+/// Inputs taken together before messages go out.
+const INPUT_BATCH: usize = 128;
+/// Standstill of the process from which on leases may have expired unnoticed.
+const SUSPENSION: Duration = Duration::from_millis(600);
+
+/// Calls to upstreams.
+pub trait UpstreamPort: Clone + Send + Sync + 'static {
+    /// Renews the lease and reads the runs.
+    fn hold(&self, hold: &Hold) -> impl Future<Output = HoldReply> + Send;
+
+    /// Starts a task.
+    fn start(&self, start: &StartOrder) -> impl Future<Output = StartReply> + Send;
+
+    /// Stops a run; whether it worked shows in the next hold.
+    fn stop(
+        &self,
+        address: Arc<str>,
+        upstream: Arc<str>,
+        run: RunId,
+        fence: Fence,
+    ) -> impl Future<Output = ()> + Send;
+}
+
+/// Time that passes even while the process stands still.
+pub trait SuspendClock: Send + 'static {
+    /// Time since some fixed moment.
+    fn elapsed(&self) -> Duration;
+}
+
+/// Settings of a node.
+#[derive(Clone, Debug)]
+pub struct NodeSettings {
+    /// This process.
+    pub own: Hello,
+    /// Seed of random choices.
+    pub seed: u64,
+    /// Unix time in milliseconds at the start of the process.
+    pub started_unix_ms: u64,
+}
+
+/// What a caller's job came to, once it is final.
+#[derive(Debug)]
+pub struct Submitted {
+    answer: oneshot::Receiver<Answer>,
+    /// Tells the engine when the caller leaves before the answer.
+    leave: LeaveGuard,
+}
+
+#[derive(Debug)]
+struct LeaveGuard {
+    commands: mpsc::Sender<Command>,
+    ticket: Option<Ticket>,
+}
+
+impl Drop for LeaveGuard {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket.take() {
+            // When the queue is full the job runs on until its time budget ends.
+            let _ = self.commands.try_send(Command::Input(Input::Abandon(ticket)));
+        }
+    }
+}
+
+impl Submitted {
+    /// Waits for the answer; none when the process stops first.
+    pub async fn answer(mut self) -> Option<Answer> {
+        let answer = (&mut self.answer).await.ok();
+        self.leave.ticket = None;
+        answer
+    }
+}
+
+#[derive(Debug)]
+enum Command {
+    InProgress(oneshot::Sender<usize>),
+    Input(Input),
+    Pending { queue: Arc<str>, reply: oneshot::Sender<usize> },
+    Submit { reply: oneshot::Sender<Answer>, request: Box<JobRequest>, ticket: Ticket },
+}
+
+/// Access to a running node.
+#[derive(Clone, Debug)]
+pub struct NodeHandle {
+    commands: mpsc::Sender<Command>,
+    config: watch::Receiver<Option<(u64, Bytes)>>,
+    tickets: Arc<std::sync::atomic::AtomicU64>,
+}
+
+impl NodeHandle {
+    /// Feeds the engine.
+    pub async fn input(&self, input: Input) {
+        // The node has stopped when nobody receives; there is nobody left to inform.
+        let _ = self.commands.send(Command::Input(input)).await;
+    }
+
+    /// Submits a job; none when too many inputs wait already, in which case nothing of it runs.
+    #[must_use]
+    pub fn submit(&self, request: JobRequest) -> Option<Submitted> {
+        let ticket = self.tickets.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let (reply, answer) = oneshot::channel();
+        let command = Command::Submit { reply, request: Box::new(request), ticket };
+        self.commands.try_send(command).ok()?;
+        let leave = LeaveGuard { commands: self.commands.clone(), ticket: Some(ticket) };
+        Some(Submitted { answer, leave })
+    }
+
+    /// The newest configuration that this entry or a peer has read, with its version.
+    #[must_use]
+    pub fn config(&self) -> watch::Receiver<Option<(u64, Bytes)>> {
+        self.config.clone()
+    }
+
+    /// Number of a queue's jobs none of whose tasks is known to have run.
+    pub async fn pending(&self, queue: Arc<str>) -> usize {
+        let (reply, count) = oneshot::channel();
+        let _ = self.commands.send(Command::Pending { queue, reply }).await;
+        count.await.unwrap_or_default()
+    }
+
+    /// Jobs and tasks in progress.
+    pub async fn in_progress(&self) -> usize {
+        let (reply, count) = oneshot::channel();
+        let _ = self.commands.send(Command::InProgress(reply)).await;
+        count.await.unwrap_or_default()
+    }
+}
+
+/// An entry instance at work.
+pub struct Node<P, C> {
+    answers: FastMap<Ticket, oneshot::Sender<Answer>>,
+    clock: C,
+    commands: mpsc::Sender<Command>,
+    config: watch::Sender<Option<(u64, Bytes)>>,
+    engine: Engine,
+    mesh: Mesh,
+    port: P,
+    queue: mpsc::Receiver<Command>,
+}
+
+impl<P: UpstreamPort, C: SuspendClock> Node<P, C> {
+    /// Creates a node that accepts links from peers on `listener`.
+    #[must_use]
+    pub fn new(settings: NodeSettings, listener: TcpListener, port: P, clock: C) -> (Self, NodeHandle) {
+        let (commands, queue) = mpsc::channel(MAX_QUEUED_INPUTS);
+        let (config, config_reader) = watch::channel(None);
+        let (events, mesh_events) = mpsc::channel(MAX_QUEUED_INPUTS);
+        let mesh = Mesh::start(listener, settings.own.clone(), events);
+        tokio::spawn(forward_mesh_events(mesh_events, commands.clone()));
+        let fence_base =
+            (settings.started_unix_ms << FENCE_TIME_SHIFT) | (settings.seed & ((1 << FENCE_TIME_SHIFT) - 1));
+        let engine = Engine::new(Instant::now(), settings.own, fence_base, settings.seed);
+        let handle =
+            NodeHandle { commands: commands.clone(), config: config_reader, tickets: Arc::default() };
+        let answers = FastMap::default();
+        (Self { answers, clock, commands, config, engine, mesh, port, queue }, handle)
+    }
+
+    /// Runs until all handles are gone.
+    pub async fn run(mut self) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut last = (Instant::now(), self.clock.elapsed());
+        let mut batch = Vec::with_capacity(INPUT_BATCH);
+        loop {
+            tokio::select! {
+                count = self.queue.recv_many(&mut batch, INPUT_BATCH) => if count == 0 { return },
+                _ = ticks.tick() => {}
+            }
+            let now = Instant::now();
+            last = self.check_suspension(now, last);
+            for command in batch.drain(..) {
+                self.command(now, command);
+            }
+            self.engine.handle(now, Input::Tick);
+            self.engine.flush(now);
+            self.carry_out();
+        }
+    }
+
+    /// Detects that the process stood still, on either clock.
+    fn check_suspension(&mut self, now: Instant, last: (Instant, Duration)) -> (Instant, Duration) {
+        let elapsed = self.clock.elapsed();
+        let gap = now.duration_since(last.0).max(elapsed.saturating_sub(last.1));
+        if gap > SUSPENSION {
+            self.engine.handle(now, Input::Suspended(gap));
+        }
+        (now, elapsed)
+    }
+
+    fn command(&mut self, now: Instant, command: Command) {
+        match command {
+            Command::InProgress(reply) => drop(reply.send(self.engine.in_progress())),
+            Command::Input(Input::Entries(records)) => {
+                let peers: Vec<_> = records
+                    .iter()
+                    .map(|record| PeerAddress { address: record.address, instance: record.instance.clone() })
+                    .collect();
+                self.mesh.set_peers(&peers);
+                self.engine.handle(now, Input::Entries(records));
+            }
+            Command::Input(input) => self.engine.handle(now, input),
+            Command::Pending { queue, reply } => drop(reply.send(self.engine.pending(&queue))),
+            Command::Submit { reply, request, ticket } => {
+                self.answers.insert(ticket, reply);
+                self.engine.handle(now, Input::Submit { request, ticket });
+            }
+        }
+    }
+
+    fn carry_out(&mut self) {
+        let outputs: Vec<_> = self.engine.drain_outputs().collect();
+        for output in outputs {
+            match output {
+                Output::Answer { answer, ticket } => {
+                    if let Some(reply) = self.answers.remove(&ticket) {
+                        // The caller may have left a moment ago.
+                        let _ = reply.send(answer);
+                    }
+                }
+                Output::Config { body, version } => {
+                    self.config.send_replace(Some((version, body)));
+                }
+                Output::Hold(hold) => self.hold(hold),
+                Output::Log(line) => line.write(),
+                Output::Send { message, peer } => {
+                    self.mesh.send(peer, message);
+                }
+                Output::Start(start) => self.start(start),
+                Output::Stop { address, fence, run, upstream } => {
+                    let port = self.port.clone();
+                    tokio::spawn(async move { port.stop(address, upstream, run, fence).await });
+                }
+            }
+        }
+        self.answers.retain(|_, reply| !reply.is_closed());
+    }
+
+    fn hold(&self, hold: Hold) {
+        let (port, commands) = (self.port.clone(), self.commands.clone());
+        tokio::spawn(async move {
+            let reply = port.hold(&hold).await;
+            let _ = commands.send(Command::Input(Input::HoldEnded { hold, reply })).await;
+        });
+    }
+
+    fn start(&self, start: StartOrder) {
+        let (port, commands) = (self.port.clone(), self.commands.clone());
+        tokio::spawn(async move {
+            let reply = port.start(&start).await;
+            let _ = commands.send(Command::Input(Input::StartEnded { reply, start })).await;
+        });
+    }
+}
+
+async fn forward_mesh_events(mut events: mpsc::Receiver<MeshEvent>, commands: mpsc::Sender<Command>) {
+    while let Some(event) = events.recv().await {
+        if commands.send(Command::Input(Input::Mesh(event))).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/ownership.rs
@@ -0,0 +1,109 @@
+//! Which upstreams an entry should own.
+
+use std::time::Duration;
+
+use hinge_route::divide_upstreams;
+use hinge_runs::UpstreamRecord;
+use hinge_wire::{DataCentreId, FastMap, FastSet, InstanceId, UpstreamId};
+use tokio::time::Instant;
+
+use crate::peers::Peers;
+
+/// Time for which a data centre must be without entries before entries elsewhere own its upstreams.
+const EMPTY_DATA_CENTRE: Duration = Duration::from_secs(3);
+/// Age of an upstream's last report up to which it is known to be alive.
+const REPORT_AGE: Duration = Duration::from_secs(4);
+/// Processor size that counts as one unit in the division of upstreams.
+const UNIT_CPU_MILLIS: u64 = 1_000;
+
+/// The own entry in the division of upstreams.
+#[derive(Debug)]
+pub(crate) struct Own {
+    pub(crate) data_centre: DataCentreId,
+    pub(crate) draining: bool,
+    pub(crate) instance: InstanceId,
+}
+
+/// When upstreams last reported, and since when data centres have had no entries.
+#[derive(Debug, Default)]
+pub(crate) struct Sightings {
+    empty_since: FastMap<DataCentreId, Instant>,
+    reported: FastMap<UpstreamId, (u64, Instant)>,
+}
+
+impl Sightings {
+    /// Notes new reports of upstreams.
+    pub(crate) fn observe(&mut self, now: Instant, upstreams: &[UpstreamRecord]) {
+        for upstream in upstreams {
+            let last = self.reported.entry(upstream.id.clone()).or_insert((upstream.sequence, now));
+            if last.0 != upstream.sequence {
+                *last = (upstream.sequence, now);
+            }
+        }
+        let listed: FastSet<_> = upstreams.iter().map(|upstream| &upstream.id).collect();
+        self.reported.retain(|id, _| listed.contains(id));
+    }
+
+    fn alive(&self, now: Instant, id: &UpstreamId) -> bool {
+        self.reported.get(id).is_some_and(|(_, at)| now.duration_since(*at) < REPORT_AGE)
+    }
+}
+
+/// Upstreams that the own entry should own.
+pub(crate) fn wanted(
+    now: Instant,
+    own: &Own,
+    peers: &Peers,
+    upstreams: &[UpstreamRecord],
+    sightings: &mut Sightings,
+) -> FastSet<UpstreamId> {
+    let mut entries: FastMap<&DataCentreId, Vec<InstanceId>> = FastMap::default();
+    for peer in peers.alive(now).filter(|peer| !peer.status.draining) {
+        entries.entry(&peer.data_centre).or_default().push(peer.instance.clone());
+    }
+    let alone = entries.get(&own.data_centre).is_none_or(Vec::is_empty);
+    if !own.draining || alone {
+        entries.entry(&own.data_centre).or_default().push(own.instance.clone());
+    }
+    let mut everywhere: Vec<_> = entries.values().flatten().cloned().collect();
+    for list in entries.values_mut().chain([&mut everywhere]) {
+        list.sort_unstable();
+        list.dedup();
+    }
+    let mut by_data_centre: FastMap<&DataCentreId, Vec<&UpstreamRecord>> = FastMap::default();
+    for upstream in upstreams {
+        by_data_centre.entry(&upstream.data_centre).or_default().push(upstream);
+    }
+    let mut wanted = FastSet::default();
+    for (data_centre, mut upstreams) in by_data_centre {
+        let local = entries.get(data_centre);
+        let candidates = if let Some(local) = local {
+            sightings.empty_since.remove(data_centre);
+            local
+        } else {
+            let since = *sightings.empty_since.entry(data_centre.clone()).or_insert(now);
+            if now.duration_since(since) < EMPTY_DATA_CENTRE {
+                continue;
+            }
+            upstreams.retain(|upstream| sightings.alive(now, &upstream.id));
+            &everywhere
+        };
+        wanted.extend(share_of(&own.instance, candidates, &upstreams));
+    }
+    wanted
+}
+
+/// The part of `upstreams` that falls to the entry `own`.
+fn share_of(own: &InstanceId, entries: &[InstanceId], upstreams: &[&UpstreamRecord]) -> Vec<UpstreamId> {
+    let mut sized: Vec<_> = upstreams
+        .iter()
+        .map(|upstream| {
+            let units = upstream.capacity.cpu_millis / UNIT_CPU_MILLIS;
+            (upstream.id.clone(), u32::try_from(units).unwrap_or(u32::MAX).max(1))
+        })
+        .collect();
+    sized.sort_unstable();
+    let owners = divide_upstreams(entries, &sized);
+    let pairs = sized.into_iter().zip(owners);
+    pairs.filter(|(_, owner)| entries.get(*owner) == Some(own)).map(|((id, _), _)| id).collect()
+}
--- a/crates/obs/src/logs.rs
+++ b/crates/obs/src/logs.rs
@@ -10,6 +10,8 @@
 use thiserror::Error;
 use tokio::time::Instant;
 
+use crate::lines::LineQueue;
+
 /// Target of the records that [`emit`] writes; their message is already a JSON object.
 const EVENT_TARGET: &str = "celeryhinge::event";
 
@@ -35,6 +37,17 @@
 
 static ORIGIN: OnceLock<Origin> = OnceLock::new();
 
+/// Writes log records of `level` and above to standard output as JSON lines, without ever blocking the caller.
+///
+/// A thread writes the lines in batches. Lines that it cannot keep up with are dropped, and their number is logged.
+///
+/// # Errors
+///
+/// Fails when a logger is already installed.
+pub fn init_output_logs(instance: &str, level: LevelFilter) -> Result<(), LogError> {
+    install(instance, level, fern::Output::from(LineQueue::start().into_output()))
+}
+
 /// Writes log records of `level` and above to standard error as JSON lines.
 ///
 /// Must be called within a tokio runtime: the wall clock is read once here, and later times follow the runtime's
@@ -44,6 +57,10 @@
 ///
 /// Fails when a logger is already installed.
 pub fn init_logs(instance: &str, level: LevelFilter) -> Result<(), LogError> {
+    install(instance, level, fern::Output::from(std::io::stderr()))
+}
+
+fn install(instance: &str, level: LevelFilter, output: fern::Output) -> Result<(), LogError> {
     #[expect(clippy::disallowed_methods, reason = "log lines need the wall clock")]
     let start_time = SystemTime::now();
     let origin = Origin { instance: instance.to_owned(), start: Instant::now(), start_time };
@@ -56,7 +73,7 @@
                 format_line(record.target(), record.level(), &message.to_string())
             ));
         })
-        .chain(std::io::stderr())
+        .chain(output)
         .apply()?;
     Ok(())
 }
--- a/crates/route/src/rendezvous.rs
+++ b/crates/route/src/rendezvous.rs
@@ -1,6 +1,6 @@
 //! Even division of upstreams among entries by rendezvous hash, the same in every process.
 
-use hinge_wire::InstanceId;
+use hinge_wire::{InstanceId, UpstreamId};
 
 /// FNV-1a. `FastMap`'s hasher is seeded per process and cannot be used between instances.
 pub(crate) fn hash_id(id: &str) -> u64 {
@@ -36,6 +36,20 @@
     pub(crate) slots: u32,
 }
 
+/// Divides upstreams among entries by their sizes, the same in every process that sees the same lists.
+///
+/// Returns the position of the entry for each upstream; empty without entries.
+#[must_use]
+pub fn divide_upstreams(entries: &[InstanceId], upstreams: &[(UpstreamId, u32)]) -> Vec<usize> {
+    let candidates: Vec<_> = entries.iter().map(Candidate::new).collect();
+    let led: Vec<_> = upstreams
+        .iter()
+        .enumerate()
+        .map(|(position, (id, size))| Led { hash: hash_id(id), position, slots: *size })
+        .collect();
+    divide(&candidates, &led).into_iter().filter_map(|(_, entry)| entry).collect()
+}
+
 /// Divides upstreams among entries: position of each upstream with the index of its leader, none without entries.
 ///
 /// Every entry leads an even part of the slots, within one upstream. Within that bound the pairs of
--- /dev/null
+++ b/crates/runs/src/listing.rs
@@ -0,0 +1,163 @@
+//! What an upstream says about its runs.
+
+use std::time::Duration;
+
+use hinge_wire::{FastSet, UpstreamId};
+use tokio::time::Instant;
+
+use crate::upstream::Ownership;
+use crate::{Action, EndKind, Ended, Hold, HoldReply, Listing, Notice, Outcome, Rejection, RunId, Runner};
+
+/// Ends in one listing from which on the upstream may have more to report.
+const FULL_LISTING: usize = 500;
+/// Time after which an end is acknowledged when no other call carries the acknowledgement.
+const ACKNOWLEDGE_AFTER: Duration = Duration::from_millis(150);
+
+impl Runner {
+    pub(crate) fn hold_ended(&mut self, now: Instant, hold: &Hold, reply: HoldReply) {
+        let id = &hold.upstream;
+        let Some(upstream) = self.upstreams.get_mut(id) else { return };
+        if hold.probe {
+            upstream.probing = false;
+        } else {
+            upstream.holding = false;
+        }
+        if hold.lease_until_ms.is_some() && !matches!(reply, HoldReply::Refused) {
+            upstream.extend_lease(now);
+        }
+        if upstream.ownership == Ownership::None {
+            return;
+        }
+        match reply {
+            HoldReply::Listed(listing) => self.listed(now, hold, &listing),
+            HoldReply::Lost => self.hold_failed(now, hold, false),
+            HoldReply::Refused => self.hold_failed(now, hold, true),
+            HoldReply::Rejected(Rejection::Fenced) => {
+                if hold.fence >= upstream.fence {
+                    self.lose_ownership(now, id);
+                }
+            }
+            HoldReply::Rejected(_) => self.hold_failed(now, hold, false),
+        }
+    }
+
+    fn listed(&mut self, now: Instant, hold: &Hold, listing: &Listing) {
+        let id = &hold.upstream;
+        let Some(upstream) = self.upstreams.get_mut(id) else { return };
+        if let Some(lifetime) = listing.lifetime {
+            let known = upstream.record.lifetime.replace(lifetime.max(upstream.record.lifetime.unwrap_or(0)));
+            if known.is_some_and(|known| lifetime > known) {
+                self.upstream_restarted(now, id);
+                return;
+            }
+        }
+        upstream.read_clock(now, listing.clock_ms);
+        upstream.acknowledged_end = upstream.acknowledged_end.max(hold.last_end);
+        if upstream.ownership == Ownership::Taking {
+            if hold.fence < upstream.fence {
+                return;
+            }
+            upstream.ownership = Ownership::Owned;
+            self.owner_notice(id, "owned");
+        }
+        for end in &listing.ended {
+            self.run_ended(now, id, end);
+        }
+        self.match_running(now, hold, listing);
+    }
+
+    fn run_ended(&mut self, now: Instant, id: &UpstreamId, end: &Ended) {
+        let Some(upstream) = self.upstreams.get_mut(id) else { return };
+        if end.number <= upstream.last_end {
+            return;
+        }
+        upstream.last_end = end.number;
+        upstream.acknowledge_after = now + ACKNOWLEDGE_AFTER;
+        let Some(run) = upstream.runs.get(&end.run) else { return };
+        let (expected, actual) =
+            (Duration::from_millis(run.assignment.expected_ms), now.duration_since(run.ordered_at));
+        let (outcome, how) = match end.how {
+            EndKind::Done => (Outcome::Done, "done"),
+            EndKind::Failed => (Outcome::Failed, "failed"),
+            EndKind::Interrupted => (Outcome::Interrupted, "interrupted"),
+        };
+        match end.how {
+            EndKind::Done => {
+                if upstream.health.done(expected, actual) {
+                    self.actions.push(Action::Notice(Notice::Available { upstream: id.clone() }));
+                }
+            }
+            EndKind::Failed => {
+                if upstream.health.failed() {
+                    self.avoid(now, id, "failing");
+                }
+            }
+            EndKind::Interrupted => {}
+        }
+        self.end_run(now, id, &end.run, outcome, how);
+    }
+
+    /// Compares the runs that exist with those that this entry knows.
+    fn match_running(&mut self, now: Instant, hold: &Hold, listing: &Listing) {
+        let id = &hold.upstream;
+        let running: FastSet<&RunId> = listing.running.iter().collect();
+        let Some(upstream) = self.upstreams.get_mut(id) else { return };
+        let mut never_started = Vec::new();
+        let mut vanished = Vec::new();
+        for (run_id, run) in &mut upstream.runs {
+            let listed = running.contains(run_id);
+            match run.confirmed_at {
+                None if listed => run.confirmed_at = Some(now),
+                None if hold.fence > run.fence => never_started.push(run_id.clone()),
+                Some(confirmed_at)
+                    if !listed && confirmed_at <= hold.sent_at && listing.ended.len() < FULL_LISTING =>
+                {
+                    vanished.push(run_id.clone());
+                }
+                None | Some(_) => {}
+            }
+        }
+        let stopping = upstream.runs.iter().filter(|(_, run)| run.stopping).map(|(run_id, _)| run_id);
+        let mut to_stop: Vec<_> = stopping.filter(|run_id| running.contains(run_id)).cloned().collect();
+        let unknown: Vec<_> = listing
+            .running
+            .iter()
+            .filter(|run_id| !upstream.runs.contains_key(*run_id) && !self.recent_ends.contains(run_id))
+            .cloned()
+            .collect();
+        upstream.foreign = unknown.iter().cloned().collect();
+        for run_id in never_started {
+            let number = run_id.run;
+            self.requeue(now, id, &run_id, number);
+        }
+        for run_id in vanished {
+            self.end_run(now, id, &run_id, Outcome::Interrupted, "vanished");
+        }
+        for run_id in &unknown {
+            self.actions.push(Action::Notice(Notice::Unknown { run: run_id.clone(), upstream: id.clone() }));
+        }
+        to_stop.extend(unknown);
+        for run_id in to_stop {
+            self.order_stop(id, &run_id);
+        }
+    }
+
+    /// Stops a run that was started although nobody waits for it any more.
+    pub(crate) fn stop_unknown(&mut self, id: &UpstreamId, run_id: &RunId) {
+        if self.recent_ends.contains(run_id) {
+            return;
+        }
+        if let Some(upstream) = self.upstreams.get_mut(id) {
+            upstream.foreign.insert(run_id.clone());
+        }
+        self.actions.push(Action::Notice(Notice::Unknown { run: run_id.clone(), upstream: id.clone() }));
+        self.order_stop(id, run_id);
+    }
+
+    pub(crate) fn order_stop(&mut self, id: &UpstreamId, run_id: &RunId) {
+        let Some(upstream) = self.upstreams.get(id) else { return };
+        let address = upstream.record.address.clone();
+        let fence = upstream.fence;
+        self.actions.push(Action::Stop { address, fence, run: run_id.clone(), upstream: id.clone() });
+    }
+}
--- /dev/null
+++ b/crates/runs/src/queue.rs
@@ -0,0 +1,70 @@
+//! Tasks that wait for room, most urgent first.
+
+use std::collections::BTreeMap;
+
+use hinge_wire::{FastMap, ServiceId};
+use tokio::time::Instant;
+
+use crate::{Assignment, AssignmentId, HomeId, PRIORITIES, priority_index};
+
+/// Order of the queue: priority, then arrival.
+type Position = (u32, u64);
+
+/// A task that waits.
+#[derive(Clone, Debug)]
+pub(crate) struct Queued {
+    pub(crate) assignment: Assignment,
+    pub(crate) home: HomeId,
+    pub(crate) queued_at: Instant,
+    pub(crate) start_by: Instant,
+}
+
+/// Queue of one owner over all services.
+#[derive(Debug, Default)]
+pub(crate) struct Queue {
+    index: FastMap<(HomeId, AssignmentId), Position>,
+    next: u64,
+    tasks: BTreeMap<Position, Queued>,
+}
+
+impl Queue {
+    pub(crate) fn push(&mut self, task: Queued) {
+        let position = (task.assignment.priority, self.next);
+        self.next += 1;
+        self.index.insert((task.home, task.assignment.id), position);
+        self.tasks.insert(position, task);
+    }
+
+    pub(crate) fn remove(&mut self, home: HomeId, assignment: AssignmentId) -> Option<Queued> {
+        let position = self.index.remove(&(home, assignment))?;
+        self.tasks.remove(&position)
+    }
+
+    /// Removes the tasks for which `take` is true, in queue order.
+    pub(crate) fn extract(&mut self, mut take: impl FnMut(&Queued) -> bool) -> Vec<Queued> {
+        let positions: Vec<_> =
+            self.tasks.iter().filter(|(_, task)| take(task)).map(|(position, _)| *position).collect();
+        let tasks: Vec<_> = positions.iter().filter_map(|position| self.tasks.remove(position)).collect();
+        for task in &tasks {
+            self.index.remove(&(task.home, task.assignment.id));
+        }
+        tasks
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Queued> {
+        self.tasks.values()
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.tasks.is_empty()
+    }
+
+    /// Number of tasks of a service by priority.
+    pub(crate) fn counts(&self, service: &ServiceId) -> [u32; PRIORITIES] {
+        let mut counts = [0; PRIORITIES];
+        for task in self.iter().filter(|task| task.assignment.service == *service) {
+            counts[priority_index(task.assignment.priority)] += 1;
+        }
+        counts
+    }
+}
--- /dev/null
+++ b/crates/runs/src/runner.rs
@@ -0,0 +1,372 @@
+//! The owner's state, its inputs and the choice of an upstream for each task.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use hinge_wire::{FastMap, FastSet, ServiceId, UpstreamId};
+use tokio::time::Instant;
+
+use crate::queue::{Queue, Queued};
+use crate::upstream::{Ownership, Run, Upstream};
+use crate::{
+    Action, Assignment, AssignmentId, Event, Fence, HomeId, Load, Notice, Outcome, RunId, RunNumber,
+    StartOrder, TaskReport, UpstreamRecord, whole_ms,
+};
+
+/// Ends that are remembered, so that an older listing does not make them look like runs of others.
+const RECENT_ENDS: usize = 256;
+/// Weight of a new value in the moving averages of task sizes and run times.
+const AVERAGE_WEIGHT: f64 = 0.05;
+/// Weight of the room left over against the speed of an upstream; tight fits keep room for large tasks.
+const FIT_WEIGHT: f64 = 0.15;
+/// Task size that free slots are counted in before any task was seen.
+const INITIAL_CPU_MILLIS: f64 = 4_000.0;
+/// Run time that waits are estimated from before any task has ended.
+const INITIAL_RUN_MS: f64 = 200.0;
+
+/// The decision code of an upstreams' owner.
+#[derive(Debug)]
+pub struct Runner {
+    pub(crate) actions: Vec<Action>,
+    pub(crate) mean_run_ms: f64,
+    pub(crate) placed: FastMap<(HomeId, AssignmentId), (UpstreamId, RunId)>,
+    pub(crate) queue: Queue,
+    pub(crate) recent_ends: VecDeque<RunId>,
+    pub(crate) upstreams: FastMap<UpstreamId, Upstream>,
+    usual_cpu_millis: f64,
+}
+
+impl Default for Runner {
+    fn default() -> Self {
+        Self {
+            actions: Vec::new(),
+            mean_run_ms: INITIAL_RUN_MS,
+            placed: FastMap::default(),
+            queue: Queue::default(),
+            recent_ends: VecDeque::new(),
+            upstreams: FastMap::default(),
+            usual_cpu_millis: INITIAL_CPU_MILLIS,
+        }
+    }
+}
+
+impl Runner {
+    /// Takes one event into account.
+    pub fn handle(&mut self, now: Instant, event: Event) {
+        match event {
+            Event::Assigned { assignment, home } => self.assigned(now, home, assignment),
+            Event::Cancelled { assignment, home } => self.cancelled(home, assignment),
+            Event::HoldEnded { hold, reply } => self.hold_ended(now, &hold, reply),
+            Event::HomeLost(home) => self.home_lost(home),
+            Event::Own { fence, upstream } => self.own(now, &upstream, fence),
+            Event::Release(upstream) => self.release(&upstream),
+            Event::StartEnded { reply, start } => self.start_ended(now, &start, &reply),
+            Event::Suspended => self.suspended(now),
+            Event::Tick => self.drop_late(now),
+            Event::Upstreams(records) => self.set_upstreams(now, records),
+        }
+        self.place(now);
+        self.release_idle();
+        self.send_holds(now);
+    }
+
+    /// Outputs since the last call, in order.
+    pub fn drain_actions(&mut self) -> std::vec::Drain<'_, Action> {
+        self.actions.drain(..)
+    }
+
+    /// Upstreams that this entry owns or is taking over, with their fencing tokens.
+    pub fn owned(&self) -> impl Iterator<Item = (&UpstreamId, Fence)> {
+        let owned = self.upstreams.iter().filter(|(_, upstream)| upstream.ownership != Ownership::None);
+        owned.map(|(id, upstream)| (id, upstream.fence))
+    }
+
+    /// Whether this entry owns the upstream or is taking it over.
+    #[must_use]
+    pub fn owns(&self, id: &UpstreamId) -> bool {
+        self.upstreams.get(id).is_some_and(|upstream| upstream.ownership != Ownership::None)
+    }
+
+    /// Number of tasks that run or wait.
+    #[must_use]
+    pub fn in_progress(&self) -> usize {
+        self.placed.len() + self.queue.iter().count()
+    }
+
+    /// Load of the owned upstreams of a service.
+    #[must_use]
+    pub fn load(&self, now: Instant, service: &ServiceId) -> Load {
+        let upstreams = self.upstreams.values().filter(|upstream| upstream.record.service == *service);
+        let mut load = Load {
+            mean_run_ms: rounded(self.mean_run_ms),
+            queued: self.queue.counts(service),
+            ..Load::default()
+        };
+        for upstream in upstreams.filter(|upstream| upstream.accepts(now)) {
+            load.free_slots += self.slots_in(upstream.free().cpu_millis);
+            load.slots += self.slots_in(upstream.record.capacity.cpu_millis);
+        }
+        load
+    }
+
+    /// Services of the owned upstreams.
+    #[must_use]
+    pub fn services(&self) -> FastSet<ServiceId> {
+        let owned = self.upstreams.values().filter(|upstream| upstream.ownership != Ownership::None);
+        owned.map(|upstream| upstream.record.service.clone()).collect()
+    }
+
+    fn slots_in(&self, cpu_millis: u64) -> u32 {
+        u32::try_from(cpu_millis / rounded(self.usual_cpu_millis).max(1)).unwrap_or(u32::MAX)
+    }
+
+    fn assigned(&mut self, now: Instant, home: HomeId, assignment: Assignment) {
+        let cpu_millis = as_float(assignment.need.cpu_millis);
+        self.usual_cpu_millis += AVERAGE_WEIGHT * (cpu_millis - self.usual_cpu_millis);
+        let start_by = now + Duration::from_millis(assignment.start_within_ms);
+        self.queue.push(Queued { assignment, home, queued_at: now, start_by });
+    }
+
+    fn cancelled(&mut self, home: HomeId, assignment: AssignmentId) {
+        if let Some(task) = self.queue.remove(home, assignment) {
+            let report = TaskReport::new(assignment, Outcome::NotStarted, task.assignment.run);
+            self.actions.push(Action::Report { home, report });
+        } else if let Some((upstream, run)) = self.placed.remove(&(home, assignment)) {
+            self.stop_run(&upstream, &run);
+            let report = TaskReport::new(assignment, Outcome::Uncertain, run.run);
+            self.actions.push(Action::Report { home, report });
+        }
+    }
+
+    fn home_lost(&mut self, home: HomeId) {
+        self.queue.extract(|task| task.home == home);
+        let lost: Vec<_> = self.placed.extract_if(|(owner, _), _| *owner == home).collect();
+        for (_, (upstream, run)) in lost {
+            self.stop_run(&upstream, &run);
+        }
+    }
+
+    /// Stops a run that nobody waits for any more.
+    fn stop_run(&mut self, id: &UpstreamId, run_id: &RunId) {
+        let Some(upstream) = self.upstreams.get_mut(id) else { return };
+        let Some(run) = upstream.runs.get_mut(run_id) else { return };
+        run.stopping = true;
+        self.order_stop(id, run_id);
+    }
+
+    /// After a pause of the whole process nothing that was believed about runs holds any more.
+    fn suspended(&mut self, now: Instant) {
+        for task in self.queue.extract(|_| true) {
+            self.report_not_run(now, &task, "suspended");
+        }
+        let ids: Vec<_> = self.upstreams.keys().cloned().collect();
+        for id in ids {
+            self.end_all_runs(now, &id, Outcome::Uncertain, "suspended");
+            let owned = self.upstreams.get(&id).is_some_and(|upstream| upstream.ownership != Ownership::None);
+            if owned {
+                self.retake(now, &id);
+            }
+        }
+    }
+
+    fn drop_late(&mut self, now: Instant) {
+        for task in self.queue.extract(|task| now >= task.start_by) {
+            self.report_not_run(now, &task, "late");
+        }
+    }
+
+    fn report_not_run(&mut self, now: Instant, task: &Queued, reason: &'static str) {
+        let run = RunId { task: task.assignment.task.clone(), run: task.assignment.run };
+        let queued = now.duration_since(task.queued_at);
+        self.actions.push(Action::Notice(Notice::Dropped { queued, reason, run }));
+        let report = TaskReport::new(task.assignment.id, Outcome::NotStarted, task.assignment.run);
+        self.actions.push(Action::Report { home: task.home, report });
+    }
+
+    /// Removes a run and reports its end to a home that still waits.
+    pub(crate) fn end_run(
+        &mut self,
+        now: Instant,
+        id: &UpstreamId,
+        run_id: &RunId,
+        outcome: Outcome,
+        how: &'static str,
+    ) {
+        let Some(run) = self.upstreams.get_mut(id).and_then(|upstream| upstream.remove_run(run_id)) else {
+            return;
+        };
+        if self.recent_ends.len() >= RECENT_ENDS {
+            self.recent_ends.pop_front();
+        }
+        self.recent_ends.push_back(run_id.clone());
+        let run_time = now.duration_since(run.ordered_at);
+        let ended = Notice::Ended { how, run: run_id.clone(), run_time, upstream: id.clone() };
+        self.actions.push(Action::Notice(ended));
+        if run.stopping {
+            return;
+        }
+        self.placed.remove(&(run.home, run.assignment.id));
+        if outcome == Outcome::Done {
+            self.mean_run_ms += AVERAGE_WEIGHT * (run_time.as_secs_f64() * 1_000.0 - self.mean_run_ms);
+        }
+        let report = TaskReport {
+            assignment: run.assignment.id,
+            outcome,
+            run: run_id.run,
+            run_time_ms: whole_ms(run_time),
+            upstream: Some(id.clone()),
+        };
+        self.actions.push(Action::Report { home: run.home, report });
+    }
+
+    pub(crate) fn end_all_runs(
+        &mut self,
+        now: Instant,
+        id: &UpstreamId,
+        outcome: Outcome,
+        how: &'static str,
+    ) {
+        let runs: Vec<_> = self
+            .upstreams
+            .get(id)
+            .map(|upstream| upstream.runs.keys().cloned().collect())
+            .unwrap_or_default();
+        for run in runs {
+            self.end_run(now, id, &run, outcome, how);
+        }
+    }
+
+    /// Puts a task whose run never began back into the queue, unless its home has gone.
+    pub(crate) fn requeue(&mut self, now: Instant, id: &UpstreamId, run_id: &RunId, run_number: RunNumber) {
+        let Some(run) = self.upstreams.get_mut(id).and_then(|upstream| upstream.remove_run(run_id)) else {
+            return;
+        };
+        if run.stopping {
+            return;
+        }
+        self.placed.remove(&(run.home, run.assignment.id));
+        let start_by = run.ordered_at + Duration::from_millis(run.assignment.start_within_ms);
+        let assignment = Assignment { run: run_number, ..run.assignment };
+        let task = Queued { assignment, home: run.home, queued_at: now, start_by };
+        if now >= start_by {
+            self.report_not_run(now, &task, "late");
+        } else {
+            self.queue.push(task);
+        }
+    }
+
+    fn set_upstreams(&mut self, now: Instant, records: Vec<UpstreamRecord>) {
+        for upstream in self.upstreams.values_mut() {
+            upstream.registered = false;
+        }
+        for record in records {
+            let id = record.id.clone();
+            let Some(upstream) = self.upstreams.get_mut(&id) else {
+                self.upstreams.insert(id, Upstream::new(now, record));
+                continue;
+            };
+            let restarted = matches!(
+                (upstream.record.lifetime, record.lifetime),
+                (Some(known), Some(registered)) if registered > known
+            );
+            let lifetime = upstream.record.lifetime.max(record.lifetime);
+            upstream.record = UpstreamRecord { lifetime, ..record };
+            upstream.registered = true;
+            if restarted {
+                self.upstream_restarted(now, &id);
+            }
+        }
+        self.upstreams.retain(|_, upstream| {
+            upstream.registered || !upstream.runs.is_empty() || upstream.holding || upstream.probing
+        });
+    }
+
+    fn place(&mut self, now: Instant) {
+        if self.queue.is_empty() {
+            return;
+        }
+        let mut placements = Vec::new();
+        let mut reserved: FastMap<UpstreamId, crate::Resources> = FastMap::default();
+        for task in self.queue.iter() {
+            if let Some(id) = self.choose(now, &task.assignment, &reserved) {
+                *reserved.entry(id.clone()).or_default() += task.assignment.need;
+                placements.push(((task.home, task.assignment.id), id));
+            }
+        }
+        for ((home, assignment), id) in placements {
+            if let Some(task) = self.queue.remove(home, assignment) {
+                self.start(now, &id, task);
+            }
+        }
+    }
+
+    /// The upstream where the task should run, if any has room: the fastest, and among equals the tightest fit.
+    fn choose(
+        &self,
+        now: Instant,
+        assignment: &Assignment,
+        reserved: &FastMap<UpstreamId, crate::Resources>,
+    ) -> Option<UpstreamId> {
+        let mut best: Option<(f64, &UpstreamId)> = None;
+        for (id, upstream) in &self.upstreams {
+            let avoided = assignment.avoid.as_ref() == Some(id);
+            if avoided || upstream.record.service != assignment.service || !upstream.accepts(now) {
+                continue;
+            }
+            let free = upstream.free() - reserved.get(id).copied().unwrap_or_default();
+            if !free.fits(&assignment.need) {
+                continue;
+            }
+            let left = as_float(free.cpu_millis - assignment.need.cpu_millis);
+            let capacity = as_float(upstream.record.capacity.cpu_millis).max(1.0);
+            let cost = 1.0 / upstream.health.speed() + FIT_WEIGHT * left / capacity;
+            if best.is_none_or(|(least, known)| (cost, id) < (least, known)) {
+                best = Some((cost, id));
+            }
+        }
+        best.map(|(_, id)| id.clone())
+    }
+
+    fn start(&mut self, now: Instant, id: &UpstreamId, task: Queued) {
+        let Some(upstream) = self.upstreams.get_mut(id) else { return };
+        let Some(lease_until_ms) = upstream.lease_until_ms(now) else { return };
+        let run_id = RunId { task: task.assignment.task.clone(), run: task.assignment.run };
+        let queued = now.duration_since(task.queued_at);
+        let free = upstream.free();
+        let started =
+            Notice::Started { free, home: task.home, queued, run: run_id.clone(), upstream: id.clone() };
+        self.placed.insert((task.home, task.assignment.id), (id.clone(), run_id.clone()));
+        self.actions.push(Action::Notice(started));
+        let report = TaskReport::new(task.assignment.id, Outcome::Started, run_id.run);
+        self.actions.push(Action::Report { home: task.home, report });
+        self.actions.push(Action::Start(StartOrder {
+            address: upstream.record.address.clone(),
+            fence: upstream.fence,
+            lease_until_ms,
+            run: run_id.clone(),
+            spec: task.assignment.spec.clone(),
+            upstream: id.clone(),
+        }));
+        upstream.add_run(
+            run_id,
+            Run {
+                assignment: task.assignment,
+                confirmed_at: None,
+                fence: upstream.fence,
+                home: task.home,
+                ordered_at: now,
+                stopping: false,
+            },
+        );
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "sizes are far below 2^52")]
+fn as_float(value: u64) -> f64 {
+    value as f64
+}
+
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "averages of positive numbers")]
+fn rounded(value: f64) -> u64 {
+    value.round() as u64
+}
--- a/crates/store/src/budget.rs
+++ b/crates/store/src/budget.rs
@@ -88,6 +88,8 @@
 #[derive(Debug)]
 pub struct Backoff {
     failures: u32,
+    first: Duration,
+    longest: Duration,
     rng: StdRng,
 }
 
@@ -95,7 +97,13 @@
     /// A back-off without failures.
     #[must_use]
     pub fn new(seed: u64) -> Self {
-        Self { failures: 0, rng: StdRng::seed_from_u64(seed) }
+        Self::with_bounds(seed, FIRST_DELAY, LONGEST_DELAY)
+    }
+
+    /// A back-off whose delays are bounded by `first` and then by doubled bounds up to `longest`.
+    #[must_use]
+    pub fn with_bounds(seed: u64, first: Duration, longest: Duration) -> Self {
+        Self { failures: 0, first, longest, rng: StdRng::seed_from_u64(seed) }
     }
 
     /// The next delay is bounded by the first one again.
@@ -105,7 +113,7 @@
 
     /// Delay before the next attempt.
     pub fn next_delay(&mut self) -> Duration {
-        let bound = FIRST_DELAY.saturating_mul(1 << self.failures.min(8)).min(LONGEST_DELAY);
+        let bound = self.first.saturating_mul(1 << self.failures.min(8)).min(self.longest);
         self.failures = self.failures.saturating_add(1);
         self.rng.random_range(LEAST_DELAY..=bound)
     }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -5,6 +5,8 @@
 //! - [`Budgeted`] limits and counts calls with a [`TokenBucket`] and [`StoreCounters`]; [`Backoff`] spreads repeats.
 //! - [`ConfigSync`] keeps the configuration in force: it follows the store, takes higher revisions from peers, and
 //!   writes operators' changes.
+//! - [`Keyspace`] is the interface of a store with ranges, watches over prefixes and leases. [`Mirror`] keeps a local
+//!   copy of a prefix, and [`Registration`] keeps a key of this process alive under a lease.
 //! - [`Claims`] records in the store that a definite submission may start, and settles submissions whose owner is
 //!   gone.
 //!
@@ -27,13 +29,19 @@
 mod budget;
 mod claims;
 mod http_store;
+mod keyspace;
+mod mirror;
 mod proposal;
+mod registration;
 mod store;
 mod sync;
 
 pub use budget::{Backoff, Budgeted, Call, CallCounts, StoreCounters, TokenBucket};
 pub use claims::{ClaimError, Claims, Settlement, WINDOW_KEYS};
 pub use http_store::HttpStore;
+pub use keyspace::{Change, Item, Keyspace, KeyspaceError, LeaseId, Page, Revision, Watched};
+pub use mirror::{Copy, Link, Mirror, MirrorEvent, MirrorSettings};
 pub use proposal::ChangeFailure;
+pub use registration::{Registration, RegistrationEvent};
 pub use store::{MAX_VALUE_BYTES, Store, StoreError};
 pub use sync::{CONFIG_KEY, ConfigSync, Offered, Source, SyncEvent, SyncStatus};
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -20,6 +20,8 @@
     Stopped = 1006,
     ///A flag or environment variable is not valid.
     SettingRejected = 1007,
+    ///The settings file was read again after a signal.
+    SettingsReloaded = 1008,
     ///A peer was seen for the first time.
     MemberJoined = 1100,
     ///A peer has been silent for the suspect time.
@@ -66,6 +68,46 @@
     InputRejected = 1501,
     ///A connection ended with an error.
     ConnectionFailed = 1502,
+    ///A job was admitted; gives the estimated wait, the age of the load report behind it and the longest useful wait.
+    JobAdmitted = 1600,
+    ///A job has ended; gives the answer, its cause and the time since it was received.
+    JobAnswered = 1601,
+    ///A caller left before the answer; its tasks are cancelled.
+    JobAbandoned = 1602,
+    ///A task is placed again; gives how its earlier run ended and where.
+    TaskRepeated = 1603,
+    ///A request for a job was refused before admission; says why. Nothing of it has run.
+    JobRefused = 1604,
+    ///A start order goes to an upstream; gives the time in the queue and the room that was free.
+    RunStarted = 1610,
+    ///A run has ended; says how, and the time since its start order.
+    RunEnded = 1611,
+    ///A start order was not answered with a run; says why.
+    StartRejected = 1612,
+    ///A task left an owner's queue without a start; says why.
+    TaskDropped = 1613,
+    ///An upstream runs something that this owner did not start; it is stopped.
+    UnknownRun = 1614,
+    ///The ownership of an upstream has changed; gives the fencing token.
+    UpstreamOwner = 1620,
+    ///An upstream gets no new tasks for a while; says why and how long.
+    UpstreamAvoided = 1621,
+    ///An upstream that was avoided has done a task and is trusted again.
+    UpstreamAvailable = 1622,
+    ///The link to a peer is up.
+    PeerLinked = 1630,
+    ///The link to a peer is down; what was handed over on it is void.
+    PeerLost = 1631,
+    ///The process stood still; what it believed about runs and callers is discarded.
+    ProcessSuspended = 1632,
+    ///This entry is registered in the store.
+    Registered = 1640,
+    ///The registration in the store may have expired; says why.
+    RegistrationLost = 1641,
+    ///Log lines were dropped because the output did not keep up; gives their number.
+    LogLinesDropped = 1642,
+    ///An address could not be listened on.
+    ListenFailed = 1643,
 }
 impl LogEvent {
     /// All values in the order of their numbers.
@@ -78,6 +120,7 @@
         Self::DrainTimedOut,
         Self::Stopped,
         Self::SettingRejected,
+        Self::SettingsReloaded,
         Self::MemberJoined,
         Self::MemberSuspect,
         Self::MemberDead,
@@ -101,6 +144,26 @@
         Self::AnswerDropped,
         Self::InputRejected,
         Self::ConnectionFailed,
+        Self::JobAdmitted,
+        Self::JobAnswered,
+        Self::JobAbandoned,
+        Self::TaskRepeated,
+        Self::JobRefused,
+        Self::RunStarted,
+        Self::RunEnded,
+        Self::StartRejected,
+        Self::TaskDropped,
+        Self::UnknownRun,
+        Self::UpstreamOwner,
+        Self::UpstreamAvoided,
+        Self::UpstreamAvailable,
+        Self::PeerLinked,
+        Self::PeerLost,
+        Self::ProcessSuspended,
+        Self::Registered,
+        Self::RegistrationLost,
+        Self::LogLinesDropped,
+        Self::ListenFailed,
     ];
     /// The number.
     #[must_use]
@@ -124,6 +187,7 @@
             Self::DrainTimedOut => "DRAIN_TIMED_OUT",
             Self::Stopped => "STOPPED",
             Self::SettingRejected => "SETTING_REJECTED",
+            Self::SettingsReloaded => "SETTINGS_RELOADED",
             Self::MemberJoined => "MEMBER_JOINED",
             Self::MemberSuspect => "MEMBER_SUSPECT",
             Self::MemberDead => "MEMBER_DEAD",
@@ -147,6 +211,26 @@
             Self::AnswerDropped => "ANSWER_DROPPED",
             Self::InputRejected => "INPUT_REJECTED",
             Self::ConnectionFailed => "CONNECTION_FAILED",
+            Self::JobAdmitted => "JOB_ADMITTED",
+            Self::JobAnswered => "JOB_ANSWERED",
+            Self::JobAbandoned => "JOB_ABANDONED",
+            Self::TaskRepeated => "TASK_REPEATED",
+            Self::JobRefused => "JOB_REFUSED",
+            Self::RunStarted => "RUN_STARTED",
+            Self::RunEnded => "RUN_ENDED",
+            Self::StartRejected => "START_REJECTED",
+            Self::TaskDropped => "TASK_DROPPED",
+            Self::UnknownRun => "UNKNOWN_RUN",
+            Self::UpstreamOwner => "UPSTREAM_OWNER",
+            Self::UpstreamAvoided => "UPSTREAM_AVOIDED",
+            Self::UpstreamAvailable => "UPSTREAM_AVAILABLE",
+            Self::PeerLinked => "PEER_LINKED",
+            Self::PeerLost => "PEER_LOST",
+            Self::ProcessSuspended => "PROCESS_SUSPENDED",
+            Self::Registered => "REGISTERED",
+            Self::RegistrationLost => "REGISTRATION_LOST",
+            Self::LogLinesDropped => "LOG_LINES_DROPPED",
+            Self::ListenFailed => "LISTEN_FAILED",
         }
     }
 }
@@ -163,6 +247,7 @@
             Self::DrainTimedOut => "error",
             Self::Stopped => "info",
             Self::SettingRejected => "error",
+            Self::SettingsReloaded => "info",
             Self::MemberJoined => "info",
             Self::MemberSuspect => "warn",
             Self::MemberDead => "warn",
@@ -186,6 +271,26 @@
             Self::AnswerDropped => "warn",
             Self::InputRejected => "debug",
             Self::ConnectionFailed => "debug",
+            Self::JobAdmitted => "info",
+            Self::JobAnswered => "info",
+            Self::JobAbandoned => "info",
+            Self::TaskRepeated => "info",
+            Self::JobRefused => "info",
+            Self::RunStarted => "info",
+            Self::RunEnded => "info",
+            Self::StartRejected => "info",
+            Self::TaskDropped => "info",
+            Self::UnknownRun => "warn",
+            Self::UpstreamOwner => "info",
+            Self::UpstreamAvoided => "warn",
+            Self::UpstreamAvailable => "info",
+            Self::PeerLinked => "info",
+            Self::PeerLost => "warn",
+            Self::ProcessSuspended => "warn",
+            Self::Registered => "info",
+            Self::RegistrationLost => "warn",
+            Self::LogLinesDropped => "warn",
+            Self::ListenFailed => "error",
         }
     }
 }
