--- a/crates/runs/src/orders.rs
+++ b/crates/runs/src/orders.rs
@@ -42,6 +42,9 @@
         upstream.fence += 1;
         upstream.ownership = Ownership::Taking;
         upstream.hold_after = now;
+        if upstream.holding {
+            upstream.probe_after = Some(now);
+        }
         self.owner_notice(id, "taking");
     }
 
@@ -190,8 +193,8 @@
     pub(crate) fn send_holds(&mut self, now: Instant) {
         let mut holds = Vec::new();
         for (id, upstream) in &mut self.upstreams {
-            if upstream.probe_after.is_some_and(|after| now >= after) && upstream.owned() && !upstream.probing
-            {
+            let probe_due = upstream.probe_after.is_some_and(|after| now >= after);
+            if probe_due && upstream.ownership != Ownership::None && !upstream.probing {
                 upstream.probe_after = None;
                 upstream.probing = true;
                 holds.push(upstream.hold(now, id, true, Duration::ZERO));
@@ -209,6 +212,7 @@
     pub(crate) fn hold_failed(&mut self, now: Instant, hold: &Hold, refused: bool) {
         let id = &hold.upstream;
         let Some(upstream) = self.upstreams.get_mut(id) else { return };
+        upstream.silent = true;
         let taking = upstream.ownership == Ownership::Taking;
         upstream.hold_after = now + if taking { TAKE_RETRY } else { HOLD_RETRY };
         if !taking && hold.probe {
@@ -240,7 +244,7 @@
 /// A hold as the upstream's state asks for it.
 impl crate::upstream::Upstream {
     fn hold(&self, now: Instant, id: &UpstreamId, probe: bool, wait: Duration) -> Hold {
-        let renews = self.owned() && self.runs.values().any(|run| !run.stopping);
+        let renews = self.owned() && !self.silent && self.runs.values().any(|run| !run.stopping);
         Hold {
             address: self.record.address.clone(),
             fence: self.fence,
--- a/crates/runs/src/upstream.rs
+++ b/crates/runs/src/upstream.rs
@@ -75,6 +75,8 @@
     /// Whether the upstream is still registered.
     pub(crate) registered: bool,
     pub(crate) runs: FastMap<RunId, Run>,
+    /// Whether the last hold was not answered. Leases are not renewed then, so that they end for certain.
+    pub(crate) silent: bool,
     pub(crate) used: Resources,
 }
 
@@ -97,6 +99,7 @@
             record,
             registered: true,
             runs: FastMap::default(),
+            silent: false,
             used: Resources::default(),
         }
     }
--- /dev/null
+++ b/crates/runs/tests/support/mod.rs
@@ -0,0 +1,307 @@
+//! A stand-in upstream and a small world of owners around it, in virtual time.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hinge_runs::{
+    Action, Assignment, EndKind, Ended, Event, Fence, Hold, HoldReply, HomeId, Lifetime, Listing, Outcome,
+    Rejection, Resources, RunId, Runner, StartOrder, StartReply, TaskReport, UpstreamRecord,
+};
+use tokio::time::Instant;
+
+pub const SERVICE: &str = "deicing";
+pub const HOME: HomeId = 7;
+/// Longest lease of an upstream.
+pub const MAX_LEASE_MS: u64 = 1_000;
+
+pub fn ms(time_ms: u64) -> Duration {
+    Duration::from_millis(time_ms)
+}
+
+pub fn record(id: &str, lifetime: Lifetime) -> UpstreamRecord {
+    UpstreamRecord {
+        address: format!("{id}:80").into(),
+        capacity: Resources { cpu_millis: 16_000, gpus: 0, memory_mb: 32_768 },
+        data_centre: "dc1".into(),
+        draining: false,
+        id: id.into(),
+        lifetime: Some(lifetime),
+        rack: "r1".into(),
+        sequence: 1,
+        service: SERVICE.into(),
+    }
+}
+
+pub fn assignment(id: u64, task: &str, run: u64) -> Assignment {
+    Assignment {
+        avoid: None,
+        id,
+        need: Resources { cpu_millis: 7_000, gpus: 0, memory_mb: 64 },
+        expected_ms: 100,
+        priority: 0,
+        run,
+        service: SERVICE.into(),
+        spec: "spec".into(),
+        start_within_ms: 2_000,
+        task: task.into(),
+    }
+}
+
+/// A run at the stand-in.
+#[derive(Clone, Debug)]
+pub struct LiveRun {
+    pub ends_at_ms: u64,
+    pub id: RunId,
+}
+
+/// An upstream as the platform's pages describe it: fences, one lease for all runs, numbered ends.
+#[derive(Debug)]
+pub struct FakeUpstream {
+    pub ended: BTreeMap<u64, (RunId, EndKind)>,
+    pub fence: Fence,
+    pub highest_run: BTreeMap<Arc<str>, u64>,
+    pub lease_until_ms: u64,
+    pub lifetime: Lifetime,
+    pub next_end: u64,
+    pub now_ms: u64,
+    pub run_time_ms: u64,
+    pub running: Vec<LiveRun>,
+}
+
+impl FakeUpstream {
+    pub fn new() -> Self {
+        Self {
+            ended: BTreeMap::new(),
+            fence: 0,
+            highest_run: BTreeMap::new(),
+            lease_until_ms: 0,
+            lifetime: 1,
+            next_end: 1,
+            now_ms: 5_000,
+            run_time_ms: 100,
+            running: Vec::new(),
+        }
+    }
+
+    /// Lets time pass: runs end, or lapse with their lease.
+    pub fn advance(&mut self, by_ms: u64) {
+        self.now_ms += by_ms;
+        let runs = std::mem::take(&mut self.running);
+        for run in runs {
+            if run.ends_at_ms <= self.now_ms.min(self.lease_until_ms) {
+                self.end(run.id, EndKind::Done);
+            } else if self.now_ms >= self.lease_until_ms {
+                self.end(run.id, EndKind::Interrupted);
+            } else {
+                self.running.push(run);
+            }
+        }
+    }
+
+    fn end(&mut self, id: RunId, how: EndKind) {
+        self.ended.insert(self.next_end, (id, how));
+        self.next_end += 1;
+    }
+
+    fn extend(&mut self, until_ms: u64) {
+        self.lease_until_ms = self.lease_until_ms.max(until_ms.min(self.now_ms + MAX_LEASE_MS));
+    }
+
+    pub fn start(&mut self, order: &StartOrder) -> StartReply {
+        let clock_ms = self.now_ms;
+        let reject = |reason| StartReply::Rejected { clock_ms: Some(clock_ms), reason };
+        if order.fence < self.fence {
+            return reject(Rejection::Fenced);
+        }
+        self.fence = order.fence;
+        if order.lease_until_ms <= self.now_ms {
+            return reject(Rejection::Late);
+        }
+        if self.running.iter().any(|run| run.id == order.run) {
+            return StartReply::Started { clock_ms };
+        }
+        if self.highest_run.get(&order.run.task).is_some_and(|highest| *highest >= order.run.run) {
+            return reject(Rejection::OldRun);
+        }
+        self.extend(order.lease_until_ms);
+        self.highest_run.insert(order.run.task.clone(), order.run.run);
+        let ends_at_ms = self.now_ms + self.run_time_ms;
+        self.running.push(LiveRun { ends_at_ms, id: order.run.clone() });
+        StartReply::Started { clock_ms }
+    }
+
+    pub fn stop(&mut self, fence: Fence, id: &RunId) {
+        if fence < self.fence {
+            return;
+        }
+        self.fence = fence;
+        let highest = self.highest_run.entry(id.task.clone()).or_default();
+        *highest = (*highest).max(id.run);
+        if let Some(position) = self.running.iter().position(|run| run.id == *id) {
+            let run = self.running.remove(position);
+            self.end(run.id, EndKind::Interrupted);
+        }
+    }
+
+    pub fn hold(&mut self, hold: &Hold) -> HoldReply {
+        if hold.fence < self.fence {
+            return HoldReply::Rejected(Rejection::Fenced);
+        }
+        self.fence = hold.fence;
+        if let Some(until_ms) = hold.lease_until_ms {
+            self.extend(until_ms);
+        }
+        self.ended.retain(|number, _| *number > hold.last_end);
+        let ended = self.ended.iter().map(|(number, (run, how))| Ended {
+            how: *how,
+            number: *number,
+            run: run.clone(),
+        });
+        HoldReply::Listed(Listing {
+            clock_ms: self.now_ms,
+            ended: ended.collect(),
+            lifetime: Some(self.lifetime),
+            running: self.running.iter().map(|run| run.id.clone()).collect(),
+        })
+    }
+
+    /// A new process with nothing of before.
+    pub fn restart(&mut self) {
+        *self = Self { lifetime: self.lifetime + 1, now_ms: 1, run_time_ms: self.run_time_ms, ..Self::new() };
+    }
+}
+
+/// A runner with one upstream that answers at once.
+pub struct Owner {
+    pub now: Instant,
+    pub reports: Vec<(HomeId, TaskReport)>,
+    pub runner: Runner,
+    pub stops: Vec<RunId>,
+    pub upstream: FakeUpstream,
+}
+
+impl Owner {
+    /// An owner that has taken over the upstream `up-1`.
+    pub fn new() -> Self {
+        let mut owner = Self {
+            now: Instant::now(),
+            reports: Vec::new(),
+            runner: Runner::default(),
+            stops: Vec::new(),
+            upstream: FakeUpstream::new(),
+        };
+        owner.handle(Event::Upstreams(vec![record("up-1", 1)]));
+        owner.handle(Event::Own { fence: 10, upstream: "up-1".into() });
+        owner.answer_all();
+        owner
+    }
+
+    pub fn handle(&mut self, event: Event) {
+        self.runner.handle(self.now, event);
+    }
+
+    /// Actions since the last call; reports and stops are collected.
+    pub fn actions(&mut self) -> Vec<Action> {
+        let mut others = Vec::new();
+        for action in self.runner.drain_actions() {
+            match action {
+                Action::Report { home, report } => self.reports.push((home, report)),
+                Action::Notice(_) => {}
+                other => others.push(other),
+            }
+        }
+        others
+    }
+
+    /// Carries out orders and answers them until the runner is quiet; waiting holds are left unanswered.
+    pub fn answer_all(&mut self) {
+        loop {
+            let actions = self.actions();
+            if actions.is_empty() {
+                return;
+            }
+            for action in actions {
+                self.answer(action);
+            }
+        }
+    }
+
+    fn answer(&mut self, action: Action) {
+        match action {
+            Action::Hold(hold) if hold.wait.is_zero() || !self.upstream.ended.is_empty() => {
+                let reply = self.upstream.hold(&hold);
+                self.handle(Event::HoldEnded { hold, reply });
+            }
+            Action::Hold(_) | Action::Notice(_) | Action::Report { .. } => {}
+            Action::Start(start) => {
+                let reply = self.upstream.start(&start);
+                self.handle(Event::StartEnded { reply, start });
+            }
+            Action::Stop { fence, run, .. } => {
+                self.upstream.stop(fence, &run);
+                self.stops.push(run);
+            }
+        }
+    }
+
+    pub fn advance(&mut self, by_ms: u64) {
+        self.now += ms(by_ms);
+        self.upstream.advance(by_ms);
+        self.handle(Event::Tick);
+    }
+
+    pub fn assign(&mut self, id: u64, task: &str) {
+        self.handle(Event::Assigned { assignment: assignment(id, task, 1), home: HOME });
+    }
+
+    /// Outcomes of an assignment so far, without the notice of its start.
+    pub fn outcomes(&self, id: u64) -> Vec<Outcome> {
+        let reports = self.reports.iter().filter(|(_, report)| report.assignment == id);
+        reports.map(|(_, report)| report.outcome).filter(|outcome| *outcome != Outcome::Started).collect()
+    }
+
+    /// A listing of the upstream as a waiting hold would bring it.
+    pub fn listing(&mut self) -> Event {
+        let hold = Hold {
+            address: "up-1:80".into(),
+            fence: self.upstream.fence,
+            last_end: 0,
+            lease_until_ms: None,
+            probe: false,
+            sent_at: self.now,
+            upstream: "up-1".into(),
+            wait: Duration::ZERO,
+        };
+        let reply = self.upstream.hold(&hold);
+        Event::HoldEnded { hold, reply }
+    }
+}
+
+/// The first start order among actions.
+pub fn first_start(actions: &[Action]) -> StartOrder {
+    let start = actions.iter().find_map(|action| match action {
+        Action::Start(start) => Some(start.clone()),
+        _ => None,
+    });
+    start.expect("a start order")
+}
+
+/// The first hold that only reads, beside a waiting one.
+pub fn first_probe(actions: &[Action]) -> Option<Hold> {
+    actions.iter().find_map(|action| match action {
+        Action::Hold(hold) if hold.probe => Some(hold.clone()),
+        _ => None,
+    })
+}
+
+/// The first hold that waits.
+pub fn first_hold(actions: &[Action]) -> Hold {
+    let hold = actions.iter().find_map(|action| match action {
+        Action::Hold(hold) if !hold.probe => Some(hold.clone()),
+        _ => None,
+    });
+    hold.expect("a hold")
+}
