--- a/crates/obs/src/logs.rs
+++ b/crates/obs/src/logs.rs
@@ -45,7 +45,7 @@
 ///
 /// Fails when a logger is already installed.
 pub fn init_output_logs(instance: &str, level: LevelFilter) -> Result<(), LogError> {
-    install(instance, level, fern::Output::from(LineQueue::start().into_output()))
+    install(instance, level, LineQueue::start().into_output())
 }
 
 /// Writes log records of `level` and above to standard error as JSON lines.
--- a/crates/runs/tests/interleavings.rs
+++ b/crates/runs/tests/interleavings.rs
@@ -3,11 +3,15 @@
 //! Two owners with an upstream each, and two homes beside them. The callers of a lost home send their jobs again to the
 //! other one 1.3 s later. Whatever happens, no task may run twice at a time.
 
+#![allow(clippy::panic, clippy::unwrap_used, reason = "tests")]
+
 mod support;
 
 use std::collections::BTreeMap;
 
-use hinge_runs::{Action, Event, Fence, HoldReply, HomeId, Outcome, RunId, Runner, StartReply, UpstreamRecord};
+use hinge_runs::{
+    Action, Event, Fence, HoldReply, HomeId, Outcome, RunId, Runner, StartReply, UpstreamRecord,
+};
 use proptest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -129,7 +133,8 @@
             Action::Notice(_) => {}
             action => {
                 let late = self.rng.random_bool(0.06);
-                let delay_ms = if late { self.rng.random_range(2_000..12_000) } else { self.rng.random_range(0..3) };
+                let delay_ms =
+                    if late { self.rng.random_range(2_000..12_000) } else { self.rng.random_range(0..3) };
                 if late {
                     self.lose_answer(owner, life, &action);
                 }
@@ -225,7 +230,8 @@
             process.runner = Runner::default();
         }
         // The callers of a killed home see a closed connection; those of a frozen one wait.
-        let jobs: Vec<_> = self.assignments.iter().filter(|(_, (_, home))| *home == id).map(|(id, _)| *id).collect();
+        let jobs: Vec<_> =
+            self.assignments.iter().filter(|(_, (_, home))| *home == id).map(|(id, _)| *id).collect();
         for assignment in jobs {
             if killed {
                 let (task, _) = self.assignments.remove(&assignment).unwrap();
@@ -286,8 +292,8 @@
         let (due, later): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.messages).into_iter().partition(|(at_ms, _)| *at_ms <= self.now_ms);
         self.messages = later;
-        for (at_ms, message) in due {
-            self.deliver(at_ms, message);
+        for (_, message) in due {
+            self.deliver(message);
             self.check();
         }
         for owner in 0..2 {
@@ -304,7 +310,7 @@
         self.check();
     }
 
-    fn deliver(&mut self, at_ms: u64, message: Message) {
+    fn deliver(&mut self, message: Message) {
         match message {
             Message::Event { event, owner, life } => {
                 let process = &self.processes[owner];
@@ -320,10 +326,7 @@
                 }
             }
             Message::Order { action, late, life, owner } => self.order(owner, life, late, action),
-            Message::Resubmit { task } => {
-                let _ = at_ms;
-                self.submit(task);
-            }
+            Message::Resubmit { task } => self.submit(task),
         }
     }
 
@@ -369,8 +372,10 @@
 #[test]
 fn the_world_starts_and_repeats_tasks() {
     let worlds: Vec<_> = (0..20).map(play).collect();
-    let ends: u64 = worlds.iter().flat_map(|world| world.upstreams.values()).map(|one| one.next_end - 1).sum();
-    let repeats: u64 = worlds.iter().flat_map(|world| world.runs.values()).filter(|run| **run > 1).count() as u64;
+    let ends: u64 =
+        worlds.iter().flat_map(|world| world.upstreams.values()).map(|one| one.next_end - 1).sum();
+    let repeats: u64 =
+        worlds.iter().flat_map(|world| world.runs.values()).filter(|run| **run > 1).count() as u64;
     assert!(ends > 200, "{ends} ends");
     assert!(repeats > 20, "{repeats} repeats");
 }
--- a/crates/runs/tests/settlement.rs
+++ b/crates/runs/tests/settlement.rs
@@ -1,5 +1,7 @@
 //! How an owner settles orders that were not answered, rejected, or overtaken by another owner.
 
+#![allow(clippy::expect_used, reason = "tests")]
+
 mod support;
 
 use hinge_runs::{Event, HoldReply, Outcome, Rejection, StartReply};
--- a/crates/runs/tests/support/mod.rs
+++ b/crates/runs/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! A stand-in upstream and a small world of owners around it, in virtual time.
 
 #![allow(dead_code, reason = "each test file uses a part")]
+#![allow(clippy::expect_used, reason = "tests")]
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -12,16 +13,16 @@
 };
 use tokio::time::Instant;
 
-pub const SERVICE: &str = "deicing";
-pub const HOME: HomeId = 7;
+pub(crate) const SERVICE: &str = "deicing";
+pub(crate) const HOME: HomeId = 7;
 /// Longest lease of an upstream.
-pub const MAX_LEASE_MS: u64 = 1_000;
+pub(crate) const MAX_LEASE_MS: u64 = 1_000;
 
-pub fn ms(time_ms: u64) -> Duration {
+pub(crate) fn ms(time_ms: u64) -> Duration {
     Duration::from_millis(time_ms)
 }
 
-pub fn record(id: &str, lifetime: Lifetime) -> UpstreamRecord {
+pub(crate) fn record(id: &str, lifetime: Lifetime) -> UpstreamRecord {
     UpstreamRecord {
         address: format!("{id}:80").into(),
         capacity: Resources { cpu_millis: 16_000, gpus: 0, memory_mb: 32_768 },
@@ -35,7 +36,7 @@
     }
 }
 
-pub fn assignment(id: u64, task: &str, run: u64) -> Assignment {
+pub(crate) fn assignment(id: u64, task: &str, run: u64) -> Assignment {
     Assignment {
         avoid: None,
         id,
@@ -52,27 +53,27 @@
 
 /// A run at the stand-in.
 #[derive(Clone, Debug)]
-pub struct LiveRun {
-    pub ends_at_ms: u64,
-    pub id: RunId,
+pub(crate) struct LiveRun {
+    pub(crate) ends_at_ms: u64,
+    pub(crate) id: RunId,
 }
 
 /// An upstream as the platform's pages describe it: fences, one lease for all runs, numbered ends.
 #[derive(Debug)]
-pub struct FakeUpstream {
-    pub ended: BTreeMap<u64, (RunId, EndKind)>,
-    pub fence: Fence,
-    pub highest_run: BTreeMap<Arc<str>, u64>,
-    pub lease_until_ms: u64,
-    pub lifetime: Lifetime,
-    pub next_end: u64,
-    pub now_ms: u64,
-    pub run_time_ms: u64,
-    pub running: Vec<LiveRun>,
+pub(crate) struct FakeUpstream {
+    pub(crate) ended: BTreeMap<u64, (RunId, EndKind)>,
+    pub(crate) fence: Fence,
+    pub(crate) highest_run: BTreeMap<Arc<str>, u64>,
+    pub(crate) lease_until_ms: u64,
+    pub(crate) lifetime: Lifetime,
+    pub(crate) next_end: u64,
+    pub(crate) now_ms: u64,
+    pub(crate) run_time_ms: u64,
+    pub(crate) running: Vec<LiveRun>,
 }
 
 impl FakeUpstream {
-    pub fn new() -> Self {
+    pub(crate) fn new() -> Self {
         Self {
             ended: BTreeMap::new(),
             fence: 0,
@@ -87,7 +88,7 @@
     }
 
     /// Lets time pass: runs end, or lapse with their lease.
-    pub fn advance(&mut self, by_ms: u64) {
+    pub(crate) fn advance(&mut self, by_ms: u64) {
         self.now_ms += by_ms;
         let runs = std::mem::take(&mut self.running);
         for run in runs {
@@ -110,7 +111,7 @@
         self.lease_until_ms = self.lease_until_ms.max(until_ms.min(self.now_ms + MAX_LEASE_MS));
     }
 
-    pub fn start(&mut self, order: &StartOrder) -> StartReply {
+    pub(crate) fn start(&mut self, order: &StartOrder) -> StartReply {
         let clock_ms = self.now_ms;
         let reject = |reason| StartReply::Rejected { clock_ms: Some(clock_ms), reason };
         if order.fence < self.fence {
@@ -133,7 +134,7 @@
         StartReply::Started { clock_ms }
     }
 
-    pub fn stop(&mut self, fence: Fence, id: &RunId) {
+    pub(crate) fn stop(&mut self, fence: Fence, id: &RunId) {
         if fence < self.fence {
             return;
         }
@@ -146,7 +147,7 @@
         }
     }
 
-    pub fn hold(&mut self, hold: &Hold) -> HoldReply {
+    pub(crate) fn hold(&mut self, hold: &Hold) -> HoldReply {
         if hold.fence < self.fence {
             return HoldReply::Rejected(Rejection::Fenced);
         }
@@ -169,23 +170,23 @@
     }
 
     /// A new process with nothing of before.
-    pub fn restart(&mut self) {
+    pub(crate) fn restart(&mut self) {
         *self = Self { lifetime: self.lifetime + 1, now_ms: 1, run_time_ms: self.run_time_ms, ..Self::new() };
     }
 }
 
 /// A runner with one upstream that answers at once.
-pub struct Owner {
-    pub now: Instant,
-    pub reports: Vec<(HomeId, TaskReport)>,
-    pub runner: Runner,
-    pub stops: Vec<RunId>,
-    pub upstream: FakeUpstream,
+pub(crate) struct Owner {
+    pub(crate) now: Instant,
+    pub(crate) reports: Vec<(HomeId, TaskReport)>,
+    pub(crate) runner: Runner,
+    pub(crate) stops: Vec<RunId>,
+    pub(crate) upstream: FakeUpstream,
 }
 
 impl Owner {
     /// An owner that has taken over the upstream `up-1`.
-    pub fn new() -> Self {
+    pub(crate) fn new() -> Self {
         let mut owner = Self {
             now: Instant::now(),
             reports: Vec::new(),
@@ -199,12 +200,12 @@
         owner
     }
 
-    pub fn handle(&mut self, event: Event) {
+    pub(crate) fn handle(&mut self, event: Event) {
         self.runner.handle(self.now, event);
     }
 
     /// Actions since the last call; reports and stops are collected.
-    pub fn actions(&mut self) -> Vec<Action> {
+    pub(crate) fn actions(&mut self) -> Vec<Action> {
         let mut others = Vec::new();
         for action in self.runner.drain_actions() {
             match action {
@@ -217,7 +218,7 @@
     }
 
     /// Carries out orders and answers them until the runner is quiet; waiting holds are left unanswered.
-    pub fn answer_all(&mut self) {
+    pub(crate) fn answer_all(&mut self) {
         loop {
             let actions = self.actions();
             if actions.is_empty() {
@@ -247,24 +248,24 @@
         }
     }
 
-    pub fn advance(&mut self, by_ms: u64) {
+    pub(crate) fn advance(&mut self, by_ms: u64) {
         self.now += ms(by_ms);
         self.upstream.advance(by_ms);
         self.handle(Event::Tick);
     }
 
-    pub fn assign(&mut self, id: u64, task: &str) {
+    pub(crate) fn assign(&mut self, id: u64, task: &str) {
         self.handle(Event::Assigned { assignment: assignment(id, task, 1), home: HOME });
     }
 
     /// Outcomes of an assignment so far, without the notice of its start.
-    pub fn outcomes(&self, id: u64) -> Vec<Outcome> {
+    pub(crate) fn outcomes(&self, id: u64) -> Vec<Outcome> {
         let reports = self.reports.iter().filter(|(_, report)| report.assignment == id);
         reports.map(|(_, report)| report.outcome).filter(|outcome| *outcome != Outcome::Started).collect()
     }
 
     /// A listing of the upstream as a waiting hold would bring it.
-    pub fn listing(&mut self) -> Event {
+    pub(crate) fn listing(&mut self) -> Event {
         let hold = Hold {
             address: "up-1:80".into(),
             fence: self.upstream.fence,
@@ -281,7 +282,7 @@
 }
 
 /// The first start order among actions.
-pub fn first_start(actions: &[Action]) -> StartOrder {
+pub(crate) fn first_start(actions: &[Action]) -> StartOrder {
     let start = actions.iter().find_map(|action| match action {
         Action::Start(start) => Some(start.clone()),
         _ => None,
@@ -290,7 +291,7 @@
 }
 
 /// The first hold that only reads, beside a waiting one.
-pub fn first_probe(actions: &[Action]) -> Option<Hold> {
+pub(crate) fn first_probe(actions: &[Action]) -> Option<Hold> {
     actions.iter().find_map(|action| match action {
         Action::Hold(hold) if hold.probe => Some(hold.clone()),
         _ => None,
@@ -298,7 +299,7 @@
 }
 
 /// The first hold that waits.
-pub fn first_hold(actions: &[Action]) -> Hold {
+pub(crate) fn first_hold(actions: &[Action]) -> Hold {
     let hold = actions.iter().find_map(|action| match action {
         Action::Hold(hold) if !hold.probe => Some(hold.clone()),
         _ => None,
