--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -243,6 +243,7 @@
     fn withdraw(&mut self, now: Instant, place: Place) {
         let Some(job) = self.jobs.get_mut(&place.job) else { return };
         job.withdrawn = true;
+        job.tasks[place.task as usize] = TaskState::NotStarted;
         for task in &job.tasks {
             if let TaskState::Assigned { assignment, owner } = task {
                 self.actions.push(Action::Cancel { assignment: *assignment, owner: *owner });
@@ -295,12 +296,11 @@
         self.owners.remove(owner);
         let lost: Vec<_> = self
             .assignments
-            .iter()
-            .filter(|(_, place)| place.owner == owner)
-            .map(|(assignment, _)| *assignment)
+            .extract_if(|_, place| place.owner == owner)
+            .map(|(_, place)| place.job)
             .collect();
-        for assignment in lost {
-            self.report(now, owner, &TaskReport::new(assignment, Outcome::Uncertain, 0));
+        for job in lost {
+            self.answer(now, job, Answer::Failed(FailCause::Interrupted));
         }
     }
 
--- /dev/null
+++ b/crates/jobs/tests/division.rs
@@ -0,0 +1,45 @@
+//! Where tasks go: the load of a wide job in a moderately busy cluster.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use support::{Home, OWN, load, request};
+
+fn counts(home: &Home) -> BTreeMap<u64, usize> {
+    let mut counts = BTreeMap::new();
+    for (owner, _) in &home.assigned {
+        *counts.entry(*owner).or_default() += 1;
+    }
+    counts
+}
+
+/// Guards against a wide job that waits at its home while other owners have free slots.
+#[test]
+fn a_wide_job_spreads_over_the_owners_with_room() {
+    let mut home = Home::new(&[(OWN, load(2, 0, 60)), (2, load(4, 0, 60)), (3, load(3, 0, 60))]);
+    home.submit(request("a", 9, 60));
+    assert_eq!(counts(&home), BTreeMap::from([(OWN, 2), (2, 4), (3, 3)]));
+}
+
+/// Guards against two jobs in a row that are both sent to the slots that a report showed as free.
+#[test]
+fn tasks_on_their_way_count_until_a_report_includes_them() {
+    let mut home = Home::new(&[(2, load(4, 0, 60)), (3, load(4, 0, 60))]);
+    home.submit(request("a", 4, 60));
+    home.submit(request("b", 4, 60));
+    assert_eq!(counts(&home), BTreeMap::from([(2, 4), (3, 4)]));
+    home.set_load(2, load(4, 0, 60), 8);
+    home.submit(request("c", 2, 60));
+    assert_eq!(counts(&home)[&2], 6);
+}
+
+/// Guards against urgent tasks that are thought to wait behind less urgent ones.
+#[test]
+fn a_queue_of_less_urgent_tasks_does_not_count() {
+    let mut busy = load(0, 0, 60);
+    busy.queued = [0, 0, 40, 0];
+    let mut home = Home::new(&[(2, busy), (3, load(0, 3, 60))]);
+    home.submit(request("a", 1, 60));
+    assert_eq!(counts(&home), BTreeMap::from([(2, 1)]));
+}
--- /dev/null
+++ b/crates/jobs/tests/support/mod.rs
@@ -0,0 +1,98 @@
+//! A job table with owners whose loads the test sets.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::time::Duration;
+
+use hinge_jobs::{Action, Answer, JobNumber, JobRequest, JobTable, OwnerLoad, QueuePolicy};
+use hinge_runs::{Assignment, AssignmentId, HomeId, Load, Outcome, Resources, TaskReport};
+use tokio::time::Instant;
+
+pub(crate) const SERVICE: &str = "deicing";
+pub(crate) const OWN: HomeId = 1;
+
+pub(crate) fn ms(time_ms: u64) -> Duration {
+    Duration::from_millis(time_ms)
+}
+
+pub(crate) fn request(id: &str, tasks: u32, estimate_ms: u64) -> JobRequest {
+    JobRequest {
+        budget: ms(2_000),
+        estimate: ms(estimate_ms),
+        id: id.into(),
+        need: Resources { cpu_millis: 7_000, gpus: 0, memory_mb: 64 },
+        queue: QueuePolicy {
+            max_attempts: 2,
+            name: "queue".into(),
+            priority: 1,
+            service: SERVICE.into(),
+            stretch: 1.6,
+            target: ms(60),
+        },
+        run: 100,
+        spec: "spec".into(),
+        task_prefix: format!("{id}.0.0").into(),
+        tasks,
+    }
+}
+
+pub(crate) fn load(free_slots: u32, queued: u32, mean_run_ms: u64) -> Load {
+    Load { free_slots, mean_run_ms, queued: [0, queued, 0, 0], slots: 14 }
+}
+
+/// A table with its clock, and what it has put out.
+pub(crate) struct Home {
+    pub(crate) answers: Vec<(JobNumber, Answer)>,
+    pub(crate) assigned: Vec<(HomeId, Assignment)>,
+    pub(crate) cancelled: Vec<(HomeId, AssignmentId)>,
+    pub(crate) now: Instant,
+    pub(crate) table: JobTable,
+}
+
+impl Home {
+    pub(crate) fn new(owners: &[(HomeId, Load)]) -> Self {
+        let now = Instant::now();
+        let mut home = Self {
+            answers: Vec::new(),
+            assigned: Vec::new(),
+            cancelled: Vec::new(),
+            now,
+            table: JobTable::new(OWN, 1),
+        };
+        for (owner, load) in owners {
+            home.set_load(*owner, load.clone(), 0);
+        }
+        home
+    }
+
+    pub(crate) fn set_load(&mut self, owner: HomeId, load: Load, last_assignment: AssignmentId) {
+        let report = OwnerLoad { last_assignment, load, owner, service: SERVICE.into() };
+        self.table.set_load(self.now, report);
+    }
+
+    pub(crate) fn submit(&mut self, request: JobRequest) -> JobNumber {
+        let number = self.table.submit(self.now, request);
+        self.collect();
+        number
+    }
+
+    pub(crate) fn report(&mut self, position: usize, outcome: Outcome) {
+        let (owner, assignment) = self.assigned[position].clone();
+        let mut report = TaskReport::new(assignment.id, outcome, assignment.run);
+        report.run_time_ms = 60;
+        report.upstream = Some("up-1".into());
+        self.table.report(self.now, owner, &report);
+        self.collect();
+    }
+
+    pub(crate) fn collect(&mut self) {
+        for action in self.table.drain_actions() {
+            match action {
+                Action::Answer { answer, job } => self.answers.push((job, answer)),
+                Action::Assign { assignment, owner } => self.assigned.push((owner, assignment)),
+                Action::Cancel { assignment, owner } => self.cancelled.push((owner, assignment)),
+                Action::Notice(_) => {}
+            }
+        }
+    }
+}
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -20,8 +20,10 @@
 /// Number of a submission at the daemon.
 pub type Ticket = u64;
 
-/// Least time between two status messages to a peer that gets nothing else.
-const STATUS_INTERVAL: Duration = Duration::from_millis(20);
+/// Least time between two status messages to a peer that gets nothing else, in the own data centre and in others.
+/// Tasks go to other data centres only when the own one is full, so their loads may be older.
+const LOCAL_STATUS_INTERVAL: Duration = Duration::from_millis(25);
+const REMOTE_STATUS_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two comparisons of the owned with the wanted upstreams.
 const OWNERSHIP_INTERVAL: Duration = Duration::from_millis(100);
 /// Pause before an upstream that another owner fenced off is taken over again.
@@ -128,6 +130,30 @@
     report: Vec<TaskReport>,
 }
 
+/// When loads were sent last, and which.
+#[derive(Debug)]
+struct StatusTimer {
+    due_at: Instant,
+    interval: Duration,
+    sent: Vec<ServiceLoad>,
+}
+
+impl StatusTimer {
+    const fn new(now: Instant, interval: Duration) -> Self {
+        Self { due_at: now, interval, sent: Vec::new() }
+    }
+
+    /// Whether the loads have changed and are to be sent now; they count as sent then.
+    fn due(&mut self, now: Instant, loads: &[ServiceLoad]) -> bool {
+        if now < self.due_at || self.sent == loads {
+            return false;
+        }
+        self.due_at = now + self.interval;
+        self.sent = loads.to_vec();
+        true
+    }
+}
+
 /// The decision code of an entry instance; performs no I/O and reads no clock.
 #[derive(Debug)]
 pub struct Engine {
@@ -143,11 +169,12 @@
     ownership_at: Instant,
     peers: Peers,
     runner: Runner,
-    sent_loads: Vec<ServiceLoad>,
+    services: Vec<ServiceId>,
     sent_owned: Vec<OwnedUpstream>,
     sightings: Sightings,
     started_at: Instant,
-    status_at: Instant,
+    local_status: StatusTimer,
+    remote_status: StatusTimer,
     tickets: FastMap<JobNumber, Ticket>,
     jobs_by_ticket: FastMap<Ticket, JobNumber>,
     upstreams: Vec<UpstreamRecord>,
@@ -171,11 +198,12 @@
             ownership_at: now,
             peers: Peers::default(),
             runner: Runner::default(),
-            sent_loads: Vec::new(),
+            services: Vec::new(),
             sent_owned: Vec::new(),
             sightings: Sightings::default(),
             started_at: now,
-            status_at: now,
+            local_status: StatusTimer::new(now, LOCAL_STATUS_INTERVAL),
+            remote_status: StatusTimer::new(now, REMOTE_STATUS_INTERVAL),
             tickets: FastMap::default(),
             jobs_by_ticket: FastMap::default(),
             upstreams: Vec::new(),
@@ -216,6 +244,9 @@
             Input::Upstreams(records) => {
                 self.sightings.observe(now, &records);
                 self.upstreams.clone_from(&records);
+                self.services = records.iter().map(|upstream| upstream.service.clone()).collect();
+                self.services.sort_unstable();
+                self.services.dedup();
                 self.runner.handle(now, Event::Upstreams(records));
             }
         }
@@ -238,6 +269,11 @@
         self.outputs.drain(..)
     }
 
+    /// Upstreams that this entry owns or is taking over.
+    pub fn owned(&self) -> impl Iterator<Item = &UpstreamId> {
+        self.runner.owned().map(|(upstream, _)| upstream)
+    }
+
     /// Jobs and tasks in progress.
     #[must_use]
     pub fn in_progress(&self) -> usize {
@@ -339,7 +375,8 @@
         if let Some((version, body)) = self.config.clone() {
             self.send(peer, Message::Config { body, version });
         }
-        self.send_status(now, peer);
+        let loads = self.loads(now);
+        self.send_status(peer, loads);
     }
 
     /// What was handed over on the link is void on both sides.
@@ -401,7 +438,7 @@
     }
 
     fn note_own_loads(&mut self, now: Instant) {
-        for service in self.known_services() {
+        for service in self.services.clone() {
             let load = if self.own.draining && self.peers.linked().next().is_some() {
                 Load::default()
             } else {
@@ -412,14 +449,6 @@
         }
     }
 
-    fn known_services(&self) -> Vec<ServiceId> {
-        let mut services: Vec<ServiceId> =
-            self.upstreams.iter().map(|upstream| upstream.service.clone()).collect();
-        services.sort_unstable();
-        services.dedup();
-        services
-    }
-
     fn adjust_ownership(&mut self, now: Instant) {
         self.left_alone.retain(|_, until| now < *until);
         let wanted = wanted(now, &self.own, &self.peers, &self.upstreams, &mut self.sightings);
@@ -479,23 +508,28 @@
             informed.push(peer);
         }
         let loads = self.loads(now);
-        if loads != self.sent_loads && now >= self.status_at {
-            self.status_at = now + STATUS_INTERVAL;
-            self.sent_loads = loads;
-            informed = self.peers.linked().map(|(peer, _)| peer).collect();
-        }
+        let local = self.local_status.due(now, &loads);
+        let remote = self.remote_status.due(now, &loads);
+        let due = self
+            .peers
+            .linked()
+            .filter(|(_, peer)| if peer.data_centre == self.own.data_centre { local } else { remote });
+        informed.extend(due.map(|(peer, _)| peer));
+        informed.sort_unstable();
+        informed.dedup();
         for peer in informed {
-            self.send_status(now, peer);
+            self.send_status(peer, loads.clone());
         }
     }
 
     fn loads(&self, now: Instant) -> Vec<ServiceLoad> {
-        let services = self.known_services().into_iter();
-        services.map(|service| ServiceLoad { load: self.runner.load(now, &service), service }).collect()
+        let services = self.services.iter();
+        services
+            .map(|service| ServiceLoad { load: self.runner.load(now, service), service: service.clone() })
+            .collect()
     }
 
-    fn send_status(&mut self, now: Instant, peer: HomeId) {
-        let loads = self.loads(now);
+    fn send_status(&mut self, peer: HomeId, loads: Vec<ServiceLoad>) {
         let last_assignment = self.peers.get_mut(peer).map_or(0, |peer| peer.last_assignment);
         let config_version = self.config.as_ref().map_or(0, |(version, _)| *version);
         let draining = self.own.draining;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,10 +10,12 @@
 
 mod engine;
 mod journal;
+mod metrics;
 mod node;
 mod ownership;
 mod peers;
 
 pub use engine::{Engine, EntryRecord, Input, Output, Ticket};
 pub use journal::Line;
+pub use metrics::NodeMetrics;
 pub use node::{Node, NodeHandle, NodeSettings, Submitted, SuspendClock, UpstreamPort};
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,131 @@
+//! Counters and histograms of an entry, as text for the metrics address.
+
+use hinge_jobs::{Answer, Notice as JobNotice};
+use hinge_runs::Notice as RunNotice;
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    exponential_buckets,
+};
+
+use crate::journal::Line;
+
+/// First bucket and number of doubled buckets of the time histograms: 1 ms to 16 s.
+const FIRST_BUCKET_S: f64 = 0.001;
+const BUCKETS: usize = 15;
+
+/// Metrics of one entry. Clones share their values.
+#[derive(Clone, Debug)]
+pub struct NodeMetrics {
+    avoided: IntCounterVec,
+    events: IntCounterVec,
+    in_progress: IntGauge,
+    job_seconds: HistogramVec,
+    jobs: IntCounterVec,
+    owned: IntGauge,
+    queue_seconds: Histogram,
+    rejected_starts: IntCounterVec,
+    registry: Registry,
+    run_seconds: HistogramVec,
+}
+
+impl NodeMetrics {
+    /// Creates and registers the metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a metric is declared twice.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new_custom(Some("celeryhinge".to_owned()), None)?;
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<_, prometheus::Error>(counter)
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
+        let times = |name: &str, help: &str, labels: &[&str]| {
+            let buckets = exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS)?;
+            let histogram = HistogramVec::new(HistogramOpts::new(name, help).buckets(buckets), labels)?;
+            registry.register(Box::new(histogram.clone()))?;
+            Ok::<_, prometheus::Error>(histogram)
+        };
+        Ok(Self {
+            avoided: counter("upstreams_avoided_total", "Pauses of upstreams by cause.", &["cause"])?,
+            events: counter("events_total", "Changes of what the entry believes, by kind.", &["event"])?,
+            in_progress: gauge("in_progress", "Jobs and tasks in progress.")?,
+            job_seconds: times("job_seconds", "Time from receipt to answer.", &["queue"])?,
+            jobs: counter("jobs_total", "Answered jobs by queue and outcome.", &["queue", "outcome"])?,
+            owned: gauge("upstreams_owned", "Upstreams that this entry owns.")?,
+            queue_seconds: times("queue_seconds", "Time of tasks in the owner's queue.", &[])?
+                .get_metric_with_label_values::<&str>(&[])?,
+            rejected_starts: counter("starts_rejected_total", "Start orders without a run.", &["reason"])?,
+            run_seconds: times("run_seconds", "Time from a start order to the end of its run.", &["how"])?,
+            registry,
+        })
+    }
+
+    /// All metrics in the text format of Prometheus.
+    #[must_use]
+    pub fn page(&self) -> String {
+        let mut page = Vec::new();
+        match TextEncoder::new().encode(&self.registry.gather(), &mut page) {
+            Ok(()) => String::from_utf8_lossy(&page).into_owned(),
+            Err(error) => format!("# {error}\n"),
+        }
+    }
+
+    pub(crate) fn set_state(&self, in_progress: usize, owned: usize) {
+        self.in_progress.set(i64::try_from(in_progress).unwrap_or(i64::MAX));
+        self.owned.set(i64::try_from(owned).unwrap_or(i64::MAX));
+    }
+
+    /// Counts what a log line says; a line that the log drops is counted all the same.
+    pub(crate) fn observe(&self, line: &Line) {
+        match line {
+            Line::Job(notice) => self.observe_job(notice),
+            Line::PeerFound { .. } => self.events.with_label_values(&["peer_linked"]).inc(),
+            Line::PeerLost { .. } => self.events.with_label_values(&["peer_lost"]).inc(),
+            Line::Run(notice) => self.observe_run(notice),
+            Line::Suspended(_) => self.events.with_label_values(&["suspended"]).inc(),
+        }
+    }
+
+    fn observe_job(&self, notice: &JobNotice) {
+        match notice {
+            JobNotice::Abandoned { .. } => self.events.with_label_values(&["job_abandoned"]).inc(),
+            JobNotice::Admitted { .. } => {}
+            JobNotice::Answered { answer, queue, total, .. } => {
+                let outcome = match answer {
+                    Answer::Completed => "completed",
+                    Answer::Failed(_) => "failed",
+                    Answer::Rejected { .. } => "rejected",
+                };
+                self.jobs.with_label_values(&[&**queue, outcome]).inc();
+                self.job_seconds.with_label_values(&[&**queue]).observe(total.as_secs_f64());
+            }
+            JobNotice::Repeated { .. } => self.events.with_label_values(&["task_repeated"]).inc(),
+        }
+    }
+
+    fn observe_run(&self, notice: &RunNotice) {
+        match notice {
+            RunNotice::Available { .. } => self.events.with_label_values(&["upstream_available"]).inc(),
+            RunNotice::Avoided { cause, .. } => self.avoided.with_label_values(&[cause]).inc(),
+            RunNotice::Dropped { .. } => self.events.with_label_values(&["task_dropped"]).inc(),
+            RunNotice::Ended { how, run_time, .. } => {
+                self.run_seconds.with_label_values(&[how]).observe(run_time.as_secs_f64());
+            }
+            RunNotice::Owner { state, .. } => {
+                self.events.with_label_values(&[&format!("upstream_{state}")]).inc();
+            }
+            RunNotice::StartRejected { reason, .. } => {
+                self.rejected_starts.with_label_values(&[reason]).inc();
+            }
+            RunNotice::Started { queued, .. } => self.queue_seconds.observe(queued.as_secs_f64()),
+            RunNotice::Unknown { .. } => self.events.with_label_values(&["unknown_run"]).inc(),
+        }
+    }
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -14,6 +14,7 @@
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
 use crate::engine::{Engine, FENCE_TIME_SHIFT, Input, Output, Ticket};
+use crate::metrics::NodeMetrics;
 
 /// Time between two ticks of the engine.
 const TICK: Duration = Duration::from_millis(20);
@@ -154,6 +155,7 @@
     config: watch::Sender<Option<(u64, Bytes)>>,
     engine: Engine,
     mesh: Mesh,
+    metrics: NodeMetrics,
     port: P,
     queue: mpsc::Receiver<Command>,
 }
@@ -161,7 +163,13 @@
 impl<P: UpstreamPort, C: SuspendClock> Node<P, C> {
     /// Creates a node that accepts links from peers on `listener`.
     #[must_use]
-    pub fn new(settings: NodeSettings, listener: TcpListener, port: P, clock: C) -> (Self, NodeHandle) {
+    pub fn new(
+        settings: NodeSettings,
+        listener: TcpListener,
+        port: P,
+        clock: C,
+        metrics: NodeMetrics,
+    ) -> (Self, NodeHandle) {
         let (commands, queue) = mpsc::channel(MAX_QUEUED_INPUTS);
         let (config, config_reader) = watch::channel(None);
         let (events, mesh_events) = mpsc::channel(MAX_QUEUED_INPUTS);
@@ -173,7 +181,7 @@
         let handle =
             NodeHandle { commands: commands.clone(), config: config_reader, tickets: Arc::default() };
         let answers = FastMap::default();
-        (Self { answers, clock, commands, config, engine, mesh, port, queue }, handle)
+        (Self { answers, clock, commands, config, engine, mesh, metrics, port, queue }, handle)
     }
 
     /// Runs until all handles are gone.
@@ -242,7 +250,10 @@
                     self.config.send_replace(Some((version, body)));
                 }
                 Output::Hold(hold) => self.hold(hold),
-                Output::Log(line) => line.write(),
+                Output::Log(line) => {
+                    self.metrics.observe(&line);
+                    line.write();
+                }
                 Output::Send { message, peer } => {
                     self.mesh.send(peer, message);
                 }
@@ -254,6 +265,7 @@
             }
         }
         self.answers.retain(|_, reply| !reply.is_closed());
+        self.metrics.set_state(self.engine.in_progress(), self.engine.owned().count());
     }
 
     fn hold(&self, hold: Hold) {
--- a/crates/node/src/ownership.rs
+++ b/crates/node/src/ownership.rs
@@ -77,6 +77,10 @@
     let mut wanted = FastSet::default();
     for (data_centre, mut upstreams) in by_data_centre {
         let local = entries.get(data_centre);
+        if local.is_some() && *data_centre != own.data_centre {
+            sightings.empty_since.remove(data_centre);
+            continue;
+        }
         let candidates = if let Some(local) = local {
             sightings.empty_since.remove(data_centre);
             local
