jobs: move waiting tasks to owners that became free

Loads differ after the choice was made. Ruled out: refusals by upstreams (no START_REJECTED), late load reports (1 to 11 ms old). Change: a home recalls tasks that have waited 15 ms at a busy owner while others have free slots; an owner gives back only what has not started. Test: crates/jobs/tests/division.rs, the burst of long tasks.

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -114,6 +114,13 @@
     },
     /// For the log.
     Notice(Notice),
+    /// Ask an owner to give a task back unless it has started.
+    Recall {
+        /// The task's assignment.
+        assignment: AssignmentId,
+        /// The owner.
+        owner: HomeId,
+    },
 }
 
 /// A decision about a job, for the log.
@@ -154,6 +161,15 @@
         /// Time since it was received.
         total: Duration,
     },
+    /// A task that waits at one owner is moved to another one.
+    Moved {
+        /// Id of the job.
+        id: Arc<str>,
+        /// Position of the task in the job.
+        task: u32,
+        /// Estimated wait at the owner that gives it back.
+        wait: Duration,
+    },
     /// A task is placed again.
     Repeated {
         /// Id of the job.
--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -98,6 +98,18 @@
         })
     }
 
+    /// Estimated wait at one owner.
+    pub(crate) fn wait_at(&self, owner: HomeId, service: &ServiceId, priority: u32) -> Duration {
+        let known = self.known.get(&(owner, service.clone()));
+        known.map_or(Duration::ZERO, |known| known.wait(priority_index(priority)))
+    }
+
+    /// Free slots of all owners that no task is on its way to.
+    pub(crate) fn free(&self, service: &ServiceId) -> usize {
+        let known = self.known.iter().filter(|((_, known), _)| known == service);
+        known.map(|(_, known)| usize::try_from(known.free()).unwrap_or_default()).sum()
+    }
+
     /// Notes a task on its way to an owner.
     pub(crate) fn sent(&mut self, owner: HomeId, service: &ServiceId, priority: u32, id: AssignmentId) {
         if let Some(known) = self.known.get_mut(&(owner, service.clone())) {
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hinge_runs::{Assignment, AssignmentId, HomeId, Outcome, RunNumber, TaskReport, whole_ms};
-use hinge_wire::{FastMap, UpstreamId};
+use hinge_wire::{FastMap, ServiceId, UpstreamId};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use tokio::time::Instant;
@@ -19,14 +19,32 @@
 /// Shortest and longest time after which a rejected caller is asked to come back.
 const RETRY_AFTER: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(2));
 
+/// Time that a task waits at its owner before it may be moved to another one.
+const MOVE_AFTER: Duration = Duration::from_millis(15);
+/// Estimated wait at its owner from which on a move is worth its messages.
+const MIN_MOVE_WAIT: Duration = Duration::from_millis(10);
+
 /// Where an assignment belongs.
 #[derive(Clone, Copy, Debug)]
 struct Place {
+    assigned_at: Instant,
     job: JobNumber,
     owner: HomeId,
+    stage: Stage,
     task: u32,
 }
 
+/// How far an assignment has come.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Stage {
+    /// Asked back from its owner.
+    Recalled,
+    /// Its start order is on its way.
+    Started,
+    /// Waits at its owner.
+    Waiting,
+}
+
 /// The jobs of one home.
 #[derive(Debug)]
 pub struct JobTable {
@@ -126,7 +144,13 @@
             wait = wait.max(choice.wait);
             load_age = load_age.max(choice.load_age);
             self.owners.sent(choice.owner, &queue.service, queue.priority, first + u64::from(task));
-            assigned.push(Place { job: number, owner: choice.owner, task });
+            assigned.push(Place {
+                assigned_at: now,
+                job: number,
+                owner: choice.owner,
+                stage: Stage::Waiting,
+                task,
+            });
         }
         if wait > slack {
             self.owners.withdraw(first);
@@ -200,6 +224,8 @@
         }
         if report.outcome != Outcome::Started {
             self.assignments.remove(&report.assignment);
+        } else if let Some(place) = self.assignments.get_mut(&report.assignment) {
+            place.stage = Stage::Started;
         }
         let Some(job) = self.jobs.get_mut(&place.job) else { return };
         job.ran |= report.outcome != Outcome::NotStarted;
@@ -212,8 +238,8 @@
             Outcome::Done => self.task_done(now, place, Duration::from_millis(report.run_time_ms)),
             Outcome::Failed => self.task_failed(now, place, report),
             Outcome::Interrupted => self.place_again(now, place, report),
-            Outcome::NotStarted if job.ran => self.place_again(now, place, report),
-            Outcome::NotStarted => self.withdraw(now, place),
+            Outcome::NotStarted if place.stage == Stage::Recalled => self.move_task(now, place, report),
+            Outcome::NotStarted => self.not_started(now, place, report),
             Outcome::Uncertain => self.answer(now, place.job, Answer::Failed(FailCause::Interrupted)),
         }
     }
@@ -264,6 +290,60 @@
         }
     }
 
+    /// Moves tasks that wait at a busy owner while another one has free slots.
+    pub fn rebalance(&mut self, now: Instant) {
+        let mut free: FastMap<ServiceId, usize> = FastMap::default();
+        let mut recalled = Vec::new();
+        for (assignment, place) in &self.assignments {
+            if place.stage != Stage::Waiting || now.duration_since(place.assigned_at) < MOVE_AFTER {
+                continue;
+            }
+            let Some(job) = self.jobs.get(&place.job).filter(|job| !job.withdrawn) else { continue };
+            let queue = &job.request.queue;
+            let free = free.entry(queue.service.clone()).or_insert_with(|| self.owners.free(&queue.service));
+            let wait = self.owners.wait_at(place.owner, &queue.service, queue.priority);
+            if *free == 0 || wait < MIN_MOVE_WAIT {
+                continue;
+            }
+            *free -= 1;
+            recalled.push((*assignment, place.owner, wait));
+        }
+        for (assignment, owner, wait) in recalled {
+            let Some(place) = self.assignments.get_mut(&assignment) else { continue };
+            place.stage = Stage::Recalled;
+            if let Some(job) = self.jobs.get(&place.job) {
+                let id = job.request.id.clone();
+                self.actions.push(Action::Notice(Notice::Moved { id, task: place.task, wait }));
+            }
+            self.actions.push(Action::Recall { assignment, owner });
+        }
+    }
+
+    /// Places a recalled task at the owner that is best now.
+    fn move_task(&mut self, now: Instant, place: Place, report: &TaskReport) {
+        let Some(job) = self.jobs.get(&place.job) else { return };
+        let queue = &job.request.queue;
+        let expected = self.estimates.expected(&queue.name, job.request.estimate);
+        let start_within = (job.received_at + job.objective).saturating_duration_since(now + expected);
+        let choice = self.owners.choose(now, &queue.service, queue.priority);
+        let Some(choice) = choice.filter(|_| !start_within.is_zero()) else {
+            self.not_started(now, place, report);
+            return;
+        };
+        self.owners.sent(choice.owner, &queue.service, queue.priority, self.next_assignment);
+        let moved = Place { assigned_at: now, owner: choice.owner, stage: Stage::Waiting, ..place };
+        self.assign(moved, report.run, start_within, expected, None);
+    }
+
+    /// A task came back without a start: a job that has begun is finished, another one is taken back.
+    fn not_started(&mut self, now: Instant, place: Place, report: &TaskReport) {
+        if self.jobs.get(&place.job).is_some_and(|job| job.ran) {
+            self.place_again(now, place, report);
+        } else {
+            self.withdraw(now, place);
+        }
+    }
+
     /// Places a task whose earlier run is known to have ended, while its job is of use to the caller.
     fn place_again(&mut self, now: Instant, place: Place, report: &TaskReport) {
         let Some(job) = self.jobs.get(&place.job) else { return };
@@ -286,7 +366,7 @@
             upstream: report.upstream.clone(),
         }));
         self.owners.sent(choice.owner, &queue.service, queue.priority, self.next_assignment);
-        let again = Place { owner: choice.owner, ..place };
+        let again = Place { assigned_at: now, owner: choice.owner, stage: Stage::Waiting, ..place };
         let avoid = if report.outcome == Outcome::Failed { report.upstream.clone() } else { None };
         self.assign(again, report.run + 1, start_within, expected, avoid);
     }
--- a/crates/jobs/tests/division.rs
+++ b/crates/jobs/tests/division.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeMap;
 
+use hinge_runs::Outcome;
 use support::{Home, OWN, load, request};
 
 fn counts(home: &Home) -> BTreeMap<u64, usize> {
@@ -43,3 +44,42 @@
     home.submit(request("a", 1, 60));
     assert_eq!(counts(&home), BTreeMap::from([(2, 1)]));
 }
+
+/// Guards against tasks that stay in one owner's queue while another owner has become free: the pattern of a burst of
+/// long tasks, where owners empty at different times.
+#[test]
+fn a_waiting_task_moves_to_an_owner_that_became_free() {
+    let mut home = Home::new(&[(2, load(0, 2, 60)), (3, load(0, 8, 60))]);
+    home.submit(request("a", 1, 200));
+    assert_eq!(home.assigned[0].0, 2);
+    home.set_load(2, load(0, 6, 60), 1);
+    home.set_load(3, load(2, 0, 60), 0);
+    home.rebalance_after(10);
+    assert!(home.recalled.is_empty(), "its owner may start it any moment");
+    home.rebalance_after(10);
+    assert_eq!(home.recalled, [(2, home.assigned[0].1.id)]);
+    home.report(0, Outcome::NotStarted);
+    assert_eq!(home.assigned[1].0, 3);
+    assert!(home.answers.is_empty());
+}
+
+/// Guards against a move that stops a run: a task that started in the meantime stays where it is.
+#[test]
+fn a_task_that_started_is_not_moved() {
+    let mut home = Home::new(&[(2, load(0, 6, 60)), (3, load(0, 8, 60))]);
+    home.submit(request("a", 1, 200));
+    home.report(0, Outcome::Started);
+    home.set_load(3, load(2, 0, 60), 0);
+    home.rebalance_after(20);
+    assert!(home.recalled.is_empty());
+}
+
+/// Guards against all homes taking their tasks back for one free slot.
+#[test]
+fn no_more_tasks_are_recalled_than_slots_are_free() {
+    let mut home = Home::new(&[(2, load(0, 6, 60))]);
+    home.submit(request("a", 6, 200));
+    home.set_load(3, load(2, 0, 60), 0);
+    home.rebalance_after(20);
+    assert_eq!(home.recalled.len(), 2);
+}
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -46,6 +46,7 @@
     pub(crate) assigned: Vec<(HomeId, Assignment)>,
     pub(crate) cancelled: Vec<(HomeId, AssignmentId)>,
     pub(crate) now: Instant,
+    pub(crate) recalled: Vec<(HomeId, AssignmentId)>,
     pub(crate) table: JobTable,
 }
 
@@ -57,6 +58,7 @@
             assigned: Vec::new(),
             cancelled: Vec::new(),
             now,
+            recalled: Vec::new(),
             table: JobTable::new(OWN, 1),
         };
         for (owner, load) in owners {
@@ -85,6 +87,12 @@
         self.collect();
     }
 
+    pub(crate) fn rebalance_after(&mut self, time_ms: u64) {
+        self.now += ms(time_ms);
+        self.table.rebalance(self.now);
+        self.collect();
+    }
+
     pub(crate) fn collect(&mut self) {
         for action in self.table.drain_actions() {
             match action {
@@ -92,6 +100,7 @@
                 Action::Assign { assignment, owner } => self.assigned.push((owner, assignment)),
                 Action::Cancel { assignment, owner } => self.cancelled.push((owner, assignment)),
                 Action::Notice(_) => {}
+                Action::Recall { assignment, owner } => self.recalled.push((owner, assignment)),
             }
         }
     }
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -67,6 +67,8 @@
     Hello(Hello),
     /// Upstreams that the sender owns, all of them.
     Owned(Vec<OwnedUpstream>),
+    /// Tasks that the sender wants back unless they have started.
+    Recall(Vec<AssignmentId>),
     /// Ends of the receiver's tasks.
     Report(Vec<TaskReport>),
     /// Load and state of the sender.
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -127,6 +127,7 @@
 struct Outbox {
     assign: Vec<Assignment>,
     cancel: Vec<AssignmentId>,
+    recall: Vec<AssignmentId>,
     report: Vec<TaskReport>,
 }
 
@@ -239,6 +240,7 @@
             }
             Input::Tick => {
                 self.jobs.tick(now);
+                self.jobs.rebalance(now);
                 self.runner.handle(now, Event::Tick);
             }
             Input::Upstreams(records) => {
@@ -325,6 +327,12 @@
                 self.outboxes.entry(owner).or_default().cancel.push(assignment);
             }
             hinge_jobs::Action::Notice(notice) => self.outputs.push(Output::Log(Line::Job(notice))),
+            hinge_jobs::Action::Recall { assignment, owner } if owner == self.own_id => {
+                self.runner.handle(now, Event::Recalled { assignment, home: self.own_id });
+            }
+            hinge_jobs::Action::Recall { assignment, owner } => {
+                self.outboxes.entry(owner).or_default().recall.push(assignment);
+            }
         }
     }
 
@@ -403,6 +411,11 @@
             Message::Config { body, version } => self.offer_config(version, body),
             Message::Heartbeat | Message::Hello(_) => {}
             Message::Owned(owned) => peer.claims = owned.into_iter().map(|one| one.upstream).collect(),
+            Message::Recall(assignments) => {
+                for assignment in assignments {
+                    self.runner.handle(now, Event::Recalled { assignment, home: id });
+                }
+            }
             Message::Report(reports) => {
                 for report in reports {
                     self.jobs.report(now, id, &report);
@@ -499,6 +512,9 @@
             if !outbox.report.is_empty() {
                 self.send(peer, Message::Report(outbox.report));
             }
+            if !outbox.recall.is_empty() {
+                self.send(peer, Message::Recall(outbox.recall));
+            }
             if !outbox.cancel.is_empty() {
                 self.send(peer, Message::Cancel(outbox.cancel));
             }
--- a/crates/node/src/journal.rs
+++ b/crates/node/src/journal.rs
@@ -78,6 +78,9 @@
                 &json!({ "cause": cause, "job": id, "outcome": outcome, "queue": queue, "total_ms": total_ms }),
             );
         }
+        JobNotice::Moved { id, task, wait } => {
+            emit(LogEvent::TaskMoved, &json!({ "job": id, "task": task, "wait_ms": whole_ms(*wait) }));
+        }
         JobNotice::Repeated { id, outcome, task, upstream } => emit(
             LogEvent::TaskRepeated,
             &json!({ "job": id, "outcome": outcome, "task": task, "upstream": upstream }),
--- a/crates/runs/src/event.rs
+++ b/crates/runs/src/event.rs
@@ -45,6 +45,13 @@
     },
     /// Another entry is to own the upstream; it is let go once nothing runs on it.
     Release(UpstreamId),
+    /// A home wants a task back unless it has started.
+    Recalled {
+        /// The task's assignment.
+        assignment: AssignmentId,
+        /// The home.
+        home: HomeId,
+    },
     /// A start order has ended.
     StartEnded {
         /// Its result.
--- a/crates/runs/src/runner.rs
+++ b/crates/runs/src/runner.rs
@@ -59,6 +59,9 @@
             Event::HoldEnded { hold, reply } => self.hold_ended(now, &hold, reply),
             Event::HomeLost(home) => self.home_lost(home),
             Event::Own { fence, upstream } => self.own(now, &upstream, fence),
+            Event::Recalled { assignment, home } => {
+                self.withdraw(home, assignment);
+            }
             Event::Release(upstream) => self.release(&upstream),
             Event::StartEnded { reply, start } => self.start_ended(now, &start, &reply),
             Event::Suspended => self.suspended(now),
@@ -128,16 +131,24 @@
     }
 
     fn cancelled(&mut self, home: HomeId, assignment: AssignmentId) {
-        if let Some(task) = self.queue.remove(home, assignment) {
-            let report = TaskReport::new(assignment, Outcome::NotStarted, task.assignment.run);
-            self.actions.push(Action::Report { home, report });
-        } else if let Some((upstream, run)) = self.placed.remove(&(home, assignment)) {
+        if self.withdraw(home, assignment) {
+            return;
+        }
+        if let Some((upstream, run)) = self.placed.remove(&(home, assignment)) {
             self.stop_run(&upstream, &run);
             let report = TaskReport::new(assignment, Outcome::Uncertain, run.run);
             self.actions.push(Action::Report { home, report });
         }
     }
 
+    /// Gives a task that still waits back to its home; false when it has started or is not known.
+    fn withdraw(&mut self, home: HomeId, assignment: AssignmentId) -> bool {
+        let Some(task) = self.queue.remove(home, assignment) else { return false };
+        let report = TaskReport::new(assignment, Outcome::NotStarted, task.assignment.run);
+        self.actions.push(Action::Report { home, report });
+        true
+    }
+
     fn home_lost(&mut self, home: HomeId) {
         self.queue.extract(|task| task.home == home);
         let lost: Vec<_> = self.placed.extract_if(|(owner, _), _| *owner == home).collect();
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -78,6 +78,8 @@
     TaskRepeated = 1603,
     ///A request for a job was refused before admission; says why. Nothing of it has run.
     JobRefused = 1604,
+    ///A task that waits at a busy owner is moved to one with free slots; gives the estimated wait it leaves behind.
+    TaskMoved = 1605,
     ///A start order goes to an upstream; gives the time in the queue and the room that was free.
     RunStarted = 1610,
     ///A run has ended; says how, and the time since its start order.
@@ -149,6 +151,7 @@
         Self::JobAbandoned,
         Self::TaskRepeated,
         Self::JobRefused,
+        Self::TaskMoved,
         Self::RunStarted,
         Self::RunEnded,
         Self::StartRejected,
@@ -216,6 +219,7 @@
             Self::JobAbandoned => "JOB_ABANDONED",
             Self::TaskRepeated => "TASK_REPEATED",
             Self::JobRefused => "JOB_REFUSED",
+            Self::TaskMoved => "TASK_MOVED",
             Self::RunStarted => "RUN_STARTED",
             Self::RunEnded => "RUN_ENDED",
             Self::StartRejected => "START_REJECTED",
@@ -276,6 +280,7 @@
             Self::JobAbandoned => "info",
             Self::TaskRepeated => "info",
             Self::JobRefused => "info",
+            Self::TaskMoved => "info",
             Self::RunStarted => "info",
             Self::RunEnded => "info",
             Self::StartRejected => "info",
