node: ask one peer for a newer configuration instead of sending it to all

Ruled out: the store (its answers came), owners without room (upstreams were free). Change: versions travel in status messages; an entry that is behind for 0.6 s asks one peer nearby. Test: crates/node/tests/config.rs.

--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -54,13 +54,15 @@
     Assign(Vec<Assignment>),
     /// Tasks that the sender no longer needs.
     Cancel(Vec<AssignmentId>),
-    /// A configuration that is newer than the receiver's.
+    /// The sender's configuration, in answer to a request.
     Config {
         /// The configuration as the operator wrote it.
         body: Bytes,
         /// Its version.
         version: u64,
     },
+    /// Asks for the receiver's configuration.
+    ConfigRequest,
     /// Nothing new; the sender is alive.
     Heartbeat,
     /// First message.
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -28,6 +28,10 @@
 const OWNERSHIP_INTERVAL: Duration = Duration::from_millis(100);
 /// Pause before an upstream that another owner fenced off is taken over again.
 const LOST_PAUSE: Duration = Duration::from_secs(3);
+/// Time for the store to bring a configuration that a peer already has, before the peer is asked for it.
+const CONFIG_LAG: Duration = Duration::from_millis(600);
+/// Time between two requests for a configuration; one may be large for a small link.
+const CONFIG_REQUEST_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Extra wait that is accepted to stay in the own data centre, and at the own entry.
 const REMOTE_DISTANCE: Duration = Duration::from_millis(5);
 const LOCAL_DISTANCE: Duration = Duration::from_millis(1);
@@ -137,18 +141,20 @@
     due_at: Instant,
     interval: Duration,
     sent: Vec<ServiceLoad>,
+    sent_version: u64,
 }
 
 impl StatusTimer {
     const fn new(now: Instant, interval: Duration) -> Self {
-        Self { due_at: now, interval, sent: Vec::new() }
+        Self { due_at: now, interval, sent: Vec::new(), sent_version: 0 }
     }
 
-    /// Whether the loads have changed and are to be sent now; they count as sent then.
-    fn due(&mut self, now: Instant, loads: &[ServiceLoad]) -> bool {
-        if now < self.due_at || self.sent == loads {
+    /// Whether the loads or the version have changed and are to be sent now; they count as sent then.
+    fn due(&mut self, now: Instant, version: u64, loads: &[ServiceLoad]) -> bool {
+        if now < self.due_at || (self.sent == loads && self.sent_version == version) {
             return false;
         }
+        self.sent_version = version;
         self.due_at = now + self.interval;
         self.sent = loads.to_vec();
         true
@@ -159,6 +165,8 @@
 #[derive(Debug)]
 pub struct Engine {
     config: Option<(u64, Bytes)>,
+    /// When a peer may be asked for a newer configuration than the own one; none while no peer has one.
+    config_request_at: Option<Instant>,
     fence_base: Fence,
     jobs: JobTable,
     /// Upstreams that another owner fenced off, with the time until which they are left alone.
@@ -189,6 +197,7 @@
         jobs.set_distance(own.incarnation, Duration::ZERO);
         Self {
             config: None,
+            config_request_at: None,
             fence_base,
             jobs,
             left_alone: FastMap::default(),
@@ -260,6 +269,7 @@
         if now >= self.ownership_at {
             self.ownership_at = now + OWNERSHIP_INTERVAL;
             self.adjust_ownership(now);
+            self.request_config(now);
             self.settle(now);
         }
         self.send_owned();
@@ -380,9 +390,6 @@
         let near = hello.data_centre == self.own.data_centre;
         self.jobs.set_distance(peer, if near { LOCAL_DISTANCE } else { REMOTE_DISTANCE });
         self.send(peer, Message::Owned(self.sent_owned.clone()));
-        if let Some((version, body)) = self.config.clone() {
-            self.send(peer, Message::Config { body, version });
-        }
         let loads = self.loads(now);
         self.send_status(peer, loads);
     }
@@ -409,6 +416,11 @@
                 }
             }
             Message::Config { body, version } => self.offer_config(version, body),
+            Message::ConfigRequest => {
+                if let Some((version, body)) = self.config.clone() {
+                    self.send(id, Message::Config { body, version });
+                }
+            }
             Message::Heartbeat | Message::Hello(_) => {}
             Message::Owned(owned) => peer.claims = owned.into_iter().map(|one| one.upstream).collect(),
             Message::Recall(assignments) => {
@@ -443,10 +455,32 @@
             return;
         }
         self.config = Some((version, body.clone()));
-        self.outputs.push(Output::Config { body: body.clone(), version });
-        let linked: Vec<_> = self.peers.linked().map(|(peer, _)| peer).collect();
-        for peer in linked {
-            self.send(peer, Message::Config { body: body.clone(), version });
+        self.config_request_at = None;
+        self.outputs.push(Output::Config { body, version });
+    }
+
+    fn config_version(&self) -> u64 {
+        self.config.as_ref().map_or(0, |(version, _)| *version)
+    }
+
+    /// Asks one peer for a newer configuration that the store has not brought in time.
+    fn request_config(&mut self, now: Instant) {
+        let own_version = self.config_version();
+        let newer = self.peers.linked().filter(|(_, peer)| peer.status.config_version > own_version);
+        let near = |peer: &crate::peers::Peer| peer.data_centre == self.own.data_centre;
+        // A peer nearby, and a different one for each entry, so that no link carries many copies.
+        let best = newer.max_by_key(|(id, peer)| (near(peer), id.wrapping_mul(self.own_id | 1)));
+        let Some((peer, _)) = best else {
+            self.config_request_at = None;
+            return;
+        };
+        match self.config_request_at {
+            None => self.config_request_at = Some(now + CONFIG_LAG),
+            Some(at) if now >= at => {
+                self.config_request_at = Some(now + CONFIG_REQUEST_INTERVAL);
+                self.send(peer, Message::ConfigRequest);
+            }
+            Some(_) => {}
         }
     }
 
@@ -524,8 +558,9 @@
             informed.push(peer);
         }
         let loads = self.loads(now);
-        let local = self.local_status.due(now, &loads);
-        let remote = self.remote_status.due(now, &loads);
+        let version = self.config_version();
+        let local = self.local_status.due(now, version, &loads);
+        let remote = self.remote_status.due(now, version, &loads);
         let due = self
             .peers
             .linked()
@@ -547,7 +582,7 @@
 
     fn send_status(&mut self, peer: HomeId, loads: Vec<ServiceLoad>) {
         let last_assignment = self.peers.get_mut(peer).map_or(0, |peer| peer.last_assignment);
-        let config_version = self.config.as_ref().map_or(0, |(version, _)| *version);
+        let config_version = self.config_version();
         let draining = self.own.draining;
         self.send(peer, Message::Status(Status { config_version, draining, last_assignment, loads }));
     }
--- /dev/null
+++ b/crates/node/tests/config.rs
@@ -0,0 +1,107 @@
+//! How configurations reach an entry: from the store, and from peers only when the store does not bring them.
+
+#![allow(clippy::expect_used, reason = "tests")]
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hinge_mesh::{Hello, MeshEvent, Message, Status};
+use hinge_node::{Engine, Input, Output};
+use tokio::time::Instant;
+
+fn hello(number: u64) -> Hello {
+    Hello { data_centre: "dc1".into(), incarnation: number, instance: format!("entry-{number}").into() }
+}
+
+struct Entry {
+    engine: Engine,
+    now: Instant,
+}
+
+impl Entry {
+    /// An entry with links to `peers` others.
+    fn new(peers: u64) -> Self {
+        let now = Instant::now();
+        let mut entry = Self { engine: Engine::new(now, hello(1), 1_000, 1), now };
+        for peer in 2..2 + peers {
+            entry.engine.handle(now, Input::Mesh(MeshEvent::Up(hello(peer))));
+        }
+        entry.outputs();
+        entry
+    }
+
+    fn outputs(&mut self) -> Vec<Output> {
+        self.engine.flush(self.now);
+        self.engine.drain_outputs().collect()
+    }
+
+    fn receive(&mut self, peer: u64, message: Message) {
+        self.engine.handle(self.now, Input::Mesh(MeshEvent::Received { message, peer }));
+    }
+
+    fn peer_has(&mut self, peer: u64, config_version: u64) {
+        self.receive(peer, Message::Status(Status { config_version, ..Status::default() }));
+    }
+
+    fn read(&mut self, version: u64) {
+        self.engine.handle(self.now, Input::Config { body: Bytes::from_static(b"{}"), version });
+    }
+
+    /// Messages about configurations that go out within the time.
+    fn messages_within(&mut self, time_ms: u64) -> Vec<(u64, Message)> {
+        let mut messages = Vec::new();
+        for _ in 0..time_ms / 50 {
+            self.now += Duration::from_millis(50);
+            self.engine.handle(self.now, Input::Tick);
+            messages.extend(self.outputs().into_iter().filter_map(|output| match output {
+                Output::Send {
+                    message: message @ (Message::Config { .. } | Message::ConfigRequest),
+                    peer,
+                } => Some((peer, message)),
+                _ => None,
+            }));
+        }
+        messages
+    }
+}
+
+/// Guards against a large configuration that every entry sends to every other one, which fills their links.
+#[test]
+fn a_new_configuration_is_not_pushed_to_peers() {
+    let mut entry = Entry::new(30);
+    entry.read(7);
+    assert!(entry.messages_within(2_000).is_empty());
+    entry.receive(2, Message::ConfigRequest);
+    let sent = entry
+        .outputs()
+        .into_iter()
+        .filter(|output| matches!(output, Output::Send { message: Message::Config { .. }, peer: 2 }));
+    assert_eq!(sent.count(), 1);
+}
+
+/// Guards against an entry that keeps an old configuration while it cannot reach the store.
+#[test]
+fn one_peer_is_asked_when_the_store_does_not_bring_a_version() {
+    let mut entry = Entry::new(5);
+    entry.read(7);
+    for peer in 2..7 {
+        entry.peer_has(peer, 8);
+    }
+    assert!(entry.messages_within(500).is_empty(), "the store may bring it any moment");
+    assert_eq!(entry.messages_within(500).len(), 1);
+    assert_eq!(entry.messages_within(1_000).len(), 1, "a large answer needs time");
+    entry.receive(3, Message::Config { body: Bytes::from_static(b"{}"), version: 8 });
+    assert!(entry.messages_within(2_000).is_empty());
+}
+
+/// Guards against a configuration that goes back to an older version.
+#[test]
+fn an_older_version_is_never_put_in_force() {
+    let mut entry = Entry::new(1);
+    entry.read(8);
+    entry.outputs();
+    entry.read(7);
+    entry.receive(2, Message::Config { body: Bytes::from_static(b"{}"), version: 6 });
+    let outputs = entry.outputs();
+    assert!(!outputs.iter().any(|output| matches!(output, Output::Config { .. })));
+}
