node: leave peers alone that the store shows as alive, and nothing to take over at the end of a partition

Ruled out: expired registrations (the peers' were renewed), the store. Change: the 3 s count only while the other data centre's upstreams report; a silent peer whose registration the answering store shows is alive; an entry without store and peers takes nothing over. Tests: three in crates/node/tests/ownership.rs, each for one of these patterns.

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -75,6 +75,8 @@
         /// Number of the submission.
         ticket: Ticket,
     },
+    /// Whether the store answers where the entries are registered.
+    StoreAnswers(bool),
     /// The process stood still for a time that its steady clock did not count.
     Suspended(Duration),
     /// Time has passed.
@@ -242,6 +244,7 @@
                 self.tickets.insert(job, ticket);
                 self.jobs_by_ticket.insert(ticket, job);
             }
+            Input::StoreAnswers(answers) => self.peers.set_store_answers(answers),
             Input::Suspended(time) => {
                 self.outputs.push(Output::Log(Line::Suspended(time)));
                 self.jobs.suspended(now);
@@ -503,10 +506,12 @@
         for peer in self.peers.alive(now) {
             claimed.extend(peer.claims.iter().cloned());
         }
+        let isolated = self.peers.isolated();
         let ids: Vec<_> = self.upstreams.iter().map(|upstream| upstream.id.clone()).collect();
         for id in ids {
             let owned = self.runner.owns(&id);
-            if wanted.contains(&id) && !claimed.contains(&id) && !self.left_alone.contains_key(&id) {
+            let free = !isolated && !claimed.contains(&id) && !self.left_alone.contains_key(&id);
+            if wanted.contains(&id) && (owned || free) {
                 let fence = self.next_fence(now);
                 self.runner.handle(now, Event::Own { fence, upstream: id });
             } else if owned && !wanted.contains(&id) {
--- a/crates/node/src/ownership.rs
+++ b/crates/node/src/ownership.rs
@@ -85,11 +85,16 @@
             sightings.empty_since.remove(data_centre);
             local
         } else {
+            // A data centre whose upstreams do not report either is cut off, or this one is.
+            upstreams.retain(|upstream| sightings.alive(now, &upstream.id));
+            if upstreams.is_empty() {
+                sightings.empty_since.remove(data_centre);
+                continue;
+            }
             let since = *sightings.empty_since.entry(data_centre.clone()).or_insert(now);
             if now.duration_since(since) < EMPTY_DATA_CENTRE {
                 continue;
             }
-            upstreams.retain(|upstream| sightings.alive(now, &upstream.id));
             &everywhere
         };
         wanted.extend(share_of(&own.instance, candidates, &upstreams));
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -10,8 +10,11 @@
 
 /// Time for a registered entry to come back after its connection was closed; a killed process needs longer.
 const CLOSED_GRACE: Duration = Duration::from_millis(400);
-/// Time after which a registered entry that fell silent counts as dead even if the store keeps showing it.
+/// Time after which a registered entry that fell silent counts as dead while the store does not answer. A store that
+/// answers shows by itself when a registration has expired.
 const SILENT_GRACE: Duration = Duration::from_millis(2_500);
+/// Time after which a registration that outlives a closed connection shows that the process is alive.
+const REGISTRATION_TTL: Duration = Duration::from_millis(2_500);
 /// Time for a newly registered entry to be linked.
 const FIRST_LINK_GRACE: Duration = Duration::from_secs(3);
 
@@ -39,7 +42,9 @@
     pub(crate) linked: bool,
     registered: bool,
     pub(crate) status: Status,
-    /// Until when it counts as alive without a link.
+    /// When its connection was closed, if that is why the link is down.
+    closed_at: Option<Instant>,
+    /// Until when it counts as alive without a link and without the store.
     trusted_until: Instant,
 }
 
@@ -53,12 +58,25 @@
             linked: false,
             registered: false,
             status: Status::default(),
+            closed_at: None,
             trusted_until,
         }
     }
 
-    pub(crate) fn alive(&self, now: Instant) -> bool {
-        self.linked || (self.registered && now < self.trusted_until)
+    /// Whether the process is believed to run. A closed connection means that it was killed, unless its registration is
+    /// still renewed later: partitions close connections too.
+    fn alive(&self, now: Instant, store_answers: bool) -> bool {
+        if self.linked {
+            return true;
+        }
+        if !self.registered {
+            return false;
+        }
+        match self.closed_at {
+            _ if !store_answers => now < self.trusted_until,
+            Some(closed_at) => now < closed_at + CLOSED_GRACE || now >= closed_at + REGISTRATION_TTL,
+            None => true,
+        }
     }
 }
 
@@ -66,6 +84,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
     peers: FastMap<HomeId, Peer>,
+    store_answers: bool,
 }
 
 impl Peers {
@@ -78,11 +97,22 @@
     }
 
     pub(crate) fn alive(&self, now: Instant) -> impl Iterator<Item = &Peer> {
-        self.peers.values().filter(move |peer| peer.alive(now))
+        self.peers.values().filter(move |peer| peer.alive(now, self.store_answers))
+    }
+
+    /// Notes whether the store answers, so that the registrations are up to date.
+    pub(crate) fn set_store_answers(&mut self, answers: bool) {
+        self.store_answers = answers;
+    }
+
+    /// Whether this entry hears neither from the store nor from any of the peers it knows.
+    pub(crate) fn isolated(&self) -> bool {
+        !self.store_answers && !self.peers.is_empty() && self.linked().next().is_none()
     }
 
     /// Takes over the registered entries; `own` is this process.
     pub(crate) fn set_registered(&mut self, now: Instant, own: HomeId, records: &[EntryRecord]) {
+        self.store_answers = true;
         for peer in self.peers.values_mut() {
             peer.registered = false;
         }
@@ -103,6 +133,7 @@
         });
         let was_linked = peer.linked;
         peer.linked = true;
+        peer.closed_at = None;
         peer.last_assignment = 0;
         peer.status = Status::default();
         self.retire_replaced();
@@ -112,6 +143,7 @@
     pub(crate) fn down(&mut self, now: Instant, id: HomeId, silent: bool) {
         let Some(peer) = self.peers.get_mut(&id) else { return };
         peer.linked = false;
+        peer.closed_at = (!silent).then_some(now);
         peer.trusted_until = now + if silent { SILENT_GRACE } else { CLOSED_GRACE };
     }
 
@@ -119,6 +151,7 @@
     pub(crate) fn refused(&mut self, now: Instant, instance: &InstanceId) {
         for peer in self.peers.values_mut().filter(|peer| peer.instance == *instance && !peer.linked) {
             peer.trusted_until = peer.trusted_until.min(now + CLOSED_GRACE);
+            peer.closed_at.get_or_insert(now);
         }
     }
 
@@ -131,6 +164,7 @@
     }
 
     fn forget_dead(&mut self, now: Instant) {
-        self.peers.retain(|_, peer| peer.registered || peer.alive(now));
+        let store_answers = self.store_answers;
+        self.peers.retain(|_, peer| peer.registered || peer.alive(now, store_answers));
     }
 }
--- a/crates/node/tests/ownership.rs
+++ b/crates/node/tests/ownership.rs
@@ -201,3 +201,47 @@
     near.wait(600);
     assert_eq!(near.owned(), BTreeSet::from(["dc2-up-0".to_owned()]));
 }
+
+/// Guards against an entry that is cut off from its peers alone and takes their upstreams over: the store still shows
+/// that they are alive.
+#[test]
+fn a_silent_peer_is_left_alone_while_the_store_shows_its_registration() {
+    let mut entry_1 = pair();
+    let theirs = others(&entry_1);
+    entry_1.peer_owns(2, &theirs);
+    entry_1.unlink(2, true);
+    entry_1.wait(8_000);
+    assert_eq!(entry_1.owned().len(), UPSTREAMS / 2);
+    entry_1.link(2);
+    entry_1.unlink(2, false);
+    entry_1.wait(3_000);
+    entry_1.input(Input::Tick);
+    entry_1.wait(300);
+    assert_eq!(entry_1.owned().len(), UPSTREAMS / 2, "its registration is still renewed");
+}
+
+/// Guards against an entry without store and peers that takes over what the others still own.
+#[test]
+fn an_isolated_entry_takes_nothing_over() {
+    let mut entry_1 = pair();
+    let theirs = others(&entry_1);
+    entry_1.peer_owns(2, &theirs);
+    entry_1.input(Input::StoreAnswers(false));
+    entry_1.unlink(2, true);
+    entry_1.wait(8_000);
+    assert_eq!(entry_1.owned().len(), UPSTREAMS / 2);
+}
+
+/// Guards against a data centre that was cut off and takes over all others when the cut heals: the pattern of the end of
+/// a partition, where reports arrive again before the links are up.
+#[test]
+fn a_data_centre_that_comes_back_takes_nothing_over() {
+    let far = |sequence| (0..3).map(|number| upstream("dc2", number, sequence)).collect::<Vec<_>>();
+    let mut entry_1 = Entry::new(1);
+    entry_1.input(Input::Entries(vec![entry(1)]));
+    entry_1.input(Input::Upstreams(far(1)));
+    entry_1.wait(7_000);
+    entry_1.input(Input::Upstreams(far(2)));
+    entry_1.wait(2_000);
+    assert!(entry_1.owned().is_empty());
+}
