--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -3,192 +3,49 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hinge_jobs::{Answer, JobNumber, JobRequest, JobTable, OwnerLoad};
-use hinge_mesh::{Hello, MeshEvent, Message, OwnedUpstream, ServiceLoad, Status};
-use hinge_runs::{
-    Assignment, AssignmentId, Event, Fence, Hold, HoldReply, HomeId, Load, RunId, Runner, StartOrder,
-    StartReply, TaskReport, UpstreamRecord,
-};
+use hinge_jobs::{JobNumber, JobTable};
+use hinge_mesh::{Hello, OwnedUpstream};
+use hinge_runs::{Event, Fence, HomeId, Runner, UpstreamRecord};
 use hinge_wire::{FastMap, ServiceId, UpstreamId};
 use tokio::time::Instant;
 
+use crate::event::{Input, Output, Ticket};
 use crate::journal::Line;
+use crate::outbox::{LOCAL_STATUS_INTERVAL, Outbox, REMOTE_STATUS_INTERVAL, StatusTimer};
 use crate::ownership::{Own, Sightings, wanted};
-pub use crate::peers::EntryRecord;
 use crate::peers::Peers;
 
-/// Number of a submission at the daemon.
-pub type Ticket = u64;
-
-/// Least time between two status messages to a peer that gets nothing else, in the own data centre and in others.
-/// Tasks go to other data centres only when the own one is full, so their loads may be older.
-const LOCAL_STATUS_INTERVAL: Duration = Duration::from_millis(25);
-const REMOTE_STATUS_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two comparisons of the owned with the wanted upstreams.
 const OWNERSHIP_INTERVAL: Duration = Duration::from_millis(100);
 /// Pause before an upstream that another owner fenced off is taken over again.
 const LOST_PAUSE: Duration = Duration::from_secs(3);
-/// Time for the store to bring a configuration that a peer already has, before the peer is asked for it.
-const CONFIG_LAG: Duration = Duration::from_millis(600);
-/// Time between two requests for a configuration; one may be large for a small link.
-const CONFIG_REQUEST_INTERVAL: Duration = Duration::from_millis(1_000);
-/// Extra wait that is accepted to stay in the own data centre, and at the own entry.
-const REMOTE_DISTANCE: Duration = Duration::from_millis(5);
-const LOCAL_DISTANCE: Duration = Duration::from_millis(1);
-
-/// An input of [`Engine::handle`].
-#[derive(Debug)]
-pub enum Input {
-    /// A caller left before its answer.
-    Abandon(Ticket),
-    /// A configuration was read from the store.
-    Config {
-        /// As the operator wrote it.
-        body: Bytes,
-        /// Its version.
-        version: u64,
-    },
-    /// A planned stop has begun.
-    Drain,
-    /// The registered entries.
-    Entries(Vec<EntryRecord>),
-    /// A hold has ended.
-    HoldEnded {
-        /// The hold.
-        hold: Hold,
-        /// Its result.
-        reply: HoldReply,
-    },
-    /// Something happened on the links to peers.
-    Mesh(MeshEvent),
-    /// A start order has ended.
-    StartEnded {
-        /// Its result.
-        reply: StartReply,
-        /// The order.
-        start: StartOrder,
-    },
-    /// A caller's job.
-    Submit {
-        /// The job.
-        request: Box<JobRequest>,
-        /// Number of the submission.
-        ticket: Ticket,
-    },
-    /// Whether the store answers where the entries are registered.
-    StoreAnswers(bool),
-    /// The process stood still for a time that its steady clock did not count.
-    Suspended(Duration),
-    /// Time has passed.
-    Tick,
-    /// The registered upstreams.
-    Upstreams(Vec<UpstreamRecord>),
-}
-
-/// An output of [`Engine::drain_outputs`].
-#[derive(Debug)]
-pub enum Output {
-    /// Answer a caller.
-    Answer {
-        /// The answer.
-        answer: Answer,
-        /// The submission.
-        ticket: Ticket,
-    },
-    /// A newer configuration is known.
-    Config {
-        /// As the operator wrote it.
-        body: Bytes,
-        /// Its version.
-        version: u64,
-    },
-    /// Call an upstream.
-    Hold(Hold),
-    /// Write a log line.
-    Log(Line),
-    /// Send a message to a peer.
-    Send {
-        /// The message.
-        message: Message,
-        /// The peer.
-        peer: HomeId,
-    },
-    /// Start a task.
-    Start(StartOrder),
-    /// Stop a run.
-    Stop {
-        /// Address of the upstream.
-        address: std::sync::Arc<str>,
-        /// Fencing token.
-        fence: Fence,
-        /// The run.
-        run: RunId,
-        /// The upstream.
-        upstream: UpstreamId,
-    },
-}
-
-/// Messages to a peer that are sent together.
-#[derive(Debug, Default)]
-struct Outbox {
-    assign: Vec<Assignment>,
-    cancel: Vec<AssignmentId>,
-    recall: Vec<AssignmentId>,
-    report: Vec<TaskReport>,
-}
-
-/// When loads were sent last, and which.
-#[derive(Debug)]
-struct StatusTimer {
-    due_at: Instant,
-    interval: Duration,
-    sent: Vec<ServiceLoad>,
-    sent_version: u64,
-}
-
-impl StatusTimer {
-    const fn new(now: Instant, interval: Duration) -> Self {
-        Self { due_at: now, interval, sent: Vec::new(), sent_version: 0 }
-    }
-
-    /// Whether the loads or the version have changed and are to be sent now; they count as sent then.
-    fn due(&mut self, now: Instant, version: u64, loads: &[ServiceLoad]) -> bool {
-        if now < self.due_at || (self.sent == loads && self.sent_version == version) {
-            return false;
-        }
-        self.sent_version = version;
-        self.due_at = now + self.interval;
-        self.sent = loads.to_vec();
-        true
-    }
-}
 
 /// The decision code of an entry instance; performs no I/O and reads no clock.
 #[derive(Debug)]
 pub struct Engine {
-    config: Option<(u64, Bytes)>,
+    pub(crate) config: Option<(u64, Bytes)>,
     /// When a peer may be asked for a newer configuration than the own one; none while no peer has one.
-    config_request_at: Option<Instant>,
-    fence_base: Fence,
-    jobs: JobTable,
+    pub(crate) config_request_at: Option<Instant>,
+    pub(crate) fence_base: Fence,
+    pub(crate) jobs: JobTable,
     /// Upstreams that another owner fenced off, with the time until which they are left alone.
-    left_alone: FastMap<UpstreamId, Instant>,
-    outboxes: FastMap<HomeId, Outbox>,
-    outputs: Vec<Output>,
-    own: Own,
-    own_id: HomeId,
-    ownership_at: Instant,
-    peers: Peers,
-    runner: Runner,
-    services: Vec<ServiceId>,
-    sent_owned: Vec<OwnedUpstream>,
-    sightings: Sightings,
-    started_at: Instant,
-    local_status: StatusTimer,
-    remote_status: StatusTimer,
-    tickets: FastMap<JobNumber, Ticket>,
-    jobs_by_ticket: FastMap<Ticket, JobNumber>,
-    upstreams: Vec<UpstreamRecord>,
+    pub(crate) left_alone: FastMap<UpstreamId, Instant>,
+    pub(crate) outboxes: FastMap<HomeId, Outbox>,
+    pub(crate) outputs: Vec<Output>,
+    pub(crate) own: Own,
+    pub(crate) own_id: HomeId,
+    pub(crate) ownership_at: Instant,
+    pub(crate) peers: Peers,
+    pub(crate) runner: Runner,
+    pub(crate) services: Vec<ServiceId>,
+    pub(crate) sent_owned: Vec<OwnedUpstream>,
+    pub(crate) sightings: Sightings,
+    pub(crate) started_at: Instant,
+    pub(crate) local_status: StatusTimer,
+    pub(crate) remote_status: StatusTimer,
+    pub(crate) tickets: FastMap<JobNumber, Ticket>,
+    pub(crate) jobs_by_ticket: FastMap<Ticket, JobNumber>,
+    pub(crate) upstreams: Vec<UpstreamRecord>,
 }
 
 impl Engine {
@@ -371,134 +228,6 @@
         }
     }
 
-    fn mesh_event(&mut self, now: Instant, event: MeshEvent) {
-        match event {
-            MeshEvent::Down { error, peer, silent } => {
-                self.outputs.push(Output::Log(Line::PeerLost { error, peer, silent }));
-                self.peers.down(now, peer, silent);
-                self.link_lost(now, peer);
-            }
-            MeshEvent::Received { message, peer } => self.received(now, peer, message),
-            MeshEvent::Refused { instance } => self.peers.refused(now, &instance),
-            MeshEvent::Up(hello) => self.link_up(now, &hello),
-        }
-    }
-
-    fn link_up(&mut self, now: Instant, hello: &Hello) {
-        let peer = hello.incarnation;
-        if self.peers.up(now, hello) {
-            self.link_lost(now, peer);
-        }
-        self.outputs.push(Output::Log(Line::PeerFound { instance: hello.instance.clone(), peer }));
-        let near = hello.data_centre == self.own.data_centre;
-        self.jobs.set_distance(peer, if near { LOCAL_DISTANCE } else { REMOTE_DISTANCE });
-        self.send(peer, Message::Owned(self.sent_owned.clone()));
-        let loads = self.loads(now);
-        self.send_status(peer, loads);
-    }
-
-    /// What was handed over on the link is void on both sides.
-    fn link_lost(&mut self, now: Instant, peer: HomeId) {
-        self.outboxes.remove(&peer);
-        self.jobs.owner_lost(now, peer);
-        self.runner.handle(now, Event::HomeLost(peer));
-    }
-
-    fn received(&mut self, now: Instant, id: HomeId, message: Message) {
-        let Some(peer) = self.peers.get_mut(id) else { return };
-        match message {
-            Message::Assign(assignments) => {
-                for assignment in assignments {
-                    peer.last_assignment = peer.last_assignment.max(assignment.id);
-                    self.runner.handle(now, Event::Assigned { assignment, home: id });
-                }
-            }
-            Message::Cancel(assignments) => {
-                for assignment in assignments {
-                    self.runner.handle(now, Event::Cancelled { assignment, home: id });
-                }
-            }
-            Message::Config { body, version } => self.offer_config(version, body),
-            Message::ConfigRequest => {
-                if let Some((version, body)) = self.config.clone() {
-                    self.send(id, Message::Config { body, version });
-                }
-            }
-            Message::Heartbeat | Message::Hello(_) => {}
-            Message::Owned(owned) => peer.claims = owned.into_iter().map(|one| one.upstream).collect(),
-            Message::Recall(assignments) => {
-                for assignment in assignments {
-                    self.runner.handle(now, Event::Recalled { assignment, home: id });
-                }
-            }
-            Message::Report(reports) => {
-                for report in reports {
-                    self.jobs.report(now, id, &report);
-                }
-            }
-            Message::Status(status) => self.peer_status(now, id, status),
-        }
-    }
-
-    fn peer_status(&mut self, now: Instant, id: HomeId, status: Status) {
-        for one in &status.loads {
-            let load = if status.draining { Load::default() } else { one.load.clone() };
-            let service = one.service.clone();
-            let last_assignment = status.last_assignment;
-            self.jobs.set_load(now, OwnerLoad { last_assignment, load, owner: id, service });
-        }
-        if let Some(peer) = self.peers.get_mut(id) {
-            peer.status = status;
-        }
-    }
-
-    /// Keeps the highest version that is known, and passes it on.
-    fn offer_config(&mut self, version: u64, body: Bytes) {
-        if self.config.as_ref().is_some_and(|(known, _)| *known >= version) {
-            return;
-        }
-        self.config = Some((version, body.clone()));
-        self.config_request_at = None;
-        self.outputs.push(Output::Config { body, version });
-    }
-
-    fn config_version(&self) -> u64 {
-        self.config.as_ref().map_or(0, |(version, _)| *version)
-    }
-
-    /// Asks one peer for a newer configuration that the store has not brought in time.
-    fn request_config(&mut self, now: Instant) {
-        let own_version = self.config_version();
-        let newer = self.peers.linked().filter(|(_, peer)| peer.status.config_version > own_version);
-        let near = |peer: &crate::peers::Peer| peer.data_centre == self.own.data_centre;
-        // A peer nearby, and a different one for each entry, so that no link carries many copies.
-        let best = newer.max_by_key(|(id, peer)| (near(peer), id.wrapping_mul(self.own_id | 1)));
-        let Some((peer, _)) = best else {
-            self.config_request_at = None;
-            return;
-        };
-        match self.config_request_at {
-            None => self.config_request_at = Some(now + CONFIG_LAG),
-            Some(at) if now >= at => {
-                self.config_request_at = Some(now + CONFIG_REQUEST_INTERVAL);
-                self.send(peer, Message::ConfigRequest);
-            }
-            Some(_) => {}
-        }
-    }
-
-    fn note_own_loads(&mut self, now: Instant) {
-        for service in self.services.clone() {
-            let load = if self.own.draining && self.peers.linked().next().is_some() {
-                Load::default()
-            } else {
-                self.runner.load(now, &service)
-            };
-            let last_assignment = AssignmentId::MAX;
-            self.jobs.set_load(now, OwnerLoad { last_assignment, load, owner: self.own_id, service });
-        }
-    }
-
     fn adjust_ownership(&mut self, now: Instant) {
         self.left_alone.retain(|_, until| now < *until);
         let wanted = wanted(now, &self.own, &self.peers, &self.upstreams, &mut self.sightings);
@@ -524,77 +253,6 @@
     fn next_fence(&self, now: Instant) -> Fence {
         self.fence_base + (hinge_runs::whole_ms(now.duration_since(self.started_at)) << FENCE_TIME_SHIFT)
     }
-
-    fn send_owned(&mut self) {
-        let mut owned: Vec<_> = self
-            .runner
-            .owned()
-            .map(|(upstream, fence)| OwnedUpstream { fence, upstream: upstream.clone() })
-            .collect();
-        owned.sort_unstable_by(|a, b| a.upstream.cmp(&b.upstream));
-        let same = owned.len() == self.sent_owned.len()
-            && owned.iter().zip(&self.sent_owned).all(|(a, b)| a.upstream == b.upstream);
-        if same {
-            return;
-        }
-        self.sent_owned.clone_from(&owned);
-        let linked: Vec<_> = self.peers.linked().map(|(peer, _)| peer).collect();
-        for peer in linked {
-            self.send(peer, Message::Owned(owned.clone()));
-        }
-    }
-
-    fn send_messages(&mut self, now: Instant) {
-        let outboxes = std::mem::take(&mut self.outboxes);
-        let mut informed = Vec::new();
-        for (peer, outbox) in outboxes {
-            if !outbox.report.is_empty() {
-                self.send(peer, Message::Report(outbox.report));
-            }
-            if !outbox.recall.is_empty() {
-                self.send(peer, Message::Recall(outbox.recall));
-            }
-            if !outbox.cancel.is_empty() {
-                self.send(peer, Message::Cancel(outbox.cancel));
-            }
-            if !outbox.assign.is_empty() {
-                self.send(peer, Message::Assign(outbox.assign));
-            }
-            informed.push(peer);
-        }
-        let loads = self.loads(now);
-        let version = self.config_version();
-        let local = self.local_status.due(now, version, &loads);
-        let remote = self.remote_status.due(now, version, &loads);
-        let due = self
-            .peers
-            .linked()
-            .filter(|(_, peer)| if peer.data_centre == self.own.data_centre { local } else { remote });
-        informed.extend(due.map(|(peer, _)| peer));
-        informed.sort_unstable();
-        informed.dedup();
-        for peer in informed {
-            self.send_status(peer, loads.clone());
-        }
-    }
-
-    fn loads(&self, now: Instant) -> Vec<ServiceLoad> {
-        let services = self.services.iter();
-        services
-            .map(|service| ServiceLoad { load: self.runner.load(now, service), service: service.clone() })
-            .collect()
-    }
-
-    fn send_status(&mut self, peer: HomeId, loads: Vec<ServiceLoad>) {
-        let last_assignment = self.peers.get_mut(peer).map_or(0, |peer| peer.last_assignment);
-        let config_version = self.config_version();
-        let draining = self.own.draining;
-        self.send(peer, Message::Status(Status { config_version, draining, last_assignment, loads }));
-    }
-
-    fn send(&mut self, peer: HomeId, message: Message) {
-        self.outputs.push(Output::Send { message, peer });
-    }
 }
 
 /// Bits of a fencing token below the time in milliseconds; they tell processes apart.
--- /dev/null
+++ b/crates/node/src/event.rs
@@ -0,0 +1,108 @@
+//! What goes into the engine and what comes out.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hinge_jobs::{Answer, JobRequest};
+use hinge_mesh::{MeshEvent, Message};
+use hinge_runs::{Fence, Hold, HoldReply, HomeId, RunId, StartOrder, StartReply, UpstreamRecord};
+use hinge_wire::UpstreamId;
+
+use crate::EntryRecord;
+use crate::journal::Line;
+
+/// Number of a submission at the daemon.
+pub type Ticket = u64;
+
+/// An input of [`Engine::handle`](crate::Engine::handle).
+#[derive(Debug)]
+pub enum Input {
+    /// A caller left before its answer.
+    Abandon(Ticket),
+    /// A configuration was read from the store.
+    Config {
+        /// As the operator wrote it.
+        body: Bytes,
+        /// Its version.
+        version: u64,
+    },
+    /// A planned stop has begun.
+    Drain,
+    /// The registered entries.
+    Entries(Vec<EntryRecord>),
+    /// A hold has ended.
+    HoldEnded {
+        /// The hold.
+        hold: Hold,
+        /// Its result.
+        reply: HoldReply,
+    },
+    /// Something happened on the links to peers.
+    Mesh(MeshEvent),
+    /// A start order has ended.
+    StartEnded {
+        /// Its result.
+        reply: StartReply,
+        /// The order.
+        start: StartOrder,
+    },
+    /// A caller's job.
+    Submit {
+        /// The job.
+        request: Box<JobRequest>,
+        /// Number of the submission.
+        ticket: Ticket,
+    },
+    /// Whether the store answers where the entries are registered.
+    StoreAnswers(bool),
+    /// The process stood still for a time that its steady clock did not count.
+    Suspended(Duration),
+    /// Time has passed.
+    Tick,
+    /// The registered upstreams.
+    Upstreams(Vec<UpstreamRecord>),
+}
+
+/// An output of [`Engine::drain_outputs`](crate::Engine::drain_outputs).
+#[derive(Debug)]
+pub enum Output {
+    /// Answer a caller.
+    Answer {
+        /// The answer.
+        answer: Answer,
+        /// The submission.
+        ticket: Ticket,
+    },
+    /// A newer configuration is known.
+    Config {
+        /// As the operator wrote it.
+        body: Bytes,
+        /// Its version.
+        version: u64,
+    },
+    /// Call an upstream.
+    Hold(Hold),
+    /// Write a log line.
+    Log(Line),
+    /// Send a message to a peer.
+    Send {
+        /// The message.
+        message: Message,
+        /// The peer.
+        peer: HomeId,
+    },
+    /// Start a task.
+    Start(StartOrder),
+    /// Stop a run.
+    Stop {
+        /// Address of the upstream.
+        address: Arc<str>,
+        /// Fencing token.
+        fence: Fence,
+        /// The run.
+        run: RunId,
+        /// The upstream.
+        upstream: UpstreamId,
+    },
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,13 +9,18 @@
 //! no live peer claims it; the fencing token at the upstream settles what the entries' views get wrong.
 
 mod engine;
+mod event;
 mod journal;
+mod links;
 mod metrics;
 mod node;
+mod outbox;
 mod ownership;
 mod peers;
 
-pub use engine::{Engine, EntryRecord, Input, Output, Ticket};
+pub use engine::Engine;
+pub use event::{Input, Output, Ticket};
 pub use journal::Line;
 pub use metrics::NodeMetrics;
 pub use node::{Node, NodeHandle, NodeSettings, Submitted, SuspendClock, UpstreamPort};
+pub use peers::EntryRecord;
--- /dev/null
+++ b/crates/node/src/links.rs
@@ -0,0 +1,138 @@
+//! What peers tell the engine: links, tasks, reports, loads and configurations.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hinge_jobs::OwnerLoad;
+use hinge_mesh::{Hello, MeshEvent, Message, Status};
+use hinge_runs::{Event, HomeId, Load};
+use tokio::time::Instant;
+
+use crate::journal::Line;
+use crate::{Engine, Output};
+
+/// Time for the store to bring a configuration that a peer already has, before the peer is asked for it.
+const CONFIG_LAG: Duration = Duration::from_millis(600);
+/// Time between two requests for a configuration; one may be large for a small link.
+const CONFIG_REQUEST_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Extra wait that is accepted to stay in the own data centre, and at the own entry.
+const REMOTE_DISTANCE: Duration = Duration::from_millis(5);
+const LOCAL_DISTANCE: Duration = Duration::from_millis(1);
+
+impl Engine {
+    pub(crate) fn mesh_event(&mut self, now: Instant, event: MeshEvent) {
+        match event {
+            MeshEvent::Down { error, peer, silent } => {
+                self.outputs.push(Output::Log(Line::PeerLost { error, peer, silent }));
+                self.peers.down(now, peer, silent);
+                self.link_lost(now, peer);
+            }
+            MeshEvent::Received { message, peer } => self.received(now, peer, message),
+            MeshEvent::Refused { instance } => self.peers.refused(now, &instance),
+            MeshEvent::Up(hello) => self.link_up(now, &hello),
+        }
+    }
+
+    pub(crate) fn link_up(&mut self, now: Instant, hello: &Hello) {
+        let peer = hello.incarnation;
+        if self.peers.up(now, hello) {
+            self.link_lost(now, peer);
+        }
+        self.outputs.push(Output::Log(Line::PeerFound { instance: hello.instance.clone(), peer }));
+        let near = hello.data_centre == self.own.data_centre;
+        self.jobs.set_distance(peer, if near { LOCAL_DISTANCE } else { REMOTE_DISTANCE });
+        self.send(peer, Message::Owned(self.sent_owned.clone()));
+        let loads = self.loads(now);
+        self.send_status(peer, loads);
+    }
+
+    /// What was handed over on the link is void on both sides.
+    pub(crate) fn link_lost(&mut self, now: Instant, peer: HomeId) {
+        self.outboxes.remove(&peer);
+        self.jobs.owner_lost(now, peer);
+        self.runner.handle(now, Event::HomeLost(peer));
+    }
+
+    pub(crate) fn received(&mut self, now: Instant, id: HomeId, message: Message) {
+        let Some(peer) = self.peers.get_mut(id) else { return };
+        match message {
+            Message::Assign(assignments) => {
+                for assignment in assignments {
+                    peer.last_assignment = peer.last_assignment.max(assignment.id);
+                    self.runner.handle(now, Event::Assigned { assignment, home: id });
+                }
+            }
+            Message::Cancel(assignments) => {
+                for assignment in assignments {
+                    self.runner.handle(now, Event::Cancelled { assignment, home: id });
+                }
+            }
+            Message::Config { body, version } => self.offer_config(version, body),
+            Message::ConfigRequest => {
+                if let Some((version, body)) = self.config.clone() {
+                    self.send(id, Message::Config { body, version });
+                }
+            }
+            Message::Heartbeat | Message::Hello(_) => {}
+            Message::Owned(owned) => peer.claims = owned.into_iter().map(|one| one.upstream).collect(),
+            Message::Recall(assignments) => {
+                for assignment in assignments {
+                    self.runner.handle(now, Event::Recalled { assignment, home: id });
+                }
+            }
+            Message::Report(reports) => {
+                for report in reports {
+                    self.jobs.report(now, id, &report);
+                }
+            }
+            Message::Status(status) => self.peer_status(now, id, status),
+        }
+    }
+
+    pub(crate) fn peer_status(&mut self, now: Instant, id: HomeId, status: Status) {
+        for one in &status.loads {
+            let load = if status.draining { Load::default() } else { one.load.clone() };
+            let service = one.service.clone();
+            let last_assignment = status.last_assignment;
+            self.jobs.set_load(now, OwnerLoad { last_assignment, load, owner: id, service });
+        }
+        if let Some(peer) = self.peers.get_mut(id) {
+            peer.status = status;
+        }
+    }
+
+    /// Keeps the highest version that is known, and passes it on.
+    pub(crate) fn offer_config(&mut self, version: u64, body: Bytes) {
+        if self.config.as_ref().is_some_and(|(known, _)| *known >= version) {
+            return;
+        }
+        self.config = Some((version, body.clone()));
+        self.config_request_at = None;
+        self.outputs.push(Output::Config { body, version });
+    }
+
+    pub(crate) fn config_version(&self) -> u64 {
+        self.config.as_ref().map_or(0, |(version, _)| *version)
+    }
+
+    /// Asks one peer for a newer configuration that the store has not brought in time.
+    pub(crate) fn request_config(&mut self, now: Instant) {
+        let own_version = self.config_version();
+        let newer = self.peers.linked().filter(|(_, peer)| peer.status.config_version > own_version);
+        let near = |peer: &crate::peers::Peer| peer.data_centre == self.own.data_centre;
+        // A peer nearby, and a different one for each entry, so that no link carries many copies.
+        let best = newer.max_by_key(|(id, peer)| (near(peer), id.wrapping_mul(self.own_id | 1)));
+        let Some((peer, _)) = best else {
+            self.config_request_at = None;
+            return;
+        };
+        match self.config_request_at {
+            None => self.config_request_at = Some(now + CONFIG_LAG),
+            Some(at) if now >= at => {
+                self.config_request_at = Some(now + CONFIG_REQUEST_INTERVAL);
+                self.send(peer, Message::ConfigRequest);
+            }
+            Some(_) => {}
+        }
+    }
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -13,7 +13,8 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
-use crate::engine::{Engine, FENCE_TIME_SHIFT, Input, Output, Ticket};
+use crate::engine::{Engine, FENCE_TIME_SHIFT};
+use crate::event::{Input, Output, Ticket};
 use crate::metrics::NodeMetrics;
 
 /// Time between two ticks of the engine.
