--- a/crates/celeryhinge/src/bin/hinge-entry.rs
+++ b/crates/celeryhinge/src/bin/hinge-entry.rs
@@ -26,7 +26,7 @@
 }
 
 #[derive(Serialize)]
-struct Rejected {
+struct Failed {
     error: String,
 }
 
@@ -47,7 +47,7 @@
     match run(settings).await {
         Ok(status) => status,
         Err(error) => {
-            emit(LogEvent::SettingRejected, &Rejected { error: error.to_string() });
+            emit(event_of(&error), &Failed { error: error.to_string() });
             ExitCode::from(STATUS_FAILED)
         }
     }
@@ -90,3 +90,11 @@
         _ = interrupt.recv() => {}
     }
 }
+
+/// The log event that reports why the daemon could not run.
+const fn event_of(error: &RunError) -> LogEvent {
+    match error {
+        RunError::Start(StartError::Listen { .. }) => LogEvent::ListenFailed,
+        RunError::Signal(_) | RunError::Start(StartError::Metrics(_)) => LogEvent::SettingRejected,
+    }
+}
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -43,6 +43,7 @@
 mod estimate;
 mod job;
 mod owners;
+mod placing;
 mod table;
 
 pub use job::{Action, Answer, FailCause, JobNumber, JobRequest, Notice, QueuePolicy, RejectCause};
