--- /dev/null
+++ b/crates/mesh/tests/links.rs
@@ -0,0 +1,79 @@
+//! Links between entries over loopback connections.
+
+#![allow(clippy::unwrap_used, reason = "tests")]
+
+use hinge_mesh::{Hello, Mesh, MeshEvent, Message, PeerAddress};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+
+fn hello(number: u64) -> Hello {
+    Hello { data_centre: "dc1".into(), incarnation: number, instance: format!("entry-{number}").into() }
+}
+
+async fn entry(number: u64) -> (Mesh, mpsc::Receiver<MeshEvent>, PeerAddress) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (sender, events) = mpsc::channel(64);
+    let mesh = Mesh::start(listener, hello(number), sender);
+    (mesh, events, PeerAddress { address, instance: format!("entry-{number}").into() })
+}
+
+/// Guards against messages that arrive twice or out of order, and against two links for one pair.
+#[tokio::test]
+async fn a_pair_shares_one_ordered_link() {
+    let (mut first, mut first_events, first_address) = entry(1).await;
+    let (mut second, mut second_events, second_address) = entry(2).await;
+    first.set_peers(std::slice::from_ref(&second_address));
+    second.set_peers(std::slice::from_ref(&first_address));
+    assert!(matches!(first_events.recv().await, Some(MeshEvent::Up(hello)) if hello.incarnation == 2));
+    assert!(matches!(second_events.recv().await, Some(MeshEvent::Up(hello)) if hello.incarnation == 1));
+    for number in 0..20 {
+        assert!(first.send(2, Message::Cancel(vec![number])));
+        assert!(second.send(1, Message::Recall(vec![number])));
+    }
+    for number in 0..20 {
+        let Some(MeshEvent::Received { message, peer: 1 }) = second_events.recv().await else {
+            panic!("a message")
+        };
+        assert_eq!(message, Message::Cancel(vec![number]));
+        let Some(MeshEvent::Received { message, peer: 2 }) = first_events.recv().await else {
+            panic!("a message")
+        };
+        assert_eq!(message, Message::Recall(vec![number]));
+    }
+}
+
+/// Guards against a peer that is believed to be linked after its process has ended.
+#[tokio::test]
+async fn a_closed_connection_is_reported() {
+    let (mut first, mut events, _) = entry(1).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    first.set_peers(&[PeerAddress { address, instance: "entry-2".into() }]);
+    let (stream, _) = listener.accept().await.unwrap();
+    drop(listener);
+    let frame = hinge_wire::to_msgpack(&Message::Hello(hello(2))).unwrap();
+    let mut stream = stream;
+    stream.write_u32(u32::try_from(frame.len()).unwrap()).await.unwrap();
+    stream.write_all(&frame).await.unwrap();
+    assert!(matches!(events.recv().await, Some(MeshEvent::Up(_))));
+    drop(stream);
+    assert!(matches!(events.recv().await, Some(MeshEvent::Down { peer: 2, silent: false, .. })));
+    assert!(matches!(events.recv().await, Some(MeshEvent::Refused { .. })));
+    assert!(!first.send(2, Message::ConfigRequest));
+}
+
+/// Guards against bytes from elsewhere that end the process or are taken for a peer.
+#[tokio::test]
+async fn a_connection_that_says_something_else_is_no_link() {
+    let (_mesh, mut events, address) = entry(1).await;
+    for bytes in [&b"GET / HTTP/1.1\r\n\r\n"[..], &[0, 0, 0, 1, 0xc1], &[0xff; 64]] {
+        let mut stream = TcpStream::connect(address.address).await.unwrap();
+        stream.write_all(bytes).await.unwrap();
+        let mut rest = Vec::new();
+        // The other side closes; a reset is as good.
+        let _ = tokio::io::AsyncReadExt::read_to_end(&mut stream, &mut rest).await;
+    }
+    assert!(events.try_recv().is_err());
+}
