--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -222,9 +222,7 @@
                 self.outboxes.entry(home).or_default().report.push(report);
             }
             hinge_runs::Action::Start(start) => self.outputs.push(Output::Start(start)),
-            hinge_runs::Action::Stop { address, fence, run, upstream } => {
-                self.outputs.push(Output::Stop { address, fence, run, upstream });
-            }
+            hinge_runs::Action::Stop(stop) => self.outputs.push(Output::Stop(stop)),
         }
     }
 
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -1,13 +1,11 @@
 //! What goes into the engine and what comes out.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use hinge_jobs::{Answer, JobRequest};
 use hinge_mesh::{MeshEvent, Message};
-use hinge_runs::{Fence, Hold, HoldReply, HomeId, RunId, StartOrder, StartReply, UpstreamRecord};
-use hinge_wire::UpstreamId;
+use hinge_runs::{Hold, HoldReply, HomeId, StartOrder, StartReply, StopOrder, UpstreamRecord};
 
 use crate::EntryRecord;
 use crate::journal::Line;
@@ -95,14 +93,5 @@
     /// Start a task.
     Start(StartOrder),
     /// Stop a run.
-    Stop {
-        /// Address of the upstream.
-        address: Arc<str>,
-        /// Fencing token.
-        fence: Fence,
-        /// The run.
-        run: RunId,
-        /// The upstream.
-        upstream: UpstreamId,
-    },
+    Stop(StopOrder),
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use hinge_jobs::{Answer, JobRequest};
 use hinge_mesh::{Hello, Mesh, MeshEvent, PeerAddress};
-use hinge_runs::{Fence, Hold, HoldReply, RunId, StartOrder, StartReply};
+use hinge_runs::{Hold, HoldReply, StartOrder, StartReply, StopOrder};
 use hinge_wire::FastMap;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -35,13 +35,7 @@
     fn start(&self, start: &StartOrder) -> impl Future<Output = StartReply> + Send;
 
     /// Stops a run; whether it worked shows in the next hold.
-    fn stop(
-        &self,
-        address: Arc<str>,
-        upstream: Arc<str>,
-        run: RunId,
-        fence: Fence,
-    ) -> impl Future<Output = ()> + Send;
+    fn stop(&self, stop: &StopOrder) -> impl Future<Output = ()> + Send;
 }
 
 /// Time that passes even while the process stands still.
@@ -259,9 +253,9 @@
                     self.mesh.send(peer, message);
                 }
                 Output::Start(start) => self.start(start),
-                Output::Stop { address, fence, run, upstream } => {
+                Output::Stop(stop) => {
                     let port = self.port.clone();
-                    tokio::spawn(async move { port.stop(address, upstream, run, fence).await });
+                    tokio::spawn(async move { port.stop(&stop).await });
                 }
             }
         }
--- a/crates/runs/src/event.rs
+++ b/crates/runs/src/event.rs
@@ -84,16 +84,7 @@
     /// Start a task; report [`Event::StartEnded`].
     Start(StartOrder),
     /// Stop a run; its end shows up in a hold.
-    Stop {
-        /// Address of the upstream.
-        address: Arc<str>,
-        /// Fencing token.
-        fence: Fence,
-        /// The run.
-        run: RunId,
-        /// The upstream.
-        upstream: UpstreamId,
-    },
+    Stop(StopOrder),
 }
 
 /// An order that starts a task.
@@ -113,6 +104,19 @@
     pub upstream: UpstreamId,
 }
 
+/// An order that stops a run.
+#[derive(Clone, Debug)]
+pub struct StopOrder {
+    /// Address of the upstream.
+    pub address: Arc<str>,
+    /// Fencing token.
+    pub fence: Fence,
+    /// The run.
+    pub run: RunId,
+    /// The upstream.
+    pub upstream: UpstreamId,
+}
+
 /// A renewal of an upstream's lease that also reads its runs.
 #[derive(Clone, Debug)]
 pub struct Hold {
--- a/crates/runs/src/lib.rs
+++ b/crates/runs/src/lib.rs
@@ -67,6 +67,7 @@
 
 pub use event::{
     Action, EndKind, Ended, Event, Hold, HoldReply, Listing, Notice, Rejection, StartOrder, StartReply,
+    StopOrder,
 };
 pub use runner::Runner;
 pub use types::{
--- a/crates/runs/src/listing.rs
+++ b/crates/runs/src/listing.rs
@@ -6,7 +6,9 @@
 use tokio::time::Instant;
 
 use crate::upstream::Ownership;
-use crate::{Action, EndKind, Ended, Hold, HoldReply, Listing, Notice, Outcome, Rejection, RunId, Runner};
+use crate::{
+    Action, EndKind, Ended, Hold, HoldReply, Listing, Notice, Outcome, Rejection, RunId, Runner, StopOrder,
+};
 
 /// Ends in one listing from which on the upstream may have more to report.
 const FULL_LISTING: usize = 500;
@@ -157,8 +159,11 @@
 
     pub(crate) fn order_stop(&mut self, id: &UpstreamId, run_id: &RunId) {
         let Some(upstream) = self.upstreams.get(id) else { return };
-        let address = upstream.record.address.clone();
-        let fence = upstream.fence;
-        self.actions.push(Action::Stop { address, fence, run: run_id.clone(), upstream: id.clone() });
+        self.actions.push(Action::Stop(StopOrder {
+            address: upstream.record.address.clone(),
+            fence: upstream.fence,
+            run: run_id.clone(),
+            upstream: id.clone(),
+        }));
     }
 }
--- a/crates/runs/tests/interleavings.rs
+++ b/crates/runs/tests/interleavings.rs
@@ -164,8 +164,8 @@
                 let reply = self.upstreams.get_mut(&*start.upstream).unwrap().start(&start);
                 Event::StartEnded { reply, start }
             }
-            Action::Stop { fence, run, upstream, .. } => {
-                self.upstreams.get_mut(&*upstream).unwrap().stop(fence, &run);
+            Action::Stop(stop) => {
+                self.upstreams.get_mut(&*stop.upstream).unwrap().stop(stop.fence, &stop.run);
                 return;
             }
             Action::Notice(_) | Action::Report { .. } => return,
--- a/crates/runs/tests/support/mod.rs
+++ b/crates/runs/tests/support/mod.rs
@@ -241,9 +241,9 @@
                 let reply = self.upstream.start(&start);
                 self.handle(Event::StartEnded { reply, start });
             }
-            Action::Stop { fence, run, .. } => {
-                self.upstream.stop(fence, &run);
-                self.stops.push(run);
+            Action::Stop(stop) => {
+                self.upstream.stop(stop.fence, &stop.run);
+                self.stops.push(stop.run);
             }
         }
     }
