Remove dead code and a repeated branch found on the last read

Mesh::forget and RejectCause::Suspended had no callers; both branches of a fenced start requeued it; the registration dropped an expired lease in two places.

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -84,8 +84,6 @@
     NoOwner,
     /// The job would not end in time.
     Overload,
-    /// The process was paused while the job waited.
-    Suspended,
 }
 
 /// An output of [`JobTable`](crate::JobTable).
--- a/crates/mesh/src/mesh.rs
+++ b/crates/mesh/src/mesh.rs
@@ -102,13 +102,6 @@
         }
     }
 
-    /// Stops dialling a peer that has left for good.
-    pub fn forget(&mut self, instance: &InstanceId) {
-        if let Some((_, task)) = self.dialled.remove(instance) {
-            task.abort();
-        }
-    }
-
     /// Queues a message; a peer without a link or with a full queue does not get it.
     ///
     /// A full queue closes the link: the peer must not act on an incomplete stream of messages.
--- a/crates/runs/src/orders.rs
+++ b/crates/runs/src/orders.rs
@@ -162,10 +162,8 @@
         match reason {
             Rejection::Fenced => {
                 let barred = self.upstreams.get(id).is_some_and(|upstream| start.fence < upstream.fence);
-                if barred {
-                    self.requeue(now, id, &start.run, start.run.run);
-                } else {
-                    self.requeue(now, id, &start.run, start.run.run);
+                self.requeue(now, id, &start.run, start.run.run);
+                if !barred {
                     self.lose_ownership(now, id);
                 }
             }
--- a/crates/store/src/registration.rs
+++ b/crates/store/src/registration.rs
@@ -74,22 +74,24 @@
         };
         loop {
             if let Err(error) = self.keyspace.put(&self.key, self.value.clone(), lease).await {
-                if error == KeyspaceError::LeaseGone {
-                    *held = None;
-                }
-                return error;
+                return forget_expired(held, error);
             }
             backoff.reset();
             let _ = self.events.send(RegistrationEvent::Registered(lease)).await;
             for _ in 0..RENEWALS_PER_WRITE {
                 sleep(self.ttl / RENEWALS_PER_TTL).await;
                 if let Err(error) = self.keyspace.renew(lease).await {
-                    if error == KeyspaceError::LeaseGone {
-                        *held = None;
-                    }
-                    return error;
+                    return forget_expired(held, error);
                 }
             }
         }
     }
 }
+
+/// Drops a lease that the store no longer knows, so that the next attempt asks for a new one.
+fn forget_expired(held: &mut Option<LeaseId>, error: KeyspaceError) -> KeyspaceError {
+    if error == KeyspaceError::LeaseGone {
+        *held = None;
+    }
+    error
+}
