member: an instance leads upstreams only once it is known to run

Ruled out: a longer time limit in the test; ignoring digests altogether (they spread real joins). Change: a member leads once it took part in an exchange or its counter has advanced.

--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -39,10 +39,31 @@
     pub(crate) info: MemberInfo,
 }
 
+/// How a report came here.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Source {
+    /// Another member passed it on.
+    Digest,
+    /// The process answered this one, or has heard from it before.
+    Exchange,
+    /// The process sent it without having heard from this one.
+    Heartbeat,
+}
+
+impl Source {
+    /// Whether the report comes from the process itself.
+    pub(crate) fn is_direct(self) -> bool {
+        self != Self::Digest
+    }
+}
+
 /// The current incarnation.
 struct Current {
     announced: Announced,
     heard_at: Instant,
+    /// Whether it is known to run: it took part in an exchange, or its counter has advanced. A single report proves
+    /// nothing.
+    running: bool,
 }
 
 pub(crate) struct Member {
@@ -86,7 +107,10 @@
     }
 
     pub(crate) fn is_leader(&self) -> bool {
-        let ready = self.info().is_some_and(|info| info.state == InstanceState::Ready);
+        let ready = self
+            .current
+            .as_ref()
+            .is_some_and(|current| current.running && current.announced.info.state == InstanceState::Ready);
         ready && self.is_live() && self.listing != Listing::Leaving
     }
 
@@ -130,15 +154,16 @@
         self.heard_at().map(|heard_at| now.saturating_duration_since(heard_at))
     }
 
-    /// Takes in a report; `direct` when it comes from the process itself. Returns whether it was news.
+    /// Takes in a report. Returns whether it was news.
     pub(crate) fn observe(
         &mut self,
         now: Instant,
         announced: Announced,
-        direct: bool,
+        source: Source,
         timeouts: Timeouts,
         notices: &mut Vec<Notice>,
     ) -> bool {
+        let direct = source.is_direct();
         let MemberInfo { counter, incarnation, .. } = announced.info;
         let news = match (self.info(), self.silent(now)) {
             _ if self.past.contains(&incarnation) => false,
@@ -154,12 +179,12 @@
             _ => true,
         };
         if news {
-            self.accept(now, announced, notices);
+            self.accept(now, announced, source, notices);
         }
         news
     }
 
-    fn accept(&mut self, now: Instant, announced: Announced, notices: &mut Vec<Notice>) {
+    fn accept(&mut self, now: Instant, announced: Announced, source: Source, notices: &mut Vec<Notice>) {
         let MemberInfo { incarnation, .. } = announced.info;
         let (address, instance, returned) = (announced.address, self.id.clone(), self.is_dead());
         match self.info().map(|info| info.incarnation) {
@@ -170,7 +195,9 @@
             Some(_) if !returned => {}
             _ => notices.push(Notice::Joined { address, incarnation, instance, returned }),
         }
-        self.current = Some(Current { announced, heard_at: now });
+        let advanced = self.info().is_some_and(|known| known.incarnation == incarnation);
+        let running = advanced || source == Source::Exchange;
+        self.current = Some(Current { announced, heard_at: now, running });
         self.life.handle(&LifeEvent::Heard);
     }
 
--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -15,7 +15,7 @@
 
 use crate::digest;
 use crate::evidence::Evidence;
-use crate::member::{Announced, Listing, Member, Timeouts};
+use crate::member::{Announced, Listing, Member, Source, Timeouts};
 use crate::notice::Notice;
 use crate::rotation::Rotation;
 
@@ -310,16 +310,17 @@
             return Err(ResultCode::InvalidField);
         }
         let timeouts = self.timeouts();
-        self.observe(now, &heartbeat.from, true, timeouts);
+        let source = if target == 0 { Source::Heartbeat } else { Source::Exchange };
+        self.observe(now, &heartbeat.from, source, timeouts);
         for info in &heartbeat.members {
-            self.observe(now, info, false, timeouts);
+            self.observe(now, info, Source::Digest, timeouts);
         }
         Ok(HeartbeatReply { from: self.own.clone() })
     }
 
     /// Takes in the reply to a heartbeat.
     pub fn on_reply(&mut self, now: Instant, reply: &HeartbeatReply) {
-        self.observe(now, &reply.from, true, self.timeouts());
+        self.observe(now, &reply.from, Source::Exchange, self.timeouts());
     }
 
     /// The report with its address, when it is of an instance of this data centre.
@@ -330,20 +331,20 @@
         valid.then(|| Announced { address, info: info.clone() })
     }
 
-    fn observe(&mut self, now: Instant, info: &MemberInfo, direct: bool, timeouts: Timeouts) {
+    fn observe(&mut self, now: Instant, info: &MemberInfo, source: Source, timeouts: Timeouts) {
         let news = if info.instance == self.own.instance {
-            self.observe_own_id(now, info, direct)
+            self.observe_own_id(now, info, source.is_direct())
         } else {
-            self.observe_peer(now, info, direct, timeouts)
+            self.observe_peer(now, info, source, timeouts)
         };
         self.ignored += u64::from(!news);
     }
 
-    fn observe_peer(&mut self, now: Instant, info: &MemberInfo, direct: bool, timeouts: Timeouts) -> bool {
+    fn observe_peer(&mut self, now: Instant, info: &MemberInfo, source: Source, timeouts: Timeouts) -> bool {
         let Some(announced) = self.announced(info) else { return false };
         let mut notices = Vec::new();
         let Some(member) = self.member_mut(&info.instance) else { return false };
-        let news = member.observe(now, announced, direct, timeouts, &mut notices);
+        let news = member.observe(now, announced, source, timeouts, &mut notices);
         self.notify(notices);
         news
     }
@@ -395,7 +396,8 @@
         notices.append(&mut self.notices);
     }
 
-    /// Ready members with the own one, in order of their ids; dead, draining and leaving ones are excluded.
+    /// Ready members with the own one, in order of their ids; dead, draining and leaving ones are excluded, and those that
+    /// are not known to run.
     #[must_use]
     pub fn leaders(&self) -> Vec<InstanceId> {
         let own_leads = self.own.state == InstanceState::Ready && !self.own_leaving;
--- a/crates/member/tests/members.rs
+++ b/crates/member/tests/members.rs
@@ -9,7 +9,8 @@
 use hinge_conf::Policy;
 use hinge_member::{MAX_HEARTBEAT_BYTES, Members, Notice, Owner};
 use hinge_wire::{
-    Heartbeat, InstanceList, InstanceState, ListState, LogEvent, MemberInfo, ResultCode, to_msgpack,
+    Heartbeat, HeartbeatReply, InstanceList, InstanceState, ListState, LogEvent, MemberInfo, ResultCode,
+    to_msgpack,
 };
 use support::{Cluster, address, demand, info, key, listed};
 use tokio::time::Instant;
@@ -145,6 +146,23 @@
     }
 }
 
+/// Guards against upstreams given to processes that were only named: a single report proves nothing, an exchange or an
+/// advancing counter does.
+#[test]
+fn members_that_were_only_named_do_not_lead() {
+    let (mut members, now) = members();
+    let leaders = |members: &Members| members.leaders().iter().map(ToString::to_string).collect::<Vec<_>>();
+    assert_eq!(leaders(&members), ["entry-0"]);
+    members.on_reply(now, &HeartbeatReply { from: at(info(1, 101), 6) });
+    assert_eq!(leaders(&members), ["entry-0", "entry-1"]);
+    let digest = vec![at(info(2, 102), 6)];
+    members.on_heartbeat(now, &heartbeat(at(info(1, 101), 7), digest)).unwrap();
+    assert_eq!(leaders(&members), ["entry-0", "entry-1", "entry-2"]);
+    let answered = Heartbeat { target_incarnation: 100, ..heartbeat(at(info(3, 103), 1), Vec::new()) };
+    members.on_heartbeat(now, &answered).unwrap();
+    assert_eq!(leaders(&members), ["entry-0", "entry-1", "entry-2", "entry-3"]);
+}
+
 /// Guards against a heartbeat larger than its limit with the longest ids.
 #[test]
 fn heartbeat_size_is_bounded() {
