jobs, runs: place tasks by the room that owners report, and return at once what finds none

Upstreams that work 6.5 times as long count as free room. A peer that has just been cut off gets tasks until its link is void after 0.5 s. Change: load reports carry the free processor of each upstream; homes choose at random in proportion to the room, near owners four times as likely, the own upstreams first; a task that was offered comes back at once when the room is gone and waits at an owner only after three returns or when no room is known. Queues order by priority, then in time before late, then by size. Slow upstreams get no task that would end late there, and are tried again one task at a time. Owners that are silent for 220 ms get no new tasks.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -16,7 +16,7 @@
 //!
 //! let now = Instant::now();
 //! let mut table = JobTable::new(7, 1);
-//! let load = Load { free_slots: 8, mean_run_ms: 60, queued: [0; 4], slots: 16 };
+//! let load = Load { mean_run_ms: 60, queued: [0; 4], rooms_cpu_millis: vec![14_000; 4], slots: 16 };
 //! table.set_load(now, OwnerLoad { last_assignment: 0, load, owner: 7, service: "deicing".into() });
 //! table.submit(now, JobRequest {
 //!     budget: Duration::from_millis(1_500),
--- a/crates/jobs/src/placing.rs
+++ b/crates/jobs/src/placing.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use hinge_runs::{Assignment, Outcome, RunNumber, TaskReport, whole_ms};
-use hinge_wire::{FastMap, ServiceId, UpstreamId};
+use hinge_wire::UpstreamId;
 use tokio::time::Instant;
 
 use crate::job::TaskState;
+use crate::owners::{Choice, Demand};
 use crate::table::{Place, Stage};
-use crate::{Action, Answer, FailCause, JobNumber, JobTable, Notice, RejectCause};
+use crate::{Action, Answer, FailCause, JobNumber, JobRequest, JobTable, Notice, RejectCause};
 
 /// Multiple of the objective after which an answer has lost its use to the caller.
 const LATE_FACTOR: u32 = 3;
@@ -17,32 +18,40 @@
 const MOVE_AFTER: Duration = Duration::from_millis(15);
 /// Estimated wait at its owner from which on a move is worth its messages.
 const MIN_MOVE_WAIT: Duration = Duration::from_millis(10);
+/// Owners in a row that may return a task before it waits at the next one.
+const MAX_RETURNS: u32 = 3;
+
+/// How a task is to be started.
+#[derive(Clone, Debug)]
+pub(crate) struct Attempt {
+    pub(crate) avoid: Option<UpstreamId>,
+    pub(crate) expected: Duration,
+    /// Whether the job can end only after its objective.
+    pub(crate) late: bool,
+    pub(crate) run: RunNumber,
+    pub(crate) start_within: Duration,
+}
 
 impl JobTable {
     /// Places the tasks of a new job, or rejects it as a whole.
     pub(crate) fn place_all(&mut self, now: Instant, number: JobNumber, slack: Duration, expected: Duration) {
         let Some(job) = self.jobs.get(&number) else { return };
         let (queue, run, id) = (job.request.queue.clone(), job.request.run, job.request.id.clone());
+        let (demand, tasks) = (demand(&job.request), job.request.tasks);
         let mut assigned: Vec<Place> = Vec::new();
         let mut wait = Duration::ZERO;
         let mut load_age = Duration::ZERO;
         let first = self.next_assignment;
-        for task in 0..job.request.tasks {
-            let Some(choice) = self.owners.choose(now, &queue.service, queue.priority) else {
+        for task in 0..tasks {
+            let Some(choice) = self.owners.choose(now, &demand, &mut self.rng) else {
                 self.owners.withdraw(first);
                 self.reject(now, number, RejectCause::NoOwner);
                 return;
             };
-            wait = wait.max(choice.wait);
+            wait = wait.max(choice.wait.unwrap_or_default());
             load_age = load_age.max(choice.load_age);
-            self.owners.sent(choice.owner, &queue.service, queue.priority, first + u64::from(task));
-            assigned.push(Place {
-                assigned_at: now,
-                job: number,
-                owner: choice.owner,
-                stage: Stage::Waiting,
-                task,
-            });
+            self.owners.sent(choice.owner, &demand, first + u64::from(task));
+            assigned.push(new_place(now, number, task, choice));
         }
         if wait > slack {
             self.owners.withdraw(first);
@@ -62,18 +71,11 @@
             wait,
         }));
         for place in assigned {
-            self.assign(place, run, slack, expected, None);
+            self.assign(place, Attempt { avoid: None, expected, late: false, run, start_within: slack });
         }
     }
 
-    pub(crate) fn assign(
-        &mut self,
-        place: Place,
-        run: RunNumber,
-        start_within: Duration,
-        expected: Duration,
-        avoid: Option<UpstreamId>,
-    ) {
+    fn assign(&mut self, place: Place, attempt: Attempt) {
         let id = self.next_assignment;
         self.next_assignment += 1;
         let Some(job) = self.jobs.get_mut(&place.job) else { return };
@@ -84,90 +86,118 @@
         }
         let request = &job.request;
         let assignment = Assignment {
-            avoid,
-            expected_ms: whole_ms(expected).max(1),
+            avoid: attempt.avoid,
+            expected_ms: whole_ms(attempt.expected).max(1),
             id,
+            late: attempt.late,
             need: request.need,
             priority: request.queue.priority,
-            run,
+            run: attempt.run,
             service: request.queue.service.clone(),
             spec: request.spec.clone(),
-            start_within_ms: whole_ms(start_within).max(1),
+            start_within_ms: whole_ms(attempt.start_within).max(1),
             task: Arc::from(format!("{}.{}", request.task_prefix, place.task)),
+            waits: place.stage == Stage::Waiting,
         };
         self.assignments.insert(id, place);
         self.actions.push(Action::Assign { assignment, owner: place.owner });
     }
 
-    /// Moves tasks that wait at a busy owner while another one has free slots.
+    /// Chooses an owner for one task of a job in progress and hands it over; false when there is no owner.
+    fn hand_over(&mut self, now: Instant, place: Place, attempt: Attempt) -> bool {
+        let Some(job) = self.jobs.get(&place.job) else { return false };
+        let demand = demand(&job.request);
+        let Some(choice) = self.owners.choose(now, &demand, &mut self.rng) else { return false };
+        self.owners.sent(choice.owner, &demand, self.next_assignment);
+        let mut next = Place { returned: place.returned, ..new_place(now, place.job, place.task, choice) };
+        if next.returned >= MAX_RETURNS {
+            next.stage = Stage::Waiting;
+        }
+        self.assign(next, attempt);
+        true
+    }
+
+    /// Moves tasks that wait at a busy owner while another one has room.
     pub fn rebalance(&mut self, now: Instant) {
-        let mut free: FastMap<ServiceId, usize> = FastMap::default();
-        let mut recalled = Vec::new();
-        for (assignment, place) in &self.assignments {
-            if place.stage != Stage::Waiting || now.duration_since(place.assigned_at) < MOVE_AFTER {
-                continue;
-            }
-            let Some(job) = self.jobs.get(&place.job).filter(|job| !job.withdrawn) else { continue };
-            let queue = &job.request.queue;
-            let free = free.entry(queue.service.clone()).or_insert_with(|| self.owners.free(&queue.service));
-            let wait = self.owners.wait_at(place.owner, &queue.service, queue.priority);
-            if *free == 0 || wait < MIN_MOVE_WAIT {
+        let mut waiting: Vec<_> = self
+            .assignments
+            .iter()
+            .filter(|(_, place)| {
+                place.stage == Stage::Waiting && now.duration_since(place.assigned_at) >= MOVE_AFTER
+            })
+            .filter_map(|(assignment, place)| {
+                let job = self.jobs.get(&place.job).filter(|job| !job.withdrawn)?;
+                Some((job.request.queue.priority, job.received_at, *assignment, *place))
+            })
+            .collect();
+        if waiting.is_empty() {
+            return;
+        }
+        waiting.sort_unstable_by_key(|(priority, received_at, assignment, _)| {
+            (*priority, *received_at, *assignment)
+        });
+        let mut rooms = self.owners.rooms();
+        for (priority, _, assignment, place) in waiting {
+            let Some(job) = self.jobs.get(&place.job) else { continue };
+            let demand = demand(&job.request);
+            let wait = self.owners.wait_at(place.owner, &demand.service, priority);
+            if wait < MIN_MOVE_WAIT || !rooms.take_elsewhere(place.owner, &demand) {
                 continue;
             }
-            *free -= 1;
-            recalled.push((*assignment, place.owner, wait));
-        }
-        for (assignment, owner, wait) in recalled {
-            let Some(place) = self.assignments.get_mut(&assignment) else { continue };
-            place.stage = Stage::Recalled;
-            if let Some(job) = self.jobs.get(&place.job) {
-                let id = job.request.id.clone();
-                self.actions.push(Action::Notice(Notice::Moved { id, task: place.task, wait }));
+            let id = job.request.id.clone();
+            self.actions.push(Action::Notice(Notice::Moved { id, task: place.task, wait }));
+            self.actions.push(Action::Recall { assignment, owner: place.owner });
+            if let Some(place) = self.assignments.get_mut(&assignment) {
+                place.stage = Stage::Recalled;
             }
-            self.actions.push(Action::Recall { assignment, owner });
         }
     }
 
-    /// Places a recalled task at the owner that is best now.
+    /// Places a task that an owner gave back before its start at the owner that is best now.
     pub(crate) fn move_task(&mut self, now: Instant, place: Place, report: &TaskReport) {
         let Some(job) = self.jobs.get(&place.job) else { return };
-        let queue = &job.request.queue;
-        let expected = self.estimates.expected(&queue.name, job.request.estimate);
+        let expected = self.estimates.expected(&job.request.queue.name, job.request.estimate);
         let start_within = (job.received_at + job.objective).saturating_duration_since(now + expected);
-        let choice = self.owners.choose(now, &queue.service, queue.priority);
-        let Some(choice) = choice.filter(|_| !start_within.is_zero()) else {
+        let returned = if place.stage == Stage::Offered { place.returned + 1 } else { 0 };
+        let place = Place { returned, ..place };
+        let attempt = Attempt { avoid: None, expected, late: false, run: report.run, start_within };
+        if start_within.is_zero() || !self.hand_over(now, place, attempt) {
             self.not_started(now, place, report);
-            return;
-        };
-        self.owners.sent(choice.owner, &queue.service, queue.priority, self.next_assignment);
-        let moved = Place { assigned_at: now, owner: choice.owner, stage: Stage::Waiting, ..place };
-        self.assign(moved, report.run, start_within, expected, None);
+        }
     }
 
     /// Places a task whose earlier run is known to have ended, while its job is of use to the caller.
     pub(crate) fn place_again(&mut self, now: Instant, place: Place, report: &TaskReport) {
         let Some(job) = self.jobs.get(&place.job) else { return };
-        let queue = &job.request.queue;
-        let expected = self.estimates.expected(&queue.name, job.request.estimate);
+        let expected = self.estimates.expected(&job.request.queue.name, job.request.estimate);
         let use_until = (job.received_at + job.objective * LATE_FACTOR).min(job.expires_at);
         let start_within = use_until.saturating_duration_since(now + expected);
-        if start_within.is_zero() {
-            self.answer(now, place.job, Answer::Failed(FailCause::Late));
-            return;
-        }
-        let Some(choice) = self.owners.choose(now, &queue.service, queue.priority) else {
-            self.answer(now, place.job, Answer::Failed(FailCause::Late));
-            return;
-        };
-        self.actions.push(Action::Notice(Notice::Repeated {
+        let repeated = Notice::Repeated {
             id: job.request.id.clone(),
             outcome: report.outcome,
             task: place.task,
             upstream: report.upstream.clone(),
-        }));
-        self.owners.sent(choice.owner, &queue.service, queue.priority, self.next_assignment);
-        let again = Place { assigned_at: now, owner: choice.owner, stage: Stage::Waiting, ..place };
-        let avoid = if report.outcome == Outcome::Failed { report.upstream.clone() } else { None };
-        self.assign(again, report.run + 1, start_within, expected, avoid);
+        };
+        let avoid = if report.outcome == Outcome::NotStarted { None } else { report.upstream.clone() };
+        let late = now + expected > job.received_at + job.objective;
+        let attempt = Attempt { avoid, expected, late, run: report.run + 1, start_within };
+        if start_within.is_zero() || !self.hand_over(now, place, attempt) {
+            self.answer(now, place.job, Answer::Failed(FailCause::Late));
+            return;
+        }
+        self.actions.push(Action::Notice(repeated));
     }
 }
+
+fn demand(request: &JobRequest) -> Demand {
+    Demand {
+        cpu_millis: request.need.cpu_millis,
+        priority: request.queue.priority,
+        service: request.queue.service.clone(),
+    }
+}
+
+fn new_place(now: Instant, job: JobNumber, task: u32, choice: Choice) -> Place {
+    let stage = if choice.wait.is_none() { Stage::Offered } else { Stage::Waiting };
+    Place { assigned_at: now, job, returned: 0, owner: choice.owner, stage, task }
+}
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hinge_runs::{AssignmentId, HomeId, Outcome, TaskReport};
-use hinge_wire::FastMap;
+use hinge_wire::{FastMap, FastSet};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use tokio::time::Instant;
@@ -21,6 +21,8 @@
 pub(crate) struct Place {
     pub(crate) assigned_at: Instant,
     pub(crate) job: JobNumber,
+    /// Owners in a row that had no room for the task although their reports said so.
+    pub(crate) returned: u32,
     pub(crate) owner: HomeId,
     pub(crate) stage: Stage,
     pub(crate) task: u32,
@@ -29,6 +31,8 @@
 /// How far an assignment has come.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Stage {
+    /// Offered to its owner, which starts it or returns it at once.
+    Offered,
     /// Asked back from its owner.
     Recalled,
     /// Its start order is on its way.
@@ -63,7 +67,7 @@
             next_assignment: 1,
             next_job: 1,
             own,
-            owners: Owners::default(),
+            owners: Owners::new(own),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -90,6 +94,11 @@
         self.owners.set_distance(owner, distance);
     }
 
+    /// Notes which owners have been silent for longer than usual; they get new tasks only when there is no other.
+    pub fn set_quiet(&mut self, owners: FastSet<HomeId>) {
+        self.owners.set_quiet(owners);
+    }
+
     /// Notes an owner's load.
     pub fn set_load(&mut self, now: Instant, report: OwnerLoad) {
         self.owners.set_load(now, report);
@@ -150,7 +159,9 @@
             Outcome::Done => self.task_done(now, place, Duration::from_millis(report.run_time_ms)),
             Outcome::Failed => self.task_failed(now, place, report),
             Outcome::Interrupted => self.place_again(now, place, report),
-            Outcome::NotStarted if place.stage == Stage::Recalled => self.move_task(now, place, report),
+            Outcome::NotStarted if matches!(place.stage, Stage::Offered | Stage::Recalled) => {
+                self.move_task(now, place, report);
+            }
             Outcome::NotStarted => self.not_started(now, place, report),
             Outcome::Uncertain => self.answer(now, place.job, Answer::Failed(FailCause::Interrupted)),
         }
--- a/crates/jobs/tests/division.rs
+++ b/crates/jobs/tests/division.rs
@@ -83,3 +83,56 @@
     home.rebalance_after(20);
     assert_eq!(home.recalled.len(), 2);
 }
+
+/// Guards against a herd: homes with the same reports that all send their next task to the owner with the most room.
+#[test]
+fn homes_with_the_same_reports_spread_over_the_owners_with_room() {
+    let owners = [(2, load(5, 0, 60)), (3, load(4, 0, 60)), (4, load(4, 0, 60)), (5, load(3, 0, 60))];
+    let mut counts = BTreeMap::new();
+    for seed in 1..=16 {
+        let mut home = Home::with_seed(seed, &owners);
+        home.submit(request("a", 1, 60));
+        *counts.entry(home.assigned[0].0).or_insert(0) += 1;
+    }
+    assert_eq!(counts.len(), 4, "{counts:?}");
+    assert!(counts.values().all(|count| *count <= 8), "{counts:?}");
+}
+
+/// Guards against a large task that is sent to many small rooms, none of which holds it.
+#[test]
+fn a_large_task_goes_where_one_room_holds_it() {
+    let mut wide = load(1, 0, 60);
+    wide.rooms_cpu_millis = vec![10_000];
+    let mut home = Home::new(&[(2, load(6, 0, 60)), (3, wide)]);
+    let mut large = request("a", 1, 60);
+    large.need.cpu_millis = 9_500;
+    home.submit(large);
+    assert_eq!(counts(&home), BTreeMap::from([(3, 1)]));
+}
+
+/// Guards against a task that waits at an owner whose room was taken by another home in the meantime, and against one
+/// that is passed on for ever.
+#[test]
+fn a_task_returned_for_want_of_room_goes_elsewhere_at_once_and_waits_in_the_end() {
+    let mut home = Home::new(&[(2, load(1, 0, 60)), (3, load(1, 0, 60)), (4, load(1, 0, 60))]);
+    home.submit(request("a", 1, 200));
+    for position in 0..3 {
+        assert!(!home.assigned[position].1.waits);
+        home.report(position, Outcome::NotStarted);
+    }
+    assert_eq!(home.assigned.len(), 4);
+    assert!(home.assigned[3].1.waits);
+    assert!(home.answers.is_empty());
+}
+
+/// Guards against new tasks for an owner that has just been cut off, which fail with it half a second later.
+#[test]
+fn an_owner_that_has_fallen_silent_gets_no_new_tasks() {
+    let mut home = Home::new(&[(2, load(8, 0, 60)), (3, load(0, 3, 60))]);
+    home.table.set_quiet([2].into_iter().collect());
+    home.submit(request("a", 3, 60));
+    assert_eq!(counts(&home), BTreeMap::from([(3, 3)]));
+    home.table.set_quiet([2, 3].into_iter().collect());
+    home.submit(request("b", 1, 60));
+    assert_eq!(home.assigned.len(), 4, "without any other it is still tried");
+}
--- a/crates/mesh/src/mesh.rs
+++ b/crates/mesh/src/mesh.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use hinge_runs::HomeId;
-use hinge_wire::{FastMap, InstanceId};
+use hinge_wire::{FastMap, FastSet, InstanceId};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::link::{self, LinkError, SILENCE_LIMIT};
 use crate::{Hello, Message};
@@ -58,22 +58,34 @@
     Up(Hello),
 }
 
-type Outgoing = FastMap<HomeId, (u64, mpsc::Sender<Message>)>;
+/// A link that is up.
+struct Link {
+    /// When the last message of the peer arrived.
+    heard_at: Arc<Mutex<Instant>>,
+    /// Number among the links to the same process.
+    number: u64,
+    queue: mpsc::Sender<Message>,
+}
+
+type Links = FastMap<HomeId, Link>;
 
 /// Shared by the tasks of all links.
 struct Shared {
     events: mpsc::Sender<MeshEvent>,
-    /// Queues of the links that are up, with the number of the link.
-    outgoing: Mutex<Outgoing>,
+    links: Mutex<Links>,
     own: Hello,
 }
 
 impl Shared {
-    fn outgoing(&self) -> MutexGuard<'_, Outgoing> {
-        self.outgoing.lock().unwrap_or_else(PoisonError::into_inner)
+    fn links(&self) -> MutexGuard<'_, Links> {
+        locked(&self.links)
     }
 }
 
+fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// The links of one entry.
 pub struct Mesh {
     dialled: FastMap<InstanceId, (SocketAddr, JoinHandle<()>)>,
@@ -84,7 +96,7 @@
     /// Accepts links on `listener` and reports to `events`.
     #[must_use]
     pub fn start(listener: TcpListener, own: Hello, events: mpsc::Sender<MeshEvent>) -> Self {
-        let shared = Arc::new(Shared { events, outgoing: Mutex::default(), own });
+        let shared = Arc::new(Shared { events, links: Mutex::default(), own });
         tokio::spawn(accept_links(listener, shared.clone()));
         Self { dialled: FastMap::default(), shared }
     }
@@ -106,14 +118,22 @@
     ///
     /// A full queue closes the link: the peer must not act on an incomplete stream of messages.
     pub fn send(&self, peer: HomeId, message: Message) -> bool {
-        let mut outgoing = self.shared.outgoing();
-        let Some((_, queue)) = outgoing.get(&peer) else { return false };
-        if queue.try_send(message).is_ok() {
+        let mut links = self.shared.links();
+        let Some(link) = links.get(&peer) else { return false };
+        if link.queue.try_send(message).is_ok() {
             return true;
         }
-        outgoing.remove(&peer);
+        links.remove(&peer);
         false
     }
+
+    /// Peers with a link that have not been heard for longer than `limit`.
+    #[must_use]
+    pub fn quiet(&self, now: Instant, limit: Duration) -> FastSet<HomeId> {
+        let links = self.shared.links();
+        let quiet = links.iter().filter(|(_, link)| now.duration_since(*locked(&link.heard_at)) > limit);
+        quiet.map(|(peer, _)| *peer).collect()
+    }
 }
 
 async fn accept_links(listener: TcpListener, shared: Arc<Shared>) {
@@ -151,22 +171,23 @@
     };
     let peer = hello.incarnation;
     let (sender, queue) = mpsc::channel(MAX_QUEUED_MESSAGES);
+    let heard_at = Arc::new(Mutex::new(Instant::now()));
     let number = {
-        let mut outgoing = shared.outgoing();
-        let number = outgoing.get(&peer).map_or(1, |(number, _)| number + 1);
-        outgoing.insert(peer, (number, sender));
+        let mut links = shared.links();
+        let number = links.get(&peer).map_or(1, |link| link.number + 1);
+        links.insert(peer, Link { heard_at: heard_at.clone(), number, queue: sender });
         number
     };
     let _ = shared.events.send(MeshEvent::Up(hello)).await;
     let error = tokio::select! {
-        error = receive(peer, reader, &shared.events) => error,
+        error = receive(peer, reader, &shared.events, &heard_at) => error,
         error = writer.run(queue) => error,
     };
     let last = {
-        let mut outgoing = shared.outgoing();
-        let last = outgoing.get(&peer).is_none_or(|(current, _)| *current == number);
+        let mut links = shared.links();
+        let last = links.get(&peer).is_none_or(|link| link.number == number);
         if last {
-            outgoing.remove(&peer);
+            links.remove(&peer);
         }
         last
     };
@@ -176,9 +197,16 @@
     }
 }
 
-async fn receive(peer: HomeId, mut reader: link::Reader, events: &mpsc::Sender<MeshEvent>) -> LinkError {
+async fn receive(
+    peer: HomeId,
+    mut reader: link::Reader,
+    events: &mpsc::Sender<MeshEvent>,
+    heard_at: &Mutex<Instant>,
+) -> LinkError {
     loop {
-        match reader.next().await {
+        let next = reader.next().await;
+        *locked(heard_at) = Instant::now();
+        match next {
             Ok(Message::Heartbeat) => {}
             Ok(message) => {
                 if events.send(MeshEvent::Received { message, peer }).await.is_err() {
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -6,6 +6,7 @@
 use hinge_jobs::{Answer, JobRequest};
 use hinge_mesh::{MeshEvent, Message};
 use hinge_runs::{Hold, HoldReply, HomeId, StartOrder, StartReply, StopOrder, UpstreamRecord};
+use hinge_wire::FastSet;
 
 use crate::EntryRecord;
 use crate::journal::Line;
@@ -45,6 +46,8 @@
         /// The order.
         start: StartOrder,
     },
+    /// Peers that have been silent for longer than usual, though their links are still up; all of them.
+    QuietPeers(FastSet<HomeId>),
     /// A caller's job.
     Submit {
         /// The job.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use hinge_jobs::{Answer, JobRequest};
 use hinge_mesh::{Hello, Mesh, MeshEvent, PeerAddress};
-use hinge_runs::{Hold, HoldReply, StartOrder, StartReply, StopOrder};
-use hinge_wire::FastMap;
+use hinge_runs::{Hold, HoldReply, HomeId, StartOrder, StartReply, StopOrder};
+use hinge_wire::{FastMap, FastSet};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, MissedTickBehavior, interval};
@@ -23,6 +23,8 @@
 const MAX_QUEUED_INPUTS: usize = 16_384;
 /// Inputs taken together before messages go out.
 const INPUT_BATCH: usize = 128;
+/// Silence of a peer after which it gets no new tasks; a live one sends a heartbeat every 100 ms.
+const QUIET_LIMIT: Duration = Duration::from_millis(220);
 /// Standstill of the process from which on leases may have expired unnoticed.
 const SUSPENSION: Duration = Duration::from_millis(600);
 
@@ -153,6 +155,8 @@
     metrics: NodeMetrics,
     port: P,
     queue: mpsc::Receiver<Command>,
+    /// Peers that were quiet at the last look.
+    quiet: FastSet<HomeId>,
 }
 
 impl<P: UpstreamPort, C: SuspendClock> Node<P, C> {
@@ -176,7 +180,21 @@
         let handle =
             NodeHandle { commands: commands.clone(), config: config_reader, tickets: Arc::default() };
         let answers = FastMap::default();
-        (Self { answers, clock, commands, config, engine, mesh, metrics, port, queue }, handle)
+        (
+            Self {
+                answers,
+                clock,
+                commands,
+                config,
+                engine,
+                mesh,
+                metrics,
+                port,
+                queue,
+                quiet: FastSet::default(),
+            },
+            handle,
+        )
     }
 
     /// Runs until all handles are gone.
@@ -195,6 +213,7 @@
             for command in batch.drain(..) {
                 self.command(now, command);
             }
+            self.check_quiet_peers(now);
             self.engine.handle(now, Input::Tick);
             self.engine.flush(now);
             self.carry_out();
@@ -211,6 +230,14 @@
         (now, elapsed)
     }
 
+    fn check_quiet_peers(&mut self, now: Instant) {
+        let quiet = self.mesh.quiet(now, QUIET_LIMIT);
+        if quiet != self.quiet {
+            self.quiet.clone_from(&quiet);
+            self.engine.handle(now, Input::QuietPeers(quiet));
+        }
+    }
+
     fn command(&mut self, now: Instant, command: Command) {
         match command {
             Command::InProgress(reply) => drop(reply.send(self.engine.in_progress())),
--- a/crates/runs/src/lib.rs
+++ b/crates/runs/src/lib.rs
@@ -44,12 +44,14 @@
 //!     id: 1,
 //!     need: Resources { cpu_millis: 7_000, gpus: 0, memory_mb: 64 },
 //!     expected_ms: 60,
+//!     late: false,
 //!     priority: 0,
 //!     run: 1,
 //!     service: "deicing".into(),
 //!     spec: Arc::from("truck 4"),
 //!     start_within_ms: 100,
 //!     task: "job.0.0.0".into(),
+//!     waits: true,
 //! };
 //! runner.handle(now, Event::Assigned { assignment, home: 7 });
 //! assert!(runner.drain_actions().any(|action| matches!(action, Action::Start(_))));
@@ -60,6 +62,7 @@
 mod health;
 mod listing;
 mod orders;
+mod placement;
 mod queue;
 mod runner;
 mod types;
--- a/crates/runs/src/listing.rs
+++ b/crates/runs/src/listing.rs
@@ -86,7 +86,7 @@
         };
         match end.how {
             EndKind::Done => {
-                if upstream.health.done(expected, actual) {
+                if upstream.health.done(now, expected, actual) {
                     self.actions.push(Action::Notice(Notice::Available { upstream: id.clone() }));
                 }
             }
--- a/crates/runs/src/queue.rs
+++ b/crates/runs/src/queue.rs
@@ -1,5 +1,6 @@
-//! Tasks that wait for room, most urgent first.
+//! Tasks that wait for room: by priority, then those that can be in time, then the largest.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use hinge_wire::{FastMap, ServiceId};
@@ -7,8 +8,18 @@
 
 use crate::{Assignment, AssignmentId, HomeId, PRIORITIES, priority_index};
 
-/// Order of the queue: priority, then arrival.
-type Position = (u32, u64);
+/// Task sizes that count as the same in the order of the queue.
+const SIZE_STEP_CPU_MILLIS: u64 = 1_000;
+
+/// Order of the queue. Large tasks go first among equals: they fit in few places, and small ones fill what they leave.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Position {
+    priority: u32,
+    late: bool,
+    size: Reverse<u64>,
+    start_by: Instant,
+    arrival: u64,
+}
 
 /// A task that waits.
 #[derive(Clone, Debug)]
@@ -29,7 +40,13 @@
 
 impl Queue {
     pub(crate) fn push(&mut self, task: Queued) {
-        let position = (task.assignment.priority, self.next);
+        let position = Position {
+            priority: task.assignment.priority,
+            late: task.assignment.late,
+            size: Reverse(task.assignment.need.cpu_millis / SIZE_STEP_CPU_MILLIS),
+            start_by: task.start_by,
+            arrival: self.next,
+        };
         self.next += 1;
         self.index.insert((task.home, task.assignment.id), position);
         self.tasks.insert(position, task);
--- a/crates/runs/src/runner.rs
+++ b/crates/runs/src/runner.rs
@@ -1,4 +1,4 @@
-//! The owner's state, its inputs and the choice of an upstream for each task.
+//! The owner's state and its inputs.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -17,9 +17,9 @@
 const RECENT_ENDS: usize = 256;
 /// Weight of a new value in the moving averages of task sizes and run times.
 const AVERAGE_WEIGHT: f64 = 0.05;
-/// Weight of the room left over against the speed of an upstream; tight fits keep room for large tasks.
-const FIT_WEIGHT: f64 = 0.15;
-/// Task size that free slots are counted in before any task was seen.
+/// Room from which on it is worth telling the homes about.
+const MIN_ROOM_CPU_MILLIS: u64 = 1_000;
+/// Task size that slots are counted in before any task was seen.
 const INITIAL_CPU_MILLIS: f64 = 4_000.0;
 /// Run time that waits are estimated from before any task has ended.
 const INITIAL_RUN_MS: f64 = 200.0;
@@ -69,6 +69,7 @@
             Event::Upstreams(records) => self.set_upstreams(now, records),
         }
         self.place(now);
+        self.return_unplaced(now);
         self.release_idle();
         self.send_holds(now);
     }
@@ -106,9 +107,13 @@
             ..Load::default()
         };
         for upstream in upstreams.filter(|upstream| upstream.accepts(now)) {
-            load.free_slots += self.slots_in(upstream.free().cpu_millis);
             load.slots += self.slots_in(upstream.record.capacity.cpu_millis);
+            let free_cpu_millis = upstream.free().cpu_millis;
+            if free_cpu_millis >= MIN_ROOM_CPU_MILLIS {
+                load.rooms_cpu_millis.push(free_cpu_millis);
+            }
         }
+        load.rooms_cpu_millis.sort_unstable();
         load
     }
 
@@ -130,6 +135,13 @@
         self.queue.push(Queued { assignment, home, queued_at: now, start_by });
     }
 
+    /// Gives back the tasks that have no room now and are not to wait here.
+    fn return_unplaced(&mut self, now: Instant) {
+        for task in self.queue.extract(|task| !task.assignment.waits) {
+            self.report_not_run(now, &task, "no_room");
+        }
+    }
+
     fn cancelled(&mut self, home: HomeId, assignment: AssignmentId) {
         if self.withdraw(home, assignment) {
             return;
@@ -260,7 +272,7 @@
         }
         self.placed.remove(&(run.home, run.assignment.id));
         let start_by = run.ordered_at + Duration::from_millis(run.assignment.start_within_ms);
-        let assignment = Assignment { run: run_number, ..run.assignment };
+        let assignment = Assignment { run: run_number, waits: true, ..run.assignment };
         let task = Queued { assignment, home: run.home, queued_at: now, start_by };
         if now >= start_by {
             self.report_not_run(now, &task, "late");
@@ -295,53 +307,7 @@
         });
     }
 
-    fn place(&mut self, now: Instant) {
-        if self.queue.is_empty() {
-            return;
-        }
-        let mut placements = Vec::new();
-        let mut reserved: FastMap<UpstreamId, crate::Resources> = FastMap::default();
-        for task in self.queue.iter() {
-            if let Some(id) = self.choose(now, &task.assignment, &reserved) {
-                *reserved.entry(id.clone()).or_default() += task.assignment.need;
-                placements.push(((task.home, task.assignment.id), id));
-            }
-        }
-        for ((home, assignment), id) in placements {
-            if let Some(task) = self.queue.remove(home, assignment) {
-                self.start(now, &id, task);
-            }
-        }
-    }
-
-    /// The upstream where the task should run, if any has room: the fastest, and among equals the tightest fit.
-    fn choose(
-        &self,
-        now: Instant,
-        assignment: &Assignment,
-        reserved: &FastMap<UpstreamId, crate::Resources>,
-    ) -> Option<UpstreamId> {
-        let mut best: Option<(f64, &UpstreamId)> = None;
-        for (id, upstream) in &self.upstreams {
-            let avoided = assignment.avoid.as_ref() == Some(id);
-            if avoided || upstream.record.service != assignment.service || !upstream.accepts(now) {
-                continue;
-            }
-            let free = upstream.free() - reserved.get(id).copied().unwrap_or_default();
-            if !free.fits(&assignment.need) {
-                continue;
-            }
-            let left = as_float(free.cpu_millis - assignment.need.cpu_millis);
-            let capacity = as_float(upstream.record.capacity.cpu_millis).max(1.0);
-            let cost = 1.0 / upstream.health.speed() + FIT_WEIGHT * left / capacity;
-            if best.is_none_or(|(least, known)| (cost, id) < (least, known)) {
-                best = Some((cost, id));
-            }
-        }
-        best.map(|(_, id)| id.clone())
-    }
-
-    fn start(&mut self, now: Instant, id: &UpstreamId, task: Queued) {
+    pub(crate) fn start(&mut self, now: Instant, id: &UpstreamId, task: Queued) {
         let Some(upstream) = self.upstreams.get_mut(id) else { return };
         let Some(lease_until_ms) = upstream.lease_until_ms(now) else { return };
         let run_id = RunId { task: task.assignment.task.clone(), run: task.assignment.run };
@@ -378,7 +344,7 @@
 }
 
 #[expect(clippy::cast_precision_loss, reason = "sizes are far below 2^52")]
-fn as_float(value: u64) -> f64 {
+pub(crate) fn as_float(value: u64) -> f64 {
     value as f64
 }
 
--- a/crates/runs/src/types.rs
+++ b/crates/runs/src/types.rs
@@ -125,6 +125,8 @@
     pub need: Resources,
     /// Expected run time at normal speed in milliseconds.
     pub expected_ms: u64,
+    /// Whether the job can end only after its objective; such tasks wait behind those of the same priority.
+    pub late: bool,
     /// Priority of the queue; 0 is the most urgent.
     pub priority: u32,
     /// Run number to start with.
@@ -137,6 +139,8 @@
     pub start_within_ms: u64,
     /// The task.
     pub task: TaskName,
+    /// Whether the task waits at the owner when there is no room for it; otherwise it comes back at once.
+    pub waits: bool,
 }
 
 /// Progress or end of an assignment.
@@ -182,12 +186,12 @@
 /// Load of an owner's upstreams of one service.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Load {
-    /// Tasks of usual size that could start now.
-    pub free_slots: u32,
     /// Mean run time in milliseconds.
     pub mean_run_ms: u64,
     /// Queued tasks by priority; the last one counts all lower priorities.
     pub queued: [u32; PRIORITIES],
+    /// Free thousandths of a core of each upstream that accepts tasks; those without room for any task are left out.
+    pub rooms_cpu_millis: Vec<u64>,
     /// Tasks of usual size that could run at a time.
     pub slots: u32,
 }
--- /dev/null
+++ b/crates/runs/tests/overload.rs
@@ -0,0 +1,180 @@
+//! What an owner starts, and where, when there is more work than room.
+
+#![allow(clippy::expect_used, reason = "tests")]
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use hinge_runs::{
+    Action, Assignment, EndKind, Event, HoldReply, Listing, Outcome, Resources, Runner, StartReply,
+};
+use support::{HOME, assignment, ms, record};
+use tokio::time::Instant;
+
+const CORE: u64 = 1_000;
+
+/// An owner of upstreams that start whatever they are told to; the test ends the runs.
+struct Owner {
+    now: Instant,
+    reports: BTreeMap<u64, Vec<Outcome>>,
+    runner: Runner,
+    /// Started tasks with their upstreams, in order.
+    started: Vec<(String, String)>,
+}
+
+impl Owner {
+    fn new(upstreams: &[&str]) -> Self {
+        let mut owner = Self {
+            now: Instant::now(),
+            reports: BTreeMap::new(),
+            runner: Runner::default(),
+            started: Vec::new(),
+        };
+        owner.handle(Event::Upstreams(upstreams.iter().map(|id| record(id, 1)).collect()));
+        for id in upstreams {
+            owner.handle(Event::Own { fence: 1, upstream: (*id).into() });
+        }
+        owner
+    }
+
+    fn handle(&mut self, event: Event) {
+        self.runner.handle(self.now, event);
+        loop {
+            let actions: Vec<_> = self.runner.drain_actions().collect();
+            if actions.is_empty() {
+                return;
+            }
+            for action in actions {
+                self.carry_out(action);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Hold(hold) if hold.wait.is_zero() => {
+                let reply = HoldReply::Listed(Listing { clock_ms: 1, ..Listing::default() });
+                self.runner.handle(self.now, Event::HoldEnded { hold, reply });
+            }
+            Action::Start(start) => {
+                self.started.push((start.run.task.to_string(), start.upstream.to_string()));
+                let reply = StartReply::Started { clock_ms: 1 };
+                self.runner.handle(self.now, Event::StartEnded { reply, start });
+            }
+            Action::Report { report, .. } => {
+                self.reports.entry(report.assignment).or_default().push(report.outcome);
+            }
+            Action::Hold(_) | Action::Notice(_) | Action::Stop(_) => {}
+        }
+    }
+
+    fn assign(&mut self, assignment: Assignment) {
+        self.handle(Event::Assigned { assignment, home: HOME });
+    }
+
+    /// Ends the run of a task on its upstream after `after_ms`.
+    fn end(&mut self, task: &str, after_ms: u64, number: u64) {
+        self.end_as(EndKind::Done, task, after_ms, number);
+    }
+
+    fn end_as(&mut self, how: EndKind, task: &str, after_ms: u64, number: u64) {
+        self.now += ms(after_ms);
+        let (_, upstream) =
+            self.started.iter().rfind(|(started, _)| started == task).expect("started").clone();
+        self.handle(support::end_of(&upstream, task, how, number, self.now));
+    }
+
+    fn started(&self) -> Vec<&str> {
+        self.started.iter().map(|(task, _)| task.as_str()).collect()
+    }
+}
+
+fn sized(id: u64, task: &str, cores: u64) -> Assignment {
+    let need = Resources { cpu_millis: cores * CORE, gpus: 0, memory_mb: 64 };
+    Assignment { need, ..assignment(id, task, 1) }
+}
+
+/// Guards against small tasks that starve large ones: the pattern of a busy fleet, where a stream of small tasks takes
+/// whatever becomes free before a large one fits.
+#[test]
+fn the_largest_task_of_a_priority_starts_first() {
+    let mut owner = Owner::new(&["up-1"]);
+    owner.assign(sized(1, "first", 16));
+    for (id, task, cores) in [(2, "small-a", 5), (3, "large", 10), (4, "small-b", 5)] {
+        owner.assign(sized(id, task, cores));
+    }
+    owner.end("first", 100, 1);
+    assert_eq!(owner.started(), ["first", "large", "small-a"]);
+}
+
+/// Guards against a large task of a less urgent queue that goes before a small urgent one.
+#[test]
+fn priority_goes_before_size() {
+    let mut owner = Owner::new(&["up-1"]);
+    owner.assign(sized(1, "first", 16));
+    owner.assign(Assignment { priority: 2, ..sized(2, "large", 12) });
+    owner.assign(sized(3, "urgent", 5));
+    owner.end("first", 100, 1);
+    assert_eq!(owner.started(), ["first", "urgent"]);
+}
+
+/// Guards against work that can only be late taking room from work that can be in time: the pattern of a burst, where
+/// the rest of jobs that have begun would make each later job late as well.
+#[test]
+fn late_tasks_wait_behind_those_that_can_be_in_time() {
+    let mut owner = Owner::new(&["up-1"]);
+    owner.assign(sized(1, "first", 16));
+    owner.assign(Assignment { late: true, ..sized(2, "late", 10) });
+    owner.assign(sized(3, "in-time", 10));
+    owner.end("first", 100, 1);
+    assert_eq!(owner.started(), ["first", "in-time"]);
+}
+
+/// Guards against tasks that wait where a report was out of date: the pattern of many homes that see the same free slot.
+#[test]
+fn a_task_that_is_not_to_wait_comes_back_at_once() {
+    let mut owner = Owner::new(&["up-1"]);
+    owner.assign(sized(1, "first", 16));
+    owner.assign(Assignment { waits: false, ..sized(2, "offered", 5) });
+    assert_eq!(owner.reports[&2], [Outcome::NotStarted]);
+    assert_eq!(owner.started(), ["first"]);
+}
+
+/// Guards against jobs made late by a slow upstream that counts as free room: the pattern of some upstreams that work
+/// several times as long while all others are busy. It is tried again after a while, one task at a time.
+#[test]
+fn a_slow_upstream_gets_no_task_that_would_be_late_there() {
+    let mut owner = Owner::new(&["up-1"]);
+    let task = |id, name| Assignment { start_within_ms: 80, ..sized(id, name, 7) };
+    owner.assign(task(1, "slow-a"));
+    owner.assign(task(2, "slow-b"));
+    owner.end("slow-a", 600, 1);
+    owner.end("slow-b", 50, 2);
+    owner.assign(Assignment { waits: false, ..task(3, "next") });
+    assert_eq!(owner.reports[&3], [Outcome::NotStarted]);
+    owner.now += ms(6_000);
+    owner.assign(Assignment { waits: false, ..task(4, "trial") });
+    owner.assign(Assignment { waits: false, ..task(5, "beside") });
+    assert_eq!(owner.started(), ["slow-a", "slow-b", "trial"]);
+    assert_eq!(owner.reports[&5], [Outcome::NotStarted]);
+}
+
+/// Guards against a failing upstream that fails everything that waits as soon as its pause ends.
+#[test]
+fn an_upstream_on_trial_gets_one_task_at_a_time() {
+    let mut owner = Owner::new(&["up-1"]);
+    for number in 1..=3 {
+        let task = format!("failed-{number}");
+        owner.assign(sized(number, &task, 5));
+        owner.end_as(EndKind::Failed, &task, 10, number);
+    }
+    owner.assign(sized(4, "trial", 5));
+    owner.assign(sized(5, "beside", 5));
+    assert_eq!(owner.started.len(), 3, "paused");
+    owner.now += ms(300);
+    owner.handle(Event::Tick);
+    assert_eq!(owner.started()[3..], ["trial"]);
+    owner.end("trial", 10, 4);
+    assert_eq!(owner.started()[3..], ["trial", "beside"]);
+}
--- a/crates/runs/tests/support/mod.rs
+++ b/crates/runs/tests/support/mod.rs
@@ -42,12 +42,15 @@
         id,
         need: Resources { cpu_millis: 7_000, gpus: 0, memory_mb: 64 },
         expected_ms: 100,
+        late: false,
         priority: 0,
         run,
         service: SERVICE.into(),
         spec: "spec".into(),
         start_within_ms: 2_000,
         task: task.into(),
+
+        waits: true,
     }
 }
 
@@ -306,3 +309,21 @@
     });
     hold.expect("a hold")
 }
+
+/// A listing in which the only news is the end of a run of `task`.
+pub(crate) fn end_of(upstream: &str, task: &str, how: EndKind, number: u64, now: Instant) -> Event {
+    let hold = Hold {
+        address: format!("{upstream}:80").into(),
+        fence: Fence::MAX,
+        last_end: number - 1,
+        lease_until_ms: None,
+        probe: false,
+        sent_at: now - ms(1_000),
+        upstream: upstream.into(),
+        wait: ms(300),
+    };
+    let run = RunId { task: task.into(), run: 1 };
+    let ended = vec![Ended { how, number, run }];
+    let reply = HoldReply::Listed(Listing { clock_ms: 1, ended, ..Listing::default() });
+    Event::HoldEnded { hold, reply }
+}
