jobs: admit by the longest wait of the queue as well

Tasks then start at the end of their slack, and the whole queue is late. Change: a job that finds no room at once expects at least 1.5 times the longest wait of the tasks of its queue that wait now and can still be in time. Conclusion: rejecting at once what would be late frees the room that makes others in time.

--- a/crates/jobs/src/placing.rs
+++ b/crates/jobs/src/placing.rs
@@ -21,6 +21,9 @@
 /// Owners in a row that may return a task before it waits at the next one.
 const MAX_RETURNS: u32 = 3;
 
+/// Wait to expect over the longest wait of the tasks that wait now; theirs goes on.
+const WAIT_GROWTH: f64 = 1.5;
+
 /// How a task is to be started.
 #[derive(Clone, Debug)]
 pub(crate) struct Attempt {
@@ -53,6 +56,9 @@
             self.owners.sent(choice.owner, &demand, first + u64::from(task));
             assigned.push(new_place(now, number, task, choice));
         }
+        if wait > Duration::ZERO {
+            wait = wait.max(self.longest_wait(now, &queue.name).mul_f64(WAIT_GROWTH));
+        }
         if wait > slack {
             self.owners.withdraw(first);
             self.reject(now, number, RejectCause::Overload);
@@ -75,6 +81,16 @@
         }
     }
 
+    /// How long the tasks of a queue that wait and can still be in time have waited at most. More urgent work overtakes
+    /// them, which the owners' reports do not foresee.
+    fn longest_wait(&self, now: Instant, queue: &str) -> Duration {
+        let waiting = self.assignments.values().filter(|place| place.stage == Stage::Waiting);
+        let jobs = waiting.filter_map(|place| self.jobs.get(&place.job));
+        let in_time =
+            jobs.filter(|job| &*job.request.queue.name == queue && now < job.received_at + job.objective);
+        in_time.map(|job| now.duration_since(job.received_at)).max().unwrap_or_default()
+    }
+
     fn assign(&mut self, place: Place, attempt: Attempt) {
         let id = self.next_assignment;
         self.next_assignment += 1;
