runs, jobs: move runs that stand still, let jobs wait for the first owner after a start

(3) The slack of a job ignored when its caller leaves. Change: listings carry the part of a run that is done. An overdue run lowers the learned speed of its upstream; one that is three times over and would need twice its expected time more is stopped, and goes back to its home as interrupted once its end is listed. In the first two seconds of a process jobs wait for an owner within their slack. The slack ends when the caller leaves.

--- a/crates/jobs/src/placing.rs
+++ b/crates/jobs/src/placing.rs
@@ -37,8 +37,10 @@
 
 impl JobTable {
     /// Places the tasks of a new job, or rejects it as a whole.
-    pub(crate) fn place_all(&mut self, now: Instant, number: JobNumber, slack: Duration, expected: Duration) {
+    pub(crate) fn place_all(&mut self, now: Instant, number: JobNumber) {
+        let slack = self.slack(now, number);
         let Some(job) = self.jobs.get(&number) else { return };
+        let expected = self.estimates.expected(&job.request.queue.name, job.request.estimate);
         let (queue, run, id) = (job.request.queue.clone(), job.request.run, job.request.id.clone());
         let (demand, tasks) = (demand(&job.request), job.request.tasks);
         let mut assigned: Vec<Place> = Vec::new();
@@ -48,7 +50,7 @@
         for task in 0..tasks {
             let Some(choice) = self.owners.choose(now, &demand, &mut self.rng) else {
                 self.owners.withdraw(first);
-                self.reject(now, number, RejectCause::NoOwner);
+                self.wait_for_owner(now, number);
                 return;
             };
             wait = wait.max(choice.wait.unwrap_or_default());
@@ -81,6 +83,25 @@
         }
     }
 
+    /// Time in which the last task of a new job must start: the job is to end inside its objective, and before its caller
+    /// leaves.
+    pub(crate) fn slack(&self, now: Instant, number: JobNumber) -> Duration {
+        let Some(job) = self.jobs.get(&number) else { return Duration::ZERO };
+        let expected = self.estimates.expected(&job.request.queue.name, job.request.estimate);
+        let end_by = (job.received_at + job.objective).min(job.expires_at);
+        end_by.saturating_duration_since(now + expected)
+    }
+
+    /// Keeps a job of an entry that has just started until its owners are known; rejects it otherwise.
+    fn wait_for_owner(&mut self, now: Instant, number: JobNumber) {
+        let starting = self.owners_expected_until.is_some_and(|until| now < until);
+        if starting && !self.slack(now, number).is_zero() {
+            self.unplaced.push(number);
+        } else {
+            self.reject(now, number, RejectCause::NoOwner);
+        }
+    }
+
     /// How long the tasks of a queue that wait and can still be in time have waited at most. More urgent work overtakes
     /// them, which the owners' reports do not foresee.
     fn longest_wait(&self, now: Instant, queue: &str) -> Duration {
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -52,7 +52,11 @@
     pub(crate) next_job: JobNumber,
     pub(crate) own: HomeId,
     pub(crate) owners: Owners,
+    /// Until when the first owners may still become known; none when the entry is not starting.
+    pub(crate) owners_expected_until: Option<Instant>,
     pub(crate) rng: SmallRng,
+    /// Jobs that wait for the first owner.
+    pub(crate) unplaced: Vec<JobNumber>,
 }
 
 impl JobTable {
@@ -68,10 +72,17 @@
             next_job: 1,
             own,
             owners: Owners::new(own),
+            owners_expected_until: None,
             rng: SmallRng::seed_from_u64(seed),
+            unplaced: Vec::new(),
         }
     }
 
+    /// Lets jobs wait for the first owner until then, within their slack, instead of being rejected.
+    pub fn expect_owners(&mut self, until: Instant) {
+        self.owners_expected_until = Some(until);
+    }
+
     /// Outputs since the last call, in order.
     pub fn drain_actions(&mut self) -> std::vec::Drain<'_, Action> {
         self.actions.drain(..)
@@ -101,7 +112,13 @@
 
     /// Notes an owner's load.
     pub fn set_load(&mut self, now: Instant, report: OwnerLoad) {
+        let usable = report.load.slots > 0;
         self.owners.set_load(now, report);
+        if usable {
+            for number in std::mem::take(&mut self.unplaced) {
+                self.place_all(now, number);
+            }
+        }
     }
 
     /// Admits or rejects a job; its answer follows as an action.
@@ -110,7 +127,6 @@
         self.next_job += 1;
         let expected = self.estimates.expected(&request.queue.name, request.estimate);
         let objective = expected.mul_f64(request.queue.stretch.max(1.0)) + request.queue.target;
-        let slack = objective.saturating_sub(expected);
         let tasks = request.tasks;
         let job = Job {
             failed_runs: vec![0; tasks as usize],
@@ -124,7 +140,7 @@
             withdrawn: false,
         };
         self.jobs.insert(number, job);
-        self.place_all(now, number, slack, expected);
+        self.place_all(now, number);
         number
     }
 
@@ -237,6 +253,9 @@
 
     /// The process stood still: callers have given up or will soon.
     pub fn suspended(&mut self, now: Instant) {
+        for number in std::mem::take(&mut self.unplaced) {
+            self.reject(now, number, RejectCause::NoOwner);
+        }
         let numbers: Vec<_> = self.jobs.keys().copied().collect();
         for number in numbers {
             self.answer(now, number, Answer::Failed(FailCause::Interrupted));
@@ -245,6 +264,7 @@
 
     /// Ends jobs whose callers no longer wait.
     pub fn tick(&mut self, now: Instant) {
+        self.reject_unplaced(now);
         let expired: Vec<_> =
             self.jobs.iter().filter(|(_, job)| now >= job.expires_at).map(|(number, _)| *number).collect();
         for number in expired {
@@ -252,6 +272,18 @@
         }
     }
 
+    /// Rejects jobs that have waited for an owner for as long as they could.
+    fn reject_unplaced(&mut self, now: Instant) {
+        let unplaced = std::mem::take(&mut self.unplaced);
+        let expected = self.owners_expected_until.is_some_and(|until| now < until);
+        let (waiting, over): (Vec<_>, Vec<_>) =
+            unplaced.into_iter().partition(|number| expected && !self.slack(now, *number).is_zero());
+        self.unplaced = waiting;
+        for number in over {
+            self.reject(now, number, RejectCause::NoOwner);
+        }
+    }
+
     pub(crate) fn answer(&mut self, now: Instant, number: JobNumber, answer: Answer) {
         let Some(job) = self.jobs.remove(&number) else { return };
         self.cancel_tasks(&job);
--- a/crates/jobs/tests/answers.rs
+++ b/crates/jobs/tests/answers.rs
@@ -149,3 +149,67 @@
     home.report(0, Outcome::Done);
     assert_eq!(home.answers.len(), 1);
 }
+
+/// Guards against refusing callers in the moment after a start: the pattern of a whole system that comes back, where jobs
+/// arrive before the first upstream has been taken over.
+#[test]
+fn a_job_waits_for_the_first_owner_of_an_entry_that_starts() {
+    let mut home = Home::new(&[]);
+    home.table.expect_owners(home.now + ms(1_000));
+    let job = home.submit(request("a", 2, 60));
+    assert!(home.answers.is_empty());
+    home.now += ms(50);
+    home.set_load(OWN, load(2, 0, 60), 0);
+    home.collect();
+    assert_eq!(home.assigned.len(), 2);
+    home.report(0, Outcome::Done);
+    home.report(1, Outcome::Done);
+    assert_eq!(home.answers, [(job, Answer::Completed)]);
+}
+
+/// Guards against a job that waits for owners which do not come for longer than it can be of use.
+#[test]
+fn a_job_is_rejected_when_no_owner_comes_within_its_slack() {
+    let mut home = Home::new(&[]);
+    home.table.expect_owners(home.now + ms(1_000));
+    // 60 ms at a stretch of 1.6 and a target of 60 ms leave 96 ms.
+    home.submit(request("a", 2, 60));
+    home.now += ms(90);
+    home.table.tick(home.now);
+    home.collect();
+    assert!(home.answers.is_empty());
+    home.now += ms(10);
+    home.table.tick(home.now);
+    home.collect();
+    let (_, answer) = home.answers[0];
+    assert!(matches!(answer, Answer::Rejected { cause: RejectCause::NoOwner, .. }));
+}
+
+/// Guards against work for a caller that will have left before it ends.
+#[test]
+fn a_job_that_must_wait_is_rejected_when_its_caller_leaves_too_soon() {
+    let mut home = Home::new(&[(OWN, load(0, 6, 60))]);
+    let mut impatient = request("a", 1, 60);
+    impatient.budget = ms(70);
+    home.submit(impatient);
+    assert!(rejected(home.answers[0].1));
+    home.submit(request("b", 1, 60));
+    assert_eq!(home.assigned.len(), 1);
+}
+
+/// Guards against admitting jobs whose queue has fallen behind: the pattern of a burst, where more urgent work overtakes
+/// them and the owners' reports foresee a short wait, so that all of them end late.
+#[test]
+fn a_queue_that_has_waited_for_most_of_its_slack_admits_no_job_that_has_to_wait() {
+    let mut home = Home::new(&[(OWN, load(0, 0, 60))]);
+    home.submit(request("a", 1, 60));
+    home.now += ms(40);
+    home.submit(request("b", 1, 60));
+    assert!(home.answers.is_empty(), "1.5 times 40 ms is within the slack of 96 ms");
+    home.now += ms(30);
+    home.submit(request("c", 1, 60));
+    assert!(rejected(home.answers[0].1));
+    home.set_load(2, load(1, 0, 60), 0);
+    home.submit(request("d", 1, 60));
+    assert_eq!(home.answers.len(), 1, "room at once is used");
+}
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -17,6 +17,8 @@
 
 /// Time between two comparisons of the owned with the wanted upstreams.
 const OWNERSHIP_INTERVAL: Duration = Duration::from_millis(100);
+/// Time after the start of the process in which the first upstreams are taken over.
+const STARTUP: Duration = Duration::from_secs(2);
 /// Pause before an upstream that another owner fenced off is taken over again.
 const LOST_PAUSE: Duration = Duration::from_secs(3);
 
@@ -54,6 +56,7 @@
     pub fn new(now: Instant, own: Hello, fence_base: Fence, seed: u64) -> Self {
         let mut jobs = JobTable::new(own.incarnation, seed);
         jobs.set_distance(own.incarnation, Duration::ZERO);
+        jobs.expect_owners(now + STARTUP);
         Self {
             config: None,
             config_request_at: None,
--- a/crates/node/src/journal.rs
+++ b/crates/node/src/journal.rs
@@ -117,6 +117,13 @@
         RunNotice::Owner { fence, state, upstream } => {
             emit(LogEvent::UpstreamOwner, &json!({ "fence": fence, "state": state, "upstream": upstream }));
         }
+        RunNotice::Stalled { done_percent, run, run_time, upstream } => emit(
+            LogEvent::RunStalled,
+            &json!({
+                "done_percent": done_percent, "run": run.run, "run_time_ms": whole_ms(*run_time),
+                "task": run.task, "upstream": upstream,
+            }),
+        ),
         RunNotice::StartRejected { reason, run, upstream } => emit(
             LogEvent::StartRejected,
             &json!({ "reason": reason, "run": run.run, "task": run.task, "upstream": upstream }),
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -122,6 +122,7 @@
             RunNotice::Owner { state, .. } => {
                 self.events.with_label_values(&[&format!("upstream_{state}")]).inc();
             }
+            RunNotice::Stalled { .. } => self.events.with_label_values(&["run_stalled"]).inc(),
             RunNotice::StartRejected { reason, .. } => {
                 self.rejected_starts.with_label_values(&[reason]).inc();
             }
--- a/crates/runs/src/event.rs
+++ b/crates/runs/src/event.rs
@@ -201,7 +201,16 @@
     /// The process that answered, when it says so.
     pub lifetime: Option<Lifetime>,
     /// Runs that exist.
-    pub running: Vec<RunId>,
+    pub running: Vec<Running>,
+}
+
+/// A run that exists.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Running {
+    /// Part of its work that is done, in percent.
+    pub done_percent: u32,
+    /// The run.
+    pub run: RunId,
 }
 
 /// The end of a run.
@@ -272,6 +281,17 @@
         /// The upstream.
         upstream: UpstreamId,
     },
+    /// A run makes no headway and is stopped.
+    Stalled {
+        /// Part of its work that is done, in percent.
+        done_percent: u32,
+        /// The run.
+        run: RunId,
+        /// Time since its start order.
+        run_time: Duration,
+        /// The upstream.
+        upstream: UpstreamId,
+    },
     /// A start order was answered without a run.
     StartRejected {
         /// Why.
--- a/crates/runs/src/lib.rs
+++ b/crates/runs/src/lib.rs
@@ -65,12 +65,13 @@
 mod placement;
 mod queue;
 mod runner;
+mod stalled;
 mod types;
 mod upstream;
 
 pub use event::{
-    Action, EndKind, Ended, Event, Hold, HoldReply, Listing, Notice, Rejection, StartOrder, StartReply,
-    StopOrder,
+    Action, EndKind, Ended, Event, Hold, HoldReply, Listing, Notice, Rejection, Running, StartOrder,
+    StartReply, StopOrder,
 };
 pub use runner::Runner;
 pub use types::{
--- a/crates/runs/src/listing.rs
+++ b/crates/runs/src/listing.rs
@@ -103,7 +103,7 @@
     /// Compares the runs that exist with those that this entry knows.
     fn match_running(&mut self, now: Instant, hold: &Hold, listing: &Listing) {
         let id = &hold.upstream;
-        let running: FastSet<&RunId> = listing.running.iter().collect();
+        let running: FastSet<&RunId> = listing.running.iter().map(|running| &running.run).collect();
         let Some(upstream) = self.upstreams.get_mut(id) else { return };
         let mut never_started = Vec::new();
         let mut vanished = Vec::new();
@@ -122,11 +122,10 @@
         }
         let stopping = upstream.runs.iter().filter(|(_, run)| run.stopping).map(|(run_id, _)| run_id);
         let mut to_stop: Vec<_> = stopping.filter(|run_id| running.contains(run_id)).cloned().collect();
-        let unknown: Vec<_> = listing
-            .running
+        let unknown: Vec<_> = running
             .iter()
-            .filter(|run_id| !upstream.runs.contains_key(*run_id) && !self.recent_ends.contains(run_id))
-            .cloned()
+            .filter(|run_id| !upstream.runs.contains_key(**run_id) && !self.recent_ends.contains(run_id))
+            .map(|run_id| (*run_id).clone())
             .collect();
         upstream.foreign = unknown.iter().cloned().collect();
         for run_id in never_started {
@@ -143,6 +142,7 @@
         for run_id in to_stop {
             self.order_stop(id, &run_id);
         }
+        self.check_progress(now, id, &listing.running);
     }
 
     /// Stops a run that was started although nobody waits for it any more.
--- a/crates/runs/src/runner.rs
+++ b/crates/runs/src/runner.rs
@@ -337,6 +337,7 @@
                 home: task.home,
                 ordered_at: now,
                 overdue: false,
+                stalled: false,
                 stopping: false,
             },
         );
--- a/crates/runs/src/upstream.rs
+++ b/crates/runs/src/upstream.rs
@@ -50,6 +50,8 @@
     pub(crate) ordered_at: Instant,
     /// Whether the upstream was asked about the run because it took longer than expected.
     pub(crate) overdue: bool,
+    /// Whether it was stopped because it made no headway; its home still waits for its end.
+    pub(crate) stalled: bool,
     /// Whether a stop was sent; its home no longer waits.
     pub(crate) stopping: bool,
 }
--- a/crates/runs/tests/support/mod.rs
+++ b/crates/runs/tests/support/mod.rs
@@ -9,7 +9,7 @@
 
 use hinge_runs::{
     Action, Assignment, EndKind, Ended, Event, Fence, Hold, HoldReply, HomeId, Lifetime, Listing, Outcome,
-    Rejection, Resources, RunId, Runner, StartOrder, StartReply, TaskReport, UpstreamRecord,
+    Rejection, Resources, RunId, Runner, Running, StartOrder, StartReply, TaskReport, UpstreamRecord,
 };
 use tokio::time::Instant;
 
@@ -59,6 +59,14 @@
 pub(crate) struct LiveRun {
     pub(crate) ends_at_ms: u64,
     pub(crate) id: RunId,
+    pub(crate) started_at_ms: u64,
+}
+
+impl LiveRun {
+    fn listed(&self, now_ms: u64) -> Running {
+        let done = 100 * (now_ms - self.started_at_ms) / (self.ends_at_ms - self.started_at_ms).max(1);
+        Running { done_percent: u32::try_from(done).expect("a percentage"), run: self.id.clone() }
+    }
 }
 
 /// An upstream as the platform's pages describe it: fences, one lease for all runs, numbered ends.
@@ -133,7 +141,8 @@
         self.extend(order.lease_until_ms);
         self.highest_run.insert(order.run.task.clone(), order.run.run);
         let ends_at_ms = self.now_ms + self.run_time_ms;
-        self.running.push(LiveRun { ends_at_ms, id: order.run.clone() });
+        let (id, started_at_ms) = (order.run.clone(), self.now_ms);
+        self.running.push(LiveRun { ends_at_ms, id, started_at_ms });
         StartReply::Started { clock_ms }
     }
 
@@ -168,7 +177,7 @@
             clock_ms: self.now_ms,
             ended: ended.collect(),
             lifetime: Some(self.lifetime),
-            running: self.running.iter().map(|run| run.id.clone()).collect(),
+            running: self.running.iter().map(|run| run.listed(self.now_ms)).collect(),
         })
     }
 
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -90,6 +90,8 @@
     TaskDropped = 1613,
     ///An upstream runs something that this owner did not start; it is stopped.
     UnknownRun = 1614,
+    ///A run makes no headway and is stopped, so that its task can run elsewhere; gives its age and the part done.
+    RunStalled = 1615,
     ///The ownership of an upstream has changed; gives the fencing token.
     UpstreamOwner = 1620,
     ///An upstream gets no new tasks for a while; says why and how long.
@@ -157,6 +159,7 @@
         Self::StartRejected,
         Self::TaskDropped,
         Self::UnknownRun,
+        Self::RunStalled,
         Self::UpstreamOwner,
         Self::UpstreamAvoided,
         Self::UpstreamAvailable,
@@ -225,6 +228,7 @@
             Self::StartRejected => "START_REJECTED",
             Self::TaskDropped => "TASK_DROPPED",
             Self::UnknownRun => "UNKNOWN_RUN",
+            Self::RunStalled => "RUN_STALLED",
             Self::UpstreamOwner => "UPSTREAM_OWNER",
             Self::UpstreamAvoided => "UPSTREAM_AVOIDED",
             Self::UpstreamAvailable => "UPSTREAM_AVAILABLE",
@@ -286,6 +290,7 @@
             Self::StartRejected => "info",
             Self::TaskDropped => "info",
             Self::UnknownRun => "warn",
+            Self::RunStalled => "warn",
             Self::UpstreamOwner => "info",
             Self::UpstreamAvoided => "warn",
             Self::UpstreamAvailable => "info",
