mesh: forget peers that have left for good

Change: an unregistered peer is dialled for 30 s more; registered again, it is dialled again. Ruled out: ending the dialling with the registration, because a store that drops registrations of live entries must not cost a link. Before: the new test a_peer_that_is_no_longer_registered_is_forgotten does not end.

--- a/crates/mesh/src/mesh.rs
+++ b/crates/mesh/src/mesh.rs
@@ -16,6 +16,8 @@
 
 /// Pause before a link is dialled again.
 const REDIAL_DELAY: Duration = Duration::from_millis(100);
+/// Time after which a peer that is no longer registered and cannot be reached is not dialled any more.
+const FORGET_AFTER: Duration = Duration::from_secs(30);
 /// Messages that wait for one peer. A peer that is further behind is treated as silent.
 const MAX_QUEUED_MESSAGES: usize = 4_096;
 /// Pause after a failed accept.
@@ -86,9 +88,17 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// A peer that this entry dials.
+struct Dialled {
+    address: SocketAddr,
+    /// When it was registered last.
+    listed_at: Arc<Mutex<Instant>>,
+    task: JoinHandle<()>,
+}
+
 /// The links of one entry.
 pub struct Mesh {
-    dialled: FastMap<InstanceId, (SocketAddr, JoinHandle<()>)>,
+    dialled: FastMap<InstanceId, Dialled>,
     shared: Arc<Shared>,
 }
 
@@ -101,15 +111,23 @@
         Self { dialled: FastMap::default(), shared }
     }
 
-    /// Dials the peers that this entry has to dial; a known peer at a new address is dialled there.
+    /// Dials the peers that this entry has to dial; a known peer at a new address is dialled there, and one that is gone
+    /// is forgotten after a while.
     pub fn set_peers(&mut self, peers: &[PeerAddress]) {
+        let now = Instant::now();
+        self.dialled.retain(|_, dialled| !dialled.task.is_finished());
         for peer in peers.iter().filter(|peer| self.shared.own.instance < peer.instance) {
-            if self.dialled.get(&peer.instance).is_some_and(|(address, _)| *address == peer.address) {
+            if let Some(known) =
+                self.dialled.get(&peer.instance).filter(|known| known.address == peer.address)
+            {
+                *locked(&known.listed_at) = now;
                 continue;
             }
-            let task = tokio::spawn(dial(peer.clone(), self.shared.clone()));
-            if let Some((_, old)) = self.dialled.insert(peer.instance.clone(), (peer.address, task)) {
-                old.abort();
+            let listed_at = Arc::new(Mutex::new(now));
+            let task = tokio::spawn(dial(peer.clone(), self.shared.clone(), listed_at.clone()));
+            let dialled = Dialled { address: peer.address, listed_at, task };
+            if let Some(old) = self.dialled.insert(peer.instance.clone(), dialled) {
+                old.task.abort();
             }
         }
     }
@@ -148,8 +166,9 @@
     }
 }
 
-async fn dial(peer: PeerAddress, shared: Arc<Shared>) {
-    loop {
+/// Keeps a link to a peer up while it is registered, and for a while after that.
+async fn dial(peer: PeerAddress, shared: Arc<Shared>, listed_at: Arc<Mutex<Instant>>) {
+    while locked(&listed_at).elapsed() < FORGET_AFTER {
         match timeout(SILENCE_LIMIT, TcpStream::connect(peer.address)).await {
             Ok(Ok(stream)) => run_link(stream, &shared).await,
             Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
--- a/crates/mesh/tests/links.rs
+++ b/crates/mesh/tests/links.rs
@@ -2,10 +2,13 @@
 
 #![allow(clippy::unwrap_used, reason = "tests")]
 
+use std::time::Duration;
+
 use hinge_mesh::{Hello, Mesh, MeshEvent, Message, PeerAddress};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout};
 
 fn hello(number: u64) -> Hello {
     Hello { data_centre: "dc1".into(), incarnation: number, instance: format!("entry-{number}").into() }
@@ -77,3 +80,23 @@
     }
     assert!(events.try_recv().is_err());
 }
+
+/// Guards against dialling peers that have left for good for as long as the process runs.
+#[tokio::test(start_paused = true)]
+async fn a_peer_that_is_no_longer_registered_is_forgotten() {
+    let (mut first, _events, _) = entry(1).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    first.set_peers(&[PeerAddress { address, instance: "entry-2".into() }]);
+    first.set_peers(&[]);
+    let unlisted_at = Instant::now();
+    let mut last_dialled_at = unlisted_at;
+    while let Ok(accepted) = timeout(Duration::from_secs(5), listener.accept()).await {
+        drop(accepted);
+        last_dialled_at = Instant::now();
+    }
+    let dialled_for = last_dialled_at.duration_since(unlisted_at);
+    assert!((25..=31).contains(&dialled_for.as_secs()), "{dialled_for:?}");
+    first.set_peers(&[PeerAddress { address, instance: "entry-2".into() }]);
+    assert!(timeout(Duration::from_secs(5), listener.accept()).await.is_ok(), "dialled once it is back");
+}
