--- /dev/null
+++ b/crates/celeryhinge/tests/planned_stops.rs
@@ -0,0 +1,136 @@
+//! Planned stops of real processes: what they finish, and what they report as lost.
+
+#![allow(clippy::panic, clippy::unwrap_used, reason = "tests")]
+
+mod support;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use celeryhinge::wire::{Class, Outcome, Submission, from_json, to_json};
+use support::requests::{Reply, assert_started_once, job, keyed, keys, send_in_thread};
+use support::{Cluster, http, payload, try_http, wait_until};
+
+/// How a request to an entry that stops may end.
+#[derive(Debug)]
+enum Ended {
+    Answered(Reply),
+    /// The connection was never made or was reset before the entry took the request.
+    NotTaken,
+}
+
+/// Sends a submission; unlike `http`, tells a missing answer from a present one.
+fn send_to_stopping(entry: SocketAddr, submission: &Submission) -> Ended {
+    let body = to_json(submission).unwrap();
+    let mut response = Vec::new();
+    let mut exchange = || -> std::io::Result<()> {
+        let mut stream = TcpStream::connect(entry)?;
+        stream.set_read_timeout(Some(Duration::from_secs(30)))?;
+        let head = format!(
+            "POST /v1/submissions HTTP/1.1\r\nhost: {entry}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+            body.len()
+        );
+        stream.write_all(head.as_bytes())?;
+        stream.write_all(&body)?;
+        stream.read_to_end(&mut response)?;
+        Ok(())
+    };
+    let _ = exchange();
+    let Some(split) = response.windows(4).position(|window| window == b"\r\n\r\n") else {
+        assert!(response.is_empty(), "an answer was cut off");
+        return Ended::NotTaken;
+    };
+    Ended::Answered(from_json(&response[split + 4..]).unwrap())
+}
+
+/// Guards against a planned stop that cuts off a request which it has started, while callers go on submitting.
+#[test]
+fn planned_stop_under_load_answers_every_started_request() {
+    let mut cluster = Cluster::start(2, 2);
+    let (address, stopped) = (cluster.entries[0].address(), Arc::new(AtomicBool::new(false)));
+    let callers: Vec<_> = (0..6)
+        .map(|caller| {
+            let (keys, stopped) = (keys(&cluster.entries[0], 1000), stopped.clone());
+            std::thread::spawn(move || {
+                let mut complete = Vec::new();
+                for (index, key) in keys.iter().enumerate() {
+                    if stopped.load(Ordering::Relaxed) {
+                        break;
+                    }
+                    let text = format!("c{caller}-{index}");
+                    let payload = payload(60, &text);
+                    match send_to_stopping(
+                        address,
+                        &keyed(key, Class::Urgent, std::slice::from_ref(&payload)),
+                    ) {
+                        Ended::Answered(reply) if reply.outcome == Outcome::Complete => {
+                            assert_eq!(reply.results, [text]);
+                            complete.push(payload);
+                        }
+                        Ended::Answered(reply) => {
+                            assert_eq!(reply.outcome, Outcome::FailedNotRun, "{reply:?}")
+                        }
+                        Ended::NotTaken => {}
+                    }
+                }
+                complete
+            })
+        })
+        .collect();
+    wait_until("load", || cluster.started_payloads().len() > 50);
+    cluster.entries[0].signal("TERM");
+    assert_eq!(cluster.entries[0].wait(), 0);
+    stopped.store(true, Ordering::Relaxed);
+    let mut complete: Vec<String> = callers.into_iter().flat_map(|caller| caller.join().unwrap()).collect();
+    complete.sort();
+    assert_eq!(assert_started_once(&cluster), complete);
+}
+
+/// Guards against a planned stop that cuts off a request which the entry has forwarded to the owner of its key.
+#[test]
+fn planned_stop_waits_for_forwarded_requests() {
+    let mut cluster = Cluster::start(2, 2);
+    let key = keys(&cluster.entries[0], 1).remove(0);
+    let slow = keyed(&key, Class::Booking, &[payload(4000, "forwarded")]);
+    let caller = send_in_thread(&cluster.entries[1], &slow);
+    wait_until("the start", || !cluster.started_payloads().is_empty());
+    cluster.entries[1].signal("TERM");
+    assert_eq!(caller.join().unwrap().results, ["forwarded"]);
+    assert_eq!(cluster.entries[1].wait(), 0);
+}
+
+/// Guards against a planned stop that drops work whose caller asks for the answer later.
+#[test]
+fn planned_stop_finishes_work_without_a_waiting_caller() {
+    let mut cluster = Cluster::start(2, 1);
+    let key = keys(&cluster.entries[0], 1).remove(0);
+    let (payloads, _) = job("unattended", 30, 200);
+    let job = Submission { wait_ms: Some(0), ..keyed(&key, Class::Batch, &payloads) };
+    let body = to_json(&job).unwrap();
+    assert_eq!(http(cluster.entries[0].address(), "POST", "/v1/submissions", &body).0, 202);
+    cluster.entries[0].signal("TERM");
+    // Status 0 says that nothing was lost.
+    assert_eq!(cluster.entries[0].wait(), 0);
+    assert_eq!(assert_started_once(&cluster).len(), 30);
+}
+
+/// Guards against a planned stop that cannot be cut short, or that hides what it lost.
+#[test]
+fn second_signal_ends_a_drain() {
+    let mut cluster = Cluster::start(1, 1);
+    let key = keys(&cluster.entries[0], 1).remove(0);
+    let slow = Submission { wait_ms: Some(100), ..keyed(&key, Class::Booking, &[payload(25_000, "slow")]) };
+    let address = cluster.entries[0].address();
+    assert_eq!(http(address, "POST", "/v1/submissions", &to_json(&slow).unwrap()).0, 202);
+    wait_until("the start", || !cluster.started_payloads().is_empty());
+    cluster.entries[0].signal("TERM");
+    wait_until("draining", || {
+        try_http(address, "GET", "/readyz", b"").is_some_and(|(status, _)| status == 503)
+    });
+    cluster.entries[0].signal("TERM");
+    // Status 1 says that work was lost.
+    assert_eq!(cluster.entries[0].wait(), 1);
+}
--- a/crates/celeryhinge/tests/support/mod.rs
+++ b/crates/celeryhinge/tests/support/mod.rs
@@ -8,6 +8,8 @@
     reason = "test support, used in part by each test"
 )]
 
+pub(crate) mod requests;
+
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -44,6 +44,7 @@
 
 mod digest;
 mod evidence;
+mod exchange;
 mod life;
 mod member;
 mod members;
@@ -51,5 +52,6 @@
 mod rotation;
 
 pub use digest::MAX_HEARTBEAT_BYTES;
-pub use members::{Members, Outgoing, Owner};
+pub use exchange::Outgoing;
+pub use members::{Members, Owner};
 pub use notice::Notice;
--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -1,21 +1,18 @@
 //! The peers of one entry instance.
 
-use std::cmp::Reverse;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use hinge_conf::Policy;
 use hinge_wire::{
-    DataCentreId, FastMap, Heartbeat, HeartbeatReply, Incarnation, InstanceId, InstanceKind, InstanceList,
-    InstanceState, ListEntry, ListState, MemberInfo, ResultCode, SubmissionKey, TeamDemand, is_valid_id,
+    DataCentreId, FastMap, Incarnation, InstanceId, InstanceKind, InstanceList, InstanceState, ListEntry,
+    ListState, MemberInfo, SubmissionKey, is_valid_id,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::time::Instant;
 
-use crate::digest;
-use crate::evidence::Evidence;
-use crate::member::{Announced, Listing, Member, Source, Timeouts};
+use crate::exchange::{Rival, Target, Timing};
+use crate::member::{Listing, Member, Timeouts};
 use crate::notice::Notice;
 use crate::rotation::Rotation;
 
@@ -25,9 +22,6 @@
 /// Notices kept for the next tick.
 const MAX_PENDING_NOTICES: usize = 1024;
 
-/// Other incarnations of the own instance id that are remembered.
-const MAX_RIVALS: usize = 16;
-
 /// Where the owner of a submission key is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Owner {
@@ -47,79 +41,23 @@
     Unknown,
 }
 
-/// A heartbeat to send.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Outgoing {
-    /// Address of the receiver's peer interface.
-    pub address: SocketAddr,
-    /// The message.
-    pub heartbeat: Heartbeat,
-}
-
-/// Where a heartbeat goes.
-#[derive(Clone, Debug, PartialEq)]
-enum Target {
-    Contact(SocketAddr),
-    Member(InstanceId),
-}
-
-/// Another process that announces the own instance id.
-struct Rival {
-    evidence: Evidence,
-    incarnation: Incarnation,
-    reported: bool,
-}
-
-/// Timing of heartbeats.
-struct Timing {
-    dead_after: Duration,
-    fanout: usize,
-    forget_after: Duration,
-    interval: Duration,
-    suspect_after: Duration,
-}
-
-impl Timing {
-    fn new(policy: &Policy) -> Self {
-        Self {
-            dead_after: Duration::from_millis(policy.dead_after_ms),
-            fanout: usize::try_from(policy.heartbeat_fanout).unwrap_or(usize::MAX).max(1),
-            // A key of the member may be asked for until then.
-            forget_after: Duration::from_millis(
-                policy.key_validity_ms.saturating_add(policy.answer_retention_ms),
-            ),
-            interval: Duration::from_millis(policy.heartbeat_interval_ms.max(1)),
-            suspect_after: Duration::from_millis(policy.suspect_after_ms),
-        }
-    }
-
-    /// The timeouts for a number of peers. Above sixteen peers they grow with the time in which each peer is contacted
-    /// once, because the size limit of a heartbeat leaves too few reports per member for the configured times: with
-    /// these, the leader sets of 64 simulated instances differed without a fault other than 2% loss.
-    fn timeouts(&self, peers: usize) -> Timeouts {
-        let rounds = u32::try_from(peers.div_ceil(self.fanout)).unwrap_or(u32::MAX);
-        let period = self.interval.saturating_mul(rounds);
-        Timeouts { dead: self.dead_after.max(2 * period), suspect: self.suspect_after.max(period) }
-    }
-}
-
 /// Membership as known to one entry instance.
 pub struct Members {
-    contacts: Vec<SocketAddr>,
-    ignored: u64,
-    list_version: Option<u64>,
-    members: FastMap<InstanceId, Member>,
-    next_heartbeat: Option<Instant>,
-    notices: Vec<Notice>,
-    own: MemberInfo,
-    own_leaving: bool,
-    probes: Rotation<Target>,
+    pub(crate) contacts: Vec<SocketAddr>,
+    pub(crate) ignored: u64,
+    pub(crate) list_version: Option<u64>,
+    pub(crate) members: FastMap<InstanceId, Member>,
+    pub(crate) next_heartbeat: Option<Instant>,
+    pub(crate) notices: Vec<Notice>,
+    pub(crate) own: MemberInfo,
+    pub(crate) own_leaving: bool,
+    pub(crate) probes: Rotation<Target>,
     /// Addresses of entry instances of other data centres, from the list.
-    remote: FastMap<DataCentreId, FastMap<InstanceId, SocketAddr>>,
-    rivals: Vec<Rival>,
-    rng: StdRng,
-    rotation: Rotation<Target>,
-    timing: Timing,
+    pub(crate) remote: FastMap<DataCentreId, FastMap<InstanceId, SocketAddr>>,
+    pub(crate) rivals: Vec<Rival>,
+    pub(crate) rng: StdRng,
+    pub(crate) rotation: Rotation<Target>,
+    pub(crate) timing: Timing,
 }
 
 impl Members {
@@ -160,11 +98,11 @@
         self.ignored
     }
 
-    fn timeouts(&self) -> Timeouts {
+    pub(crate) fn timeouts(&self) -> Timeouts {
         self.timing.timeouts(self.members.values().filter(|member| member.is_live()).count())
     }
 
-    fn notify(&mut self, notices: Vec<Notice>) {
+    pub(crate) fn notify(&mut self, notices: Vec<Notice>) {
         let room = MAX_PENDING_NOTICES.saturating_sub(self.notices.len());
         self.notices.extend(notices.into_iter().take(room));
     }
@@ -213,7 +151,7 @@
     }
 
     /// The entry of a peer, added when there is room.
-    fn member_mut(&mut self, id: &str) -> Option<&mut Member> {
+    pub(crate) fn member_mut(&mut self, id: &str) -> Option<&mut Member> {
         if !self.members.contains_key(id) {
             if self.members.len() >= MAX_TRACKED || !is_valid_id(id) {
                 return None;
@@ -224,162 +162,6 @@
         self.members.get_mut(id)
     }
 
-    /// Whether [`Self::heartbeats`] would send now.
-    #[must_use]
-    pub fn heartbeat_is_due(&self, now: Instant) -> bool {
-        self.next_heartbeat.is_none_or(|due| now >= due)
-    }
-
-    /// Heartbeats that are due now.
-    pub fn heartbeats(&mut self, now: Instant, demand: &[TeamDemand]) -> Vec<Outgoing> {
-        if !self.heartbeat_is_due(now) {
-            return Vec::new();
-        }
-        self.next_heartbeat = Some(now + self.timing.interval);
-        self.own.counter += 1;
-        let digest = self.fresh_members(now);
-        let heartbeat = digest::build(self.own.clone(), &digest, demand);
-        let targets = self.targets();
-        targets.iter().filter_map(|target| self.address(target, &heartbeat)).collect()
-    }
-
-    /// States to pass on, those heard last first. News that is older has had more time to spread.
-    fn fresh_members(&self, now: Instant) -> Vec<MemberInfo> {
-        let timeouts = self.timeouts();
-        let mut fresh: Vec<_> =
-            self.members.values().filter(|member| member.is_fresh(now, timeouts)).collect();
-        // The id decides between equal times, because the order in the hash map is random.
-        fresh.sort_by_key(|member| (Reverse(member.heard_at()), member.id()));
-        fresh.into_iter().filter_map(Member::info).cloned().collect()
-    }
-
-    /// Live members in rotation, with one place for peers that are not heard, so that a healed partition is found.
-    fn targets(&mut self) -> Vec<Target> {
-        let mut live = Vec::new();
-        let mut silent = Vec::new();
-        for (id, member) in &self.members {
-            let group = if member.is_live() { &mut live } else { &mut silent };
-            group.push(Target::Member(id.clone()));
-        }
-        let known: Vec<_> = self.members.values().filter_map(Member::address).collect();
-        let own: Option<SocketAddr> = self.own.peer_address.parse().ok();
-        let new = self.contacts.iter().filter(|contact| !known.contains(contact) && Some(**contact) != own);
-        silent.extend(new.map(|contact| Target::Contact(*contact)));
-        let sort = |target: &Target| match target {
-            Target::Contact(address) => (address.to_string(), 0),
-            Target::Member(id) => (id.to_string(), 1),
-        };
-        // The order in the hash map is random; the rotation depends on the seed only.
-        live.sort_by_cached_key(sort);
-        silent.sort_by_cached_key(sort);
-
-        let fanout = self.timing.fanout;
-        let reserved = usize::from(!silent.is_empty() && fanout > 1);
-        let mut targets = self.rotation.take(fanout - reserved, &live, &mut self.rng);
-        targets.extend(self.probes.take(fanout - targets.len(), &silent, &mut self.rng));
-        targets
-    }
-
-    fn address(&self, target: &Target, heartbeat: &Heartbeat) -> Option<Outgoing> {
-        let (address, target_incarnation) = match target {
-            Target::Contact(address) => (*address, 0),
-            Target::Member(id) => {
-                let member = self.members.get(id)?;
-                (member.address()?, member.target_incarnation())
-            }
-        };
-        Some(Outgoing { address, heartbeat: Heartbeat { target_incarnation, ..heartbeat.clone() } })
-    }
-
-    /// Takes in a heartbeat and returns the reply.
-    ///
-    /// # Errors
-    ///
-    /// `WRONG_INCARNATION` when the heartbeat was for an earlier process; `INVALID_FIELD` when its sender is not a valid
-    /// instance of this data centre or its lists are too long.
-    pub fn on_heartbeat(
-        &mut self,
-        now: Instant,
-        heartbeat: &Heartbeat,
-    ) -> Result<HeartbeatReply, ResultCode> {
-        let target = heartbeat.target_incarnation;
-        if target != 0 && target != self.own.incarnation {
-            return Err(ResultCode::WrongIncarnation);
-        }
-        if !digest::is_bounded(heartbeat) || self.announced(&heartbeat.from).is_none() {
-            return Err(ResultCode::InvalidField);
-        }
-        let timeouts = self.timeouts();
-        let source = if target == 0 { Source::Heartbeat } else { Source::Exchange };
-        self.observe(now, &heartbeat.from, source, timeouts);
-        for info in &heartbeat.members {
-            self.observe(now, info, Source::Digest, timeouts);
-        }
-        Ok(HeartbeatReply { from: self.own.clone() })
-    }
-
-    /// Takes in the reply to a heartbeat.
-    pub fn on_reply(&mut self, now: Instant, reply: &HeartbeatReply) {
-        self.observe(now, &reply.from, Source::Exchange, self.timeouts());
-    }
-
-    /// The report with its address, when it is of an instance of this data centre.
-    fn announced(&self, info: &MemberInfo) -> Option<Announced> {
-        let address = info.peer_address.parse().ok()?;
-        let valid =
-            info.data_centre == self.own.data_centre && is_valid_id(&info.instance) && info.incarnation != 0;
-        valid.then(|| Announced { address, info: info.clone() })
-    }
-
-    fn observe(&mut self, now: Instant, info: &MemberInfo, source: Source, timeouts: Timeouts) {
-        let news = if info.instance == self.own.instance {
-            self.observe_own_id(now, info, source.is_direct())
-        } else {
-            self.observe_peer(now, info, source, timeouts)
-        };
-        self.ignored += u64::from(!news);
-    }
-
-    fn observe_peer(&mut self, now: Instant, info: &MemberInfo, source: Source, timeouts: Timeouts) -> bool {
-        let Some(announced) = self.announced(info) else { return false };
-        let mut notices = Vec::new();
-        let Some(member) = self.member_mut(&info.instance) else { return false };
-        let news = member.observe(now, announced, source, timeouts, &mut notices);
-        self.notify(notices);
-        news
-    }
-
-    /// A report about the own instance id: the own state heard back, the former process, or another process that uses
-    /// the id. The last is reported once, when it is certain that it runs.
-    fn observe_own_id(&mut self, now: Instant, info: &MemberInfo, direct: bool) -> bool {
-        if info.incarnation == self.own.incarnation || self.announced(info).is_none() {
-            return false;
-        }
-        let position = self.rivals.iter().position(|rival| rival.incarnation == info.incarnation);
-        let mut rival = match position {
-            Some(position) => self.rivals.swap_remove(position),
-            None => {
-                let evidence = Evidence::new(now, info.counter, direct);
-                Rival { evidence, incarnation: info.incarnation, reported: false }
-            }
-        };
-        rival.evidence.add(now, info.counter, direct);
-        let report = !rival.reported && rival.evidence.is_convincing(self.timing.suspect_after);
-        if report {
-            rival.reported = true;
-            self.notify(vec![Notice::OwnIdClaimed {
-                incarnation: info.incarnation,
-                instance: self.own.instance.as_str().into(),
-                peer_address: info.peer_address.clone(),
-            }]);
-        }
-        if self.rivals.len() >= MAX_RIVALS {
-            self.rivals.remove(0);
-        }
-        self.rivals.push(rival);
-        report
-    }
-
     /// Advances silent members to suspect and dead, forgets those that have long been dead and unlisted, and moves all
     /// notices since the last call to `notices`.
     pub fn tick(&mut self, now: Instant, notices: &mut Vec<Notice>) {
--- a/crates/store/src/claims.rs
+++ b/crates/store/src/claims.rs
@@ -13,17 +13,15 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, sleep};
 
 use hinge_conf::Policy;
-use hinge_wire::{FastMap, ResultCode, StorePut, StoreValue, SubmissionKey, from_json, to_json};
+use hinge_wire::{FastMap, ResultCode, StoreValue, SubmissionKey};
 
 use crate::budget::{Budgeted, StoreCounters, TokenBucket, lock};
+use crate::claim_record::{Created, Lease, Record, WINDOW_KEYS, claim_key, encode, own_or_other, window_key};
 use crate::store::{Store, StoreError};
 
-/// Consecutive sequences that share a window marker.
-pub const WINDOW_KEYS: u64 = 4096;
 /// Time to settle an ambiguous claim before it is refused.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
 /// Delay between attempts to settle an ambiguous claim.
@@ -86,61 +84,6 @@
     }
 }
 
-/// Value of a claim in the store.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(tag = "state", rename_all = "snake_case")]
-enum Record {
-    Claimed { operation_id: String },
-    Outcome { code: u16, operation_id: String },
-    Tombstone { operation_id: String },
-    Window { operation_id: String },
-}
-
-impl Record {
-    fn operation_id(&self) -> &str {
-        match self {
-            Self::Claimed { operation_id }
-            | Self::Outcome { operation_id, .. }
-            | Self::Tombstone { operation_id }
-            | Self::Window { operation_id } => operation_id,
-        }
-    }
-
-    fn parse(value: &StoreValue) -> Option<Self> {
-        from_json(value.value.as_bytes()).ok()
-    }
-}
-
-/// What became of a create-only write.
-enum Created {
-    /// The key holds this record of the caller.
-    Own { revision: u64 },
-    /// The key holds something else; `None` when it cannot be read.
-    Other(Option<Record>),
-    /// Nothing is known, or nothing was written.
-    Unavailable,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Lease {
-    /// No later than the store's own start of the lease.
-    granted_at: Instant,
-    id: u64,
-    ttl: Duration,
-}
-
-impl Lease {
-    /// Whether records written now live for at least half of the time to live.
-    fn is_fresh(self) -> bool {
-        self.granted_at.elapsed() < self.ttl / 2
-    }
-
-    /// Whether a record just written can be relied on. It cannot when this process was paused for long.
-    fn is_reliable(self) -> bool {
-        self.granted_at.elapsed() < self.ttl * 3 / 4
-    }
-}
-
 #[derive(Clone, Copy, Debug)]
 struct HeldClaim {
     lease: Lease,
@@ -393,26 +336,3 @@
         state.down_until = Some(Instant::now() + DOWN_TIME.mul_f64(jitter));
     }
 }
-
-fn own_or_other(own: &Record, value: &StoreValue) -> Created {
-    match Record::parse(value) {
-        Some(record) if record.operation_id() == own.operation_id() => {
-            Created::Own { revision: value.revision }
-        }
-        record => Created::Other(record),
-    }
-}
-
-fn encode(record: &Record, expect_revision: u64, lease: u64) -> Option<StorePut> {
-    let value = String::from_utf8(to_json(record).ok()?).ok()?;
-    Some(StorePut { expect_revision, lease, value })
-}
-
-fn claim_key(key: &SubmissionKey) -> String {
-    format!("claims/{key}")
-}
-
-fn window_key(key: &SubmissionKey) -> String {
-    let SubmissionKey { data_centre, incarnation, instance, sequence } = key;
-    format!("claim-windows/{data_centre}.{instance}.{incarnation:016x}.{}", sequence / WINDOW_KEYS)
-}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -27,6 +27,7 @@
 //! ```
 
 mod budget;
+mod claim_record;
 mod claims;
 mod http_store;
 mod keyspace;
@@ -37,7 +38,8 @@
 mod sync;
 
 pub use budget::{Backoff, Budgeted, Call, CallCounts, StoreCounters, TokenBucket};
-pub use claims::{ClaimError, Claims, Settlement, WINDOW_KEYS};
+pub use claim_record::WINDOW_KEYS;
+pub use claims::{ClaimError, Claims, Settlement};
 pub use http_store::HttpStore;
 pub use keyspace::{Change, Item, Keyspace, KeyspaceError, LeaseId, Page, Revision, Watched};
 pub use mirror::{Copy, Link, Mirror, MirrorEvent, MirrorSettings};
