runs, node: an event costs time for the owned upstreams only, a division is computed once

Read from the code: each entry divides the upstreams of its data centre ten times a second by sorting all pairs of entries and upstreams (33 x 333 at 100 machines, 100 x 1,000 at 300), and each event of the runner walks all registered upstreams, of which one entry owns about ten. Ruled out: a longer interval between divisions (a lost entry's upstreams would wait). Change: the last division of each data centre is kept until entries or upstreams change; upstreams on which an entry has nothing to do are kept apart. Tests: behaviour is unchanged; ownership, interleavings and settlement pass.

--- a/crates/node/src/ownership.rs
+++ b/crates/node/src/ownership.rs
@@ -24,9 +24,19 @@
     pub(crate) instance: InstanceId,
 }
 
+/// The part of a data centre's upstreams that falls to the own entry, and what it was computed from.
+#[derive(Debug)]
+struct Division {
+    entries: Vec<InstanceId>,
+    own: Vec<UpstreamId>,
+    upstreams: Vec<(UpstreamId, u32)>,
+}
+
 /// When upstreams last reported, and since when data centres have had no entries.
 #[derive(Debug, Default)]
 pub(crate) struct Sightings {
+    /// Divisions computed last. A division costs time in proportion to entries times upstreams.
+    divisions: FastMap<DataCentreId, Division>,
     empty_since: FastMap<DataCentreId, Instant>,
     reported: FastMap<UpstreamId, (u64, Instant)>,
 }
@@ -44,11 +54,38 @@
         self.reported.retain(|id, _| listed.contains(id));
     }
 
+    /// The part of `upstreams` that falls to the entry `own`.
+    fn share_of(
+        &mut self,
+        data_centre: &DataCentreId,
+        own: &InstanceId,
+        entries: &[InstanceId],
+        upstreams: &[&UpstreamRecord],
+    ) -> &[UpstreamId] {
+        let mut sized: Vec<_> =
+            upstreams.iter().map(|upstream| (upstream.id.clone(), units(upstream))).collect();
+        sized.sort_unstable();
+        let known = self.divisions.remove(data_centre);
+        let unchanged = known.filter(|known| known.entries == entries && known.upstreams == sized);
+        let division = unchanged.unwrap_or_else(|| Division::new(own, entries, sized));
+        &self.divisions.entry(data_centre.clone()).insert_entry(division).into_mut().own
+    }
+
     fn alive(&self, now: Instant, id: &UpstreamId) -> bool {
         self.reported.get(id).is_some_and(|(_, at)| now.duration_since(*at) < REPORT_AGE)
     }
 }
 
+impl Division {
+    fn new(own: &InstanceId, entries: &[InstanceId], upstreams: Vec<(UpstreamId, u32)>) -> Self {
+        let owners = divide_upstreams(entries, &upstreams);
+        let pairs = upstreams.iter().zip(owners);
+        let owned = pairs.filter(|(_, owner)| entries.get(*owner) == Some(own));
+        let own = owned.map(|((id, _), _)| id.clone()).collect();
+        Self { entries: entries.to_vec(), own, upstreams }
+    }
+}
+
 /// Upstreams that the own entry should own.
 pub(crate) fn wanted(
     now: Instant,
@@ -97,22 +134,14 @@
             }
             &everywhere
         };
-        wanted.extend(share_of(&own.instance, candidates, &upstreams));
+        let share = sightings.share_of(data_centre, &own.instance, candidates, &upstreams);
+        wanted.extend(share.iter().cloned());
     }
     wanted
 }
 
-/// The part of `upstreams` that falls to the entry `own`.
-fn share_of(own: &InstanceId, entries: &[InstanceId], upstreams: &[&UpstreamRecord]) -> Vec<UpstreamId> {
-    let mut sized: Vec<_> = upstreams
-        .iter()
-        .map(|upstream| {
-            let units = upstream.capacity.cpu_millis / UNIT_CPU_MILLIS;
-            (upstream.id.clone(), u32::try_from(units).unwrap_or(u32::MAX).max(1))
-        })
-        .collect();
-    sized.sort_unstable();
-    let owners = divide_upstreams(entries, &sized);
-    let pairs = sized.into_iter().zip(owners);
-    pairs.filter(|(_, owner)| entries.get(*owner) == Some(own)).map(|((id, _), _)| id).collect()
+/// Size of an upstream in the division.
+fn units(upstream: &UpstreamRecord) -> u32 {
+    let units = upstream.capacity.cpu_millis / UNIT_CPU_MILLIS;
+    u32::try_from(units).unwrap_or(u32::MAX).max(1)
 }
--- a/crates/runs/src/orders.rs
+++ b/crates/runs/src/orders.rs
@@ -27,6 +27,9 @@
 
 impl Runner {
     pub(crate) fn own(&mut self, now: Instant, id: &UpstreamId, fence: Fence) {
+        if let Some(upstream) = self.inactive.remove(id) {
+            self.upstreams.insert(id.clone(), upstream);
+        }
         let Some(upstream) = self.upstreams.get_mut(id) else { return };
         match upstream.ownership {
             Ownership::None => {
--- a/crates/runs/src/runner.rs
+++ b/crates/runs/src/runner.rs
@@ -28,6 +28,8 @@
 #[derive(Debug)]
 pub struct Runner {
     pub(crate) actions: Vec<Action>,
+    /// Upstreams on which this entry has nothing to do, so that an event costs time for the others only.
+    pub(crate) inactive: FastMap<UpstreamId, Upstream>,
     pub(crate) mean_run_ms: f64,
     pub(crate) placed: FastMap<(HomeId, AssignmentId), (UpstreamId, RunId)>,
     pub(crate) queue: Queue,
@@ -40,6 +42,7 @@
     fn default() -> Self {
         Self {
             actions: Vec::new(),
+            inactive: FastMap::default(),
             mean_run_ms: INITIAL_RUN_MS,
             placed: FastMap::default(),
             queue: Queue::default(),
@@ -71,6 +74,7 @@
         self.place(now);
         self.return_unplaced(now);
         self.release_idle();
+        self.put_aside();
         self.send_holds(now);
     }
 
@@ -288,29 +292,30 @@
     }
 
     fn set_upstreams(&mut self, now: Instant, records: Vec<UpstreamRecord>) {
-        for upstream in self.upstreams.values_mut() {
+        for upstream in self.upstreams.values_mut().chain(self.inactive.values_mut()) {
             upstream.registered = false;
         }
         for record in records {
             let id = record.id.clone();
-            let Some(upstream) = self.upstreams.get_mut(&id) else {
-                self.upstreams.insert(id, Upstream::new(now, record));
-                continue;
-            };
-            let restarted = matches!(
-                (upstream.record.lifetime, record.lifetime),
-                (Some(known), Some(registered)) if registered > known
-            );
-            let lifetime = upstream.record.lifetime.max(record.lifetime);
-            upstream.record = UpstreamRecord { lifetime, ..record };
-            upstream.registered = true;
-            if restarted {
-                self.upstream_restarted(now, &id);
+            if let Some(upstream) = self.upstreams.get_mut(&id) {
+                if upstream.register(record) {
+                    self.upstream_restarted(now, &id);
+                }
+            } else if let Some(upstream) = self.inactive.get_mut(&id) {
+                if upstream.register(record) {
+                    upstream.reset_lifetime();
+                }
+            } else {
+                self.inactive.insert(id, Upstream::new(now, record));
             }
         }
-        self.upstreams.retain(|_, upstream| {
-            upstream.registered || !upstream.runs.is_empty() || upstream.holding || upstream.probing
-        });
+        self.inactive.retain(|_, upstream| upstream.registered);
+    }
+
+    /// Puts upstreams aside on which this entry has nothing to do any more.
+    fn put_aside(&mut self) {
+        let done = self.upstreams.extract_if(|_, upstream| !upstream.is_active());
+        self.inactive.extend(done.filter(|(_, upstream)| upstream.registered));
     }
 
     pub(crate) fn start(&mut self, now: Instant, id: &UpstreamId, task: Queued) {
--- a/crates/runs/src/upstream.rs
+++ b/crates/runs/src/upstream.rs
@@ -120,6 +120,24 @@
         }
     }
 
+    /// Takes over what the upstream says about itself; true when it says that its process is a new one.
+    pub(crate) fn register(&mut self, record: UpstreamRecord) -> bool {
+        let restarted = matches!(
+            (self.record.lifetime, record.lifetime),
+            (Some(known), Some(registered)) if registered > known
+        );
+        let lifetime = self.record.lifetime.max(record.lifetime);
+        self.record = UpstreamRecord { lifetime, ..record };
+        self.registered = true;
+        restarted
+    }
+
+    /// Whether this entry owns the upstream, or something of its own is still under way there.
+    pub(crate) fn is_active(&self) -> bool {
+        let owned = self.ownership != Ownership::None && (self.registered || !self.runs.is_empty());
+        owned || !self.runs.is_empty() || self.holding || self.probing
+    }
+
     pub(crate) fn owned(&self) -> bool {
         matches!(self.ownership, Ownership::Owned | Ownership::Releasing)
     }
