--- a/crates/runs/tests/settlement.rs
+++ b/crates/runs/tests/settlement.rs
@@ -87,12 +87,7 @@
 /// Guards against reports that a run has ended while its lease may still be alive.
 #[test]
 fn runs_of_a_silent_upstream_end_with_their_lease_and_not_before() {
-    let mut owner = Owner::new();
-    owner.assign(1, "job.0");
-    let actions = owner.actions();
-    let start = first_start(&actions);
-    let reply = owner.upstream.start(&start);
-    owner.handle(Event::StartEnded { reply, start });
+    let (mut owner, actions) = Owner::with_run();
     let hold = first_hold(&actions);
     owner.now += ms(900);
     owner.handle(Event::HoldEnded { hold, reply: HoldReply::Lost });
@@ -203,12 +198,7 @@
 /// Guards against taking a refused connection for the end of a process: a partition refuses connections too.
 #[test]
 fn a_refused_connection_does_not_end_runs() {
-    let mut owner = Owner::new();
-    owner.assign(1, "job.0");
-    let actions = owner.actions();
-    let start = first_start(&actions);
-    let reply = owner.upstream.start(&start);
-    owner.handle(Event::StartEnded { reply, start });
+    let (mut owner, actions) = Owner::with_run();
     owner.handle(Event::HoldEnded { hold: first_hold(&actions), reply: HoldReply::Refused });
     owner.actions();
     assert!(owner.outcomes(1).is_empty());
@@ -218,12 +208,7 @@
 /// twenty is not answered.
 #[test]
 fn one_lost_answer_does_not_pause_an_upstream() {
-    let mut owner = Owner::new();
-    owner.assign(1, "job.0");
-    let actions = owner.actions();
-    let start = first_start(&actions);
-    let reply = owner.upstream.start(&start);
-    owner.handle(Event::StartEnded { reply, start });
+    let (mut owner, actions) = Owner::with_run();
     owner.handle(Event::HoldEnded { hold: first_hold(&actions), reply: HoldReply::Lost });
     let repeated = first_hold(&owner.actions());
     owner.assign(2, "job.1");
--- a/crates/runs/tests/support/mod.rs
+++ b/crates/runs/tests/support/mod.rs
@@ -212,6 +212,17 @@
         owner
     }
 
+    /// An owner with a confirmed run of `job.0`, and the orders beside its start.
+    pub(crate) fn with_run() -> (Self, Vec<Action>) {
+        let mut owner = Self::new();
+        owner.assign(1, "job.0");
+        let actions = owner.actions();
+        let start = first_start(&actions);
+        let reply = owner.upstream.start(&start);
+        owner.handle(Event::StartEnded { reply, start });
+        (owner, actions)
+    }
+
     pub(crate) fn handle(&mut self, event: Event) {
         self.runner.handle(self.now, event);
     }
