node: log when a peer falls silent and when it is heard again

Cause: that a silent peer gets no new tasks is a change of belief without a log line. Conclusion: no behaviour changed.

--- a/crates/node/src/journal.rs
+++ b/crates/node/src/journal.rs
@@ -29,6 +29,13 @@
         /// Whether the peer was silent.
         silent: bool,
     },
+    /// A peer has fallen silent, or is heard again.
+    PeerQuiet {
+        /// The peer's process.
+        peer: HomeId,
+        /// Whether it is silent.
+        quiet: bool,
+    },
     /// A decision about a run or an upstream.
     Run(RunNotice),
     /// The process stood still.
@@ -46,6 +53,9 @@
             Self::PeerLost { error, peer, silent } => {
                 emit(LogEvent::PeerLost, &json!({ "error": error, "peer": peer, "silent": silent }));
             }
+            Self::PeerQuiet { peer, quiet } => {
+                emit(LogEvent::PeerQuiet, &json!({ "peer": peer, "quiet": quiet }));
+            }
             Self::Run(notice) => write_run(notice),
             Self::Suspended(time) => {
                 emit(LogEvent::ProcessSuspended, &json!({ "for_ms": whole_ms(*time) }));
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -88,6 +88,8 @@
             Line::Job(notice) => self.observe_job(notice),
             Line::PeerFound { .. } => self.events.with_label_values(&["peer_linked"]).inc(),
             Line::PeerLost { .. } => self.events.with_label_values(&["peer_lost"]).inc(),
+            Line::PeerQuiet { quiet: true, .. } => self.events.with_label_values(&["peer_quiet"]).inc(),
+            Line::PeerQuiet { quiet: false, .. } => {}
             Line::Run(notice) => self.observe_run(notice),
             Line::Suspended(_) => self.events.with_label_values(&["suspended"]).inc(),
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -15,6 +15,7 @@
 
 use crate::engine::{Engine, FENCE_TIME_SHIFT};
 use crate::event::{Input, Output, Ticket};
+use crate::journal::Line;
 use crate::metrics::NodeMetrics;
 
 /// Time between two ticks of the engine.
@@ -233,6 +234,11 @@
     fn check_quiet_peers(&mut self, now: Instant) {
         let quiet = self.mesh.quiet(now, QUIET_LIMIT);
         if quiet != self.quiet {
+            for peer in quiet.symmetric_difference(&self.quiet) {
+                let line = Line::PeerQuiet { peer: *peer, quiet: quiet.contains(peer) };
+                self.metrics.observe(&line);
+                line.write();
+            }
             self.quiet.clone_from(&quiet);
             self.engine.handle(now, Input::QuietPeers(quiet));
         }
--- a/crates/node/src/ownership.rs
+++ b/crates/node/src/ownership.rs
@@ -32,7 +32,8 @@
     upstreams: Vec<(UpstreamId, u32)>,
 }
 
-/// When upstreams last reported, and since when data centres have had no entries.
+/// What is remembered between two looks: when upstreams last reported, since when data centres have had no entries, and
+/// the last divisions.
 #[derive(Debug, Default)]
 pub(crate) struct Sightings {
     /// Divisions computed last. A division costs time in proportion to entries times upstreams.
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -104,6 +104,8 @@
     PeerLost = 1631,
     ///The process stood still; what it believed about runs and callers is discarded.
     ProcessSuspended = 1632,
+    ///A peer has been silent for longer than usual and gets no new tasks, or is heard again.
+    PeerQuiet = 1633,
     ///This entry is registered in the store.
     Registered = 1640,
     ///The registration in the store may have expired; says why.
@@ -166,6 +168,7 @@
         Self::PeerLinked,
         Self::PeerLost,
         Self::ProcessSuspended,
+        Self::PeerQuiet,
         Self::Registered,
         Self::RegistrationLost,
         Self::LogLinesDropped,
@@ -235,6 +238,7 @@
             Self::PeerLinked => "PEER_LINKED",
             Self::PeerLost => "PEER_LOST",
             Self::ProcessSuspended => "PROCESS_SUSPENDED",
+            Self::PeerQuiet => "PEER_QUIET",
             Self::Registered => "REGISTERED",
             Self::RegistrationLost => "REGISTRATION_LOST",
             Self::LogLinesDropped => "LOG_LINES_DROPPED",
@@ -297,6 +301,7 @@
             Self::PeerLinked => "info",
             Self::PeerLost => "warn",
             Self::ProcessSuspended => "warn",
+            Self::PeerQuiet => "info",
             Self::Registered => "info",
             Self::RegistrationLost => "warn",
             Self::LogLinesDropped => "warn",
