Client: a failed cancellation or status call no longer reports that nothing has run

Cause: calls other than submissions shared the error of the key fetch, whose outcome is FailedNotRun. After a lost answer, an answer that could not be read, or a rejection by an entry that had not asked the owner of the key, the caller was told that the submission had not run, although its tasks may have been running.

Ruled out: leaving it to the documentation ('holds for submissions only'); callers branch on outcome().

Change: without a usable reply such a call reports FailedMayHaveRun; a rejection keeps its outcome only if its code proves that the owner was asked. The key fetch, after which nothing was sent, keeps FailedNotRun.

--- a/crates/client/src/calls.rs
+++ b/crates/client/src/calls.rs
@@ -46,7 +46,8 @@
         response.unwrap_or_else(|_| Err(SendError::NoResponse("the response timed out".to_owned())))
     }
 
-    /// Calls one entry after another until one returns a reply for which `accept` is true, or rejects the call.
+    /// Calls one entry after another until one returns a reply for which `accept` is true, or rejects the call. Without
+    /// such a reply it is unknown whether the tasks that the call is about have run.
     pub(crate) async fn request<R: DeserializeOwned>(
         &self,
         method: Method,
@@ -64,10 +65,15 @@
                 Ok(Ok(_)) => "the reply belongs to another submission".to_owned(),
                 Ok(Err(CallError::Rejected(reply))) => return Err(ClientError::Rejected(reply)),
                 Ok(Err(CallError::Retry(error))) => error,
-                Err(_) => return Err(unreachable("the deadline has passed".to_owned())),
+                Err(_) => {
+                    let last_error = "the deadline has passed".to_owned();
+                    return Err(unreachable(Outcome::FailedMayHaveRun, last_error));
+                }
             };
             entry = self.entry_after(entry);
-            self.pause(&mut backoff, deadline, last_error).await?;
+            if !pause(&mut backoff, deadline).await {
+                return Err(unreachable(Outcome::FailedMayHaveRun, last_error));
+            }
         }
     }
 
@@ -101,9 +107,14 @@
                 Ok(Ok(())) => return Ok(()),
                 Ok(Err(CallError::Rejected(reply))) => format!("{}: {}", reply.name, reply.message),
                 Ok(Err(CallError::Retry(error))) => error,
-                Err(_) => return Err(unreachable("no keys were issued before the deadline".to_owned())),
+                Err(_) => {
+                    let last_error = "no keys were issued before the deadline".to_owned();
+                    return Err(unreachable(Outcome::FailedNotRun, last_error));
+                }
             };
-            self.pause(backoff, deadline, last_error).await?;
+            if !pause(backoff, deadline).await {
+                return Err(unreachable(Outcome::FailedNotRun, last_error));
+            }
         }
     }
 
@@ -158,24 +169,19 @@
             _ => CallError::Retry(format!("{}: {}", reply.name, reply.message)),
         })
     }
+}
 
-    /// Waits before the next attempt; fails with `last_error` if no attempt is left before the deadline.
-    async fn pause(
-        &self,
-        backoff: &mut Backoff,
-        deadline: Instant,
-        last_error: String,
-    ) -> Result<(), ClientError> {
-        match backoff.next() {
-            Some(pause) if Instant::now() + pause < deadline => {
-                sleep(pause).await;
-                Ok(())
-            }
-            _ => Err(unreachable(last_error)),
+/// Waits before the next attempt; false if no attempt is left before the deadline.
+async fn pause(backoff: &mut Backoff, deadline: Instant) -> bool {
+    match backoff.next() {
+        Some(pause) if Instant::now() + pause < deadline => {
+            sleep(pause).await;
+            true
         }
+        _ => false,
     }
 }
 
-fn unreachable(last_error: String) -> ClientError {
-    ClientError::Unreachable { key: None, last_error, outcome: Outcome::FailedNotRun }
+fn unreachable(outcome: Outcome, last_error: String) -> ClientError {
+    ClientError::Unreachable { key: None, last_error, outcome }
 }
--- a/crates/client/src/error.rs
+++ b/crates/client/src/error.rs
@@ -3,6 +3,8 @@
 use hinge_wire::{CodecError, ErrorReply, Outcome};
 use thiserror::Error;
 
+use crate::rules::is_from_owner;
+
 /// Why a client cannot be built.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
 pub enum BuildError {
@@ -34,7 +36,8 @@
         key: Option<String>,
         /// Error of the last attempt.
         last_error: String,
-        /// `FailedMayHaveRun` if a copy of the submission may have reached its owner, else `FailedNotRun`.
+        /// `FailedMayHaveRun` if a copy of the submission may have reached its owner, and after a cancellation or status
+        /// call; else `FailedNotRun`.
         outcome: Outcome,
     },
 }
@@ -42,12 +45,13 @@
 impl ClientError {
     /// Whether tasks of the submission may have run.
     ///
-    /// This holds for submissions only: after a failed cancellation or status call it says nothing about the tasks.
+    /// After a cancellation or status call this is `FailedMayHaveRun`, unless the owner of the key has said otherwise.
     #[must_use]
-    pub const fn outcome(&self) -> Outcome {
+    pub fn outcome(&self) -> Outcome {
         match self {
             Self::InvalidKey(_) | Self::Encode(_) => Outcome::FailedNotRun,
-            Self::Rejected(reply) => reply.outcome,
+            Self::Rejected(reply) if is_from_owner(reply) => reply.outcome,
+            Self::Rejected(_) => Outcome::FailedMayHaveRun,
             Self::Unreachable { outcome, .. } => *outcome,
         }
     }
--- a/crates/client/src/rules.rs
+++ b/crates/client/src/rules.rs
@@ -121,6 +121,11 @@
         )
 }
 
+/// Whether the reply proves that the owner of the key was asked, so that its outcome holds for the submission.
+pub(crate) fn is_from_owner(reply: &ErrorReply) -> bool {
+    ResultCode::from_number(reply.code).is_some_and(|code| !is_possibly_local(code))
+}
+
 /// Whether the code describes the state of the receiving entry and says nothing about the submission.
 pub(crate) const fn is_entry_state(code: ResultCode) -> bool {
     matches!(code, ResultCode::Draining) || is_temporary_entry_state(code)
--- a/crates/client/tests/rules.rs
+++ b/crates/client/tests/rules.rs
@@ -284,6 +284,38 @@
     assert_eq!(script.requests.lock().unwrap().len(), 3);
 }
 
+/// Guards against the report "has not run" for a submission whose tasks may be running: the answer to a cancellation or
+/// a status call was lost, or came from an entry that had not asked the owner of the key.
+#[tokio::test(start_paused = true)]
+async fn a_failed_cancellation_or_status_call_proves_nothing_about_the_tasks() {
+    let key = "dc1.e7001.00000000000000ff.1";
+    let failures =
+        [Step::Lost, Step::NotSent, Step::Reply(200, "{}".to_owned()), error(ResultCode::Draining)];
+    for step in failures {
+        for cancels in [true, false] {
+            let steps = vec![step.clone(); 3].into();
+            let script = Script { steps: Arc::new(Mutex::new(steps)), ..Script::default() };
+            let client = builder().max_attempts(3).build_with(script).unwrap();
+            let error = if cancels {
+                client.cancel(key).await.map(drop).unwrap_err()
+            } else {
+                client.status(key).await.map(drop).unwrap_err()
+            };
+            assert_eq!(error.outcome(), Outcome::FailedMayHaveRun, "{step:?}, cancels: {cancels}");
+        }
+    }
+}
+
+/// Guards against doubt about a submission that the owner of its key does not hold.
+#[tokio::test(start_paused = true)]
+async fn a_rejection_by_the_owner_tells_whether_the_tasks_have_run() {
+    let steps = vec![error(ResultCode::KeyUnused)].into();
+    let script = Script { steps: Arc::new(Mutex::new(steps)), ..Script::default() };
+    let client = builder().build_with(script).unwrap();
+    let failure = client.status("dc1.e7001.00000000000000ff.1").await.map(drop).unwrap_err();
+    assert_eq!(failure.outcome(), Outcome::FailedNotRun);
+}
+
 /// Guards against one request for keys per submission, and against using a key late in its validity.
 #[tokio::test(start_paused = true)]
 async fn keys_are_fetched_in_bulk_and_used_early() {
