Jobs: the objective of a job counts from its caller's first attempt

Cause: after the loss of all entries, the callers whose connections broke come back at the same moment as new ones arrive, and the objective of each counted from its new submission.

Ruled out: the restart itself (from process start to the first owned upstream 0.11 s in the log).

Change: a caller sends the time that it still waits. What is missing to the timeout of its queue went by in earlier attempts; the objective and the time of use are reduced by it. So a returning caller is served at once where there is room, and is rejected at once instead of waiting for room. A queue whose callers all come with less than its timeout shows nothing by it.

--- a/crates/jobs/src/estimate.rs
+++ b/crates/jobs/src/estimate.rs
@@ -9,8 +9,8 @@
 const AVERAGE_WEIGHT: f64 = 0.03;
 /// Weight of the caller's estimate in the expected run time; the rest is the weight of the queue's mean run time.
 const ESTIMATE_WEIGHT: f64 = 0.5;
-/// Maximum number of queues with averages of their own; other queues use the callers' estimates.
-const MAX_QUEUES: usize = 4_096;
+/// Maximum number of queues about which something is learned; other queues use what the callers say.
+pub(crate) const MAX_QUEUES: usize = 4_096;
 
 #[derive(Clone, Copy, Debug)]
 struct QueueAverages {
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -25,6 +25,8 @@
     pub stretch: f64,
     /// Time added to the stretched run time in a job's objective.
     pub target: Duration,
+    /// Time that callers give a job at least when they send it for the first time.
+    pub timeout: Duration,
 }
 
 /// A job of identical tasks that run independently of each other.
@@ -200,8 +202,9 @@
     pub(crate) failed_runs: Vec<u32>,
     /// When the caller stops waiting.
     pub(crate) expires_at: Instant,
-    /// Time from submission in which the job should end: the stretched run time plus the queue's target.
-    pub(crate) objective: Duration,
+    /// When the job should have ended: the stretched run time plus the queue's target, counted from the caller's first
+    /// attempt.
+    pub(crate) objective_at: Instant,
     pub(crate) received_at: Instant,
     pub(crate) request: JobRequest,
     /// Whether a task has run or may have run.
@@ -209,6 +212,8 @@
     /// Number of tasks that are not done.
     pub(crate) remaining: u32,
     pub(crate) tasks: Vec<TaskState>,
+    /// When an answer stops being of use to the caller.
+    pub(crate) use_until: Instant,
     /// Set when all tasks are cancelled because the job cannot start in time. It ends once each owner has reported
     /// whether its task has started.
     pub(crate) withdrawn: bool,
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -6,6 +6,8 @@
 //!
 //! - A job that would end too late is rejected before any of its tasks starts, with a delay for the caller's retry.
 //!   [`Answer::Rejected`] means that no task has run.
+//! - The objective of a job counts from its caller's first attempt. Callers that come back after they have waited for too
+//!   long are served only where there is room, so that they do not delay callers that can still be in time.
 //! - A task is started again only if its previous run is known to have ended. If that is unknown, the job fails.
 //!
 //! ```
@@ -30,6 +32,7 @@
 //!         service: "deicing".into(),
 //!         stretch: 1.6,
 //!         target: Duration::from_millis(60),
+//!         timeout: Duration::from_millis(1_500),
 //!     },
 //!     run: 1,
 //!     spec: "truck 4".into(),
@@ -40,6 +43,7 @@
 //! assert_eq!(assigned, 8);
 //! ```
 
+mod budget;
 mod estimate;
 mod job;
 mod owners;
--- a/crates/jobs/src/placing.rs
+++ b/crates/jobs/src/placing.rs
@@ -12,8 +12,6 @@
 use crate::table::{Placement, Stage};
 use crate::{Action, Answer, FailCause, JobNumber, JobRequest, JobTable, Notice, RejectCause};
 
-/// Multiple of the objective after which an answer is of no use to the caller; tasks are not retried beyond it.
-const LATE_FACTOR: u32 = 3;
 /// Time that a task must have waited at its owner before it may be moved to another one.
 const MOVE_AFTER: Duration = Duration::from_millis(15);
 /// Minimum estimated wait at its owner for which moving a task is worth the messages.
@@ -89,7 +87,7 @@
     pub(crate) fn slack(&self, now: Instant, number: JobNumber) -> Duration {
         let Some(job) = self.jobs.get(&number) else { return Duration::ZERO };
         let expected = self.estimates.expected(&job.request.queue.name, job.request.estimate);
-        let end_by = (job.received_at + job.objective).min(job.expires_at);
+        let end_by = job.objective_at.min(job.expires_at);
         end_by.saturating_duration_since(now + expected)
     }
 
@@ -109,8 +107,7 @@
     fn longest_wait(&self, now: Instant, queue: &str) -> Duration {
         let waiting = self.assignments.values().filter(|placement| placement.stage == Stage::Waiting);
         let jobs = waiting.filter_map(|placement| self.jobs.get(&placement.job));
-        let in_time =
-            jobs.filter(|job| &*job.request.queue.name == queue && now < job.received_at + job.objective);
+        let in_time = jobs.filter(|job| &*job.request.queue.name == queue && now < job.objective_at);
         in_time.map(|job| now.duration_since(job.received_at)).max().unwrap_or_default()
     }
 
@@ -199,7 +196,7 @@
     pub(crate) fn move_returned_task(&mut self, now: Instant, placement: Placement, report: &TaskReport) {
         let Some(job) = self.jobs.get(&placement.job) else { return };
         let expected = self.estimates.expected(&job.request.queue.name, job.request.estimate);
-        let start_within = (job.received_at + job.objective).saturating_duration_since(now + expected);
+        let start_within = job.objective_at.saturating_duration_since(now + expected);
         let returned = if placement.stage == Stage::Offered { placement.returned + 1 } else { 0 };
         let placement = Placement { returned, ..placement };
         let attempt = Attempt { avoid: None, expected, late: false, run: report.run, start_within };
@@ -213,8 +210,7 @@
     pub(crate) fn retry_task(&mut self, now: Instant, placement: Placement, report: &TaskReport) {
         let Some(job) = self.jobs.get(&placement.job) else { return };
         let expected = self.estimates.expected(&job.request.queue.name, job.request.estimate);
-        let use_until = (job.received_at + job.objective * LATE_FACTOR).min(job.expires_at);
-        let start_within = use_until.saturating_duration_since(now + expected);
+        let start_within = job.use_until.saturating_duration_since(now + expected);
         let repeated = Notice::Repeated {
             id: job.request.id.clone(),
             outcome: report.outcome,
@@ -222,7 +218,7 @@
             upstream: report.upstream.clone(),
         };
         let avoid = if report.outcome == Outcome::NotStarted { None } else { report.upstream.clone() };
-        let late = now + expected > job.received_at + job.objective;
+        let late = now + expected > job.objective_at;
         let attempt = Attempt { avoid, expected, late, run: report.run + 1, start_within };
         if start_within.is_zero() || !self.assign_to_best_owner(now, placement, attempt) {
             self.answer(now, placement.job, Answer::Failed(FailCause::Late));
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -8,6 +8,7 @@
 use rand::{Rng, SeedableRng};
 use tokio::time::Instant;
 
+use crate::budget::Budgets;
 use crate::estimate::Estimates;
 use crate::job::{Job, TaskState};
 use crate::owners::Owners;
@@ -15,6 +16,8 @@
 
 /// Bounds of the random retry delay for rejected callers.
 const RETRY_AFTER: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(2));
+/// Multiple of the objective after which an answer is of no use to the caller; tasks are not retried beyond it.
+const LATE_FACTOR: u32 = 3;
 
 /// The task, job and owner of an assignment.
 #[derive(Clone, Copy, Debug)]
@@ -46,6 +49,7 @@
 pub struct JobTable {
     pub(crate) actions: Vec<Action>,
     pub(crate) assignments: FastMap<AssignmentId, Placement>,
+    pub(crate) budgets: Budgets,
     pub(crate) estimates: Estimates,
     pub(crate) jobs: FastMap<JobNumber, Job>,
     pub(crate) next_assignment: AssignmentId,
@@ -66,6 +70,7 @@
         Self {
             actions: Vec::new(),
             assignments: FastMap::default(),
+            budgets: Budgets::default(),
             estimates: Estimates::default(),
             jobs: FastMap::default(),
             next_assignment: 1,
@@ -134,16 +139,18 @@
         self.next_job += 1;
         let expected = self.estimates.expected(&request.queue.name, request.estimate);
         let objective = expected.mul_f64(request.queue.stretch.max(1.0)) + request.queue.target;
-        let tasks = request.tasks;
+        let waited = self.budgets.waited(&request.queue, request.budget);
+        let (tasks, expires_at) = (request.tasks, now + request.budget);
         let job = Job {
             failed_runs: vec![0; tasks as usize],
-            expires_at: now + request.budget,
-            objective,
+            expires_at,
+            objective_at: now + objective.saturating_sub(waited),
             may_have_run: false,
             received_at: now,
             remaining: tasks,
             request,
             tasks: Vec::with_capacity(tasks as usize),
+            use_until: expires_at.min(now + (objective * LATE_FACTOR).saturating_sub(waited)),
             withdrawn: false,
         };
         self.jobs.insert(number, job);
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -28,6 +28,7 @@
             service: SERVICE.into(),
             stretch: 1.6,
             target: ms(60),
+            timeout: ms(1_500),
         },
         run: 100,
         spec: "spec".into(),
