Mesh: a link outlives its connection

Cause: an assignment was void as soon as the connection on which it was handed over ended. A connection that is reset while both entries run, or goes silent for good while new ones work, so failed every job with a task on the other side (502, 10 to 40 jobs each time), and its runs were stopped.

Ruled out: asking the owner after a reconnect which assignments it never started (helps only tasks that have not started, and needs a state in which both sides know that they may still be asked).

Change: both sides count the messages that they have received and keep those that the other has not acknowledged. The dialling side opens another connection at once when one is closed, or when nothing came for 350 ms. Both name the link that they have; if it is the same, what is missing is sent again, and the link continues. Otherwise it is down after 150 ms, and never later than after 500 ms of silence, on which the bounds for lost homes and owners rest. A peer without a connection gets no new tasks. Entries that do not say that they resume links are treated as before. Found on the way: a peer that was registered at another address while its old link was up stayed linked for ever, because the dialling task was aborted with the connection inside it. Connections now have tasks of their own.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -5,6 +5,9 @@
 //! [`SILENCE_LIMIT`] closes the connection, so that both sides detect that the link is down. A link to another data
 //! centre may become idle; then both times are longer.
 //!
+//! A link outlives its connection for a short time: when a connection is reset or stalls, the dialling side opens another
+//! one, on which the link continues without the loss of a message.
+//!
 //! All assignments that were sent over a link become invalid when it goes down. Homes and owners rely on this to decide
 //! which runs must be stopped.
 //!
@@ -13,7 +16,8 @@
 mod link;
 mod mesh;
 mod message;
+mod session;
 
 pub use link::{HEARTBEAT_INTERVAL, SILENCE_LIMIT};
 pub use mesh::{Mesh, MeshEvent, PeerAddress};
-pub use message::{Hello, Message, OwnedUpstream, ServiceLoad, Status};
+pub use message::{Hello, LinkId, Message, OwnedUpstream, Resume, ServiceLoad, Status};
--- a/crates/mesh/src/link.rs
+++ b/crates/mesh/src/link.rs
@@ -8,10 +8,10 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::mpsc;
 use tokio::time::{Instant, error::Elapsed, timeout};
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
+use crate::session::{Outgoing, Session};
 use crate::{Hello, Message};
 
 /// Longest time between two messages on a link that is not idle.
@@ -19,6 +19,9 @@
 /// Time without a message after which a link is down. Together with the lease of runs (0.75 s) it is shorter than the
 /// 1.3 s after which callers resubmit a job.
 pub const SILENCE_LIMIT: Duration = Duration::from_millis(500);
+/// Time without a message after which the side that dials replaces the connection. A connection can go silent for good
+/// while new ones work; the link then continues on a new one.
+const STALLED_AFTER: Duration = Duration::from_millis(350);
 /// Time without messages other than heartbeats after which a side lets a link to another data centre become idle.
 const IDLE_AFTER: Duration = Duration::from_secs(2);
 /// Replaces [`HEARTBEAT_INTERVAL`] on an idle link.
@@ -43,12 +46,20 @@
     Timeout(#[from] Elapsed),
     #[error("the first message is not Hello")]
     NoHello,
+    #[error("replaced by another connection")]
+    Replaced,
+    #[error("the link cannot be continued")]
+    ResumeFailed,
+    #[error("no message for a while")]
+    Stalled,
 }
 
 pub(crate) struct Reader {
     frames: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
     /// Time without a message after which the link is down.
     silence_limit: Duration,
+    /// Whether this side has dialled, and replaces a connection that has stalled.
+    dialled: bool,
 }
 
 pub(crate) struct Writer(FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>);
@@ -58,12 +69,16 @@
 }
 
 /// Splits a connection and exchanges [`Message::Hello`] with the peer.
-pub(crate) async fn open(stream: TcpStream, local: &Hello) -> Result<(Hello, Reader, Writer), LinkError> {
+pub(crate) async fn open(
+    stream: TcpStream,
+    local: &Hello,
+    dialled: bool,
+) -> Result<(Hello, Reader, Writer), LinkError> {
     stream.set_nodelay(true)?;
     let (read, write) = stream.into_split();
-    let mut reader = Reader { frames: FramedRead::new(read, codec()), silence_limit: SILENCE_LIMIT };
+    let mut reader = Reader { frames: FramedRead::new(read, codec()), silence_limit: SILENCE_LIMIT, dialled };
     let mut writer = Writer(FramedWrite::new(write, codec()));
-    writer.write(&[Message::Hello(local.clone())]).await?;
+    writer.write(&Message::Hello(local.clone())).await?;
     match reader.next().await? {
         Message::Hello(hello) => Ok((hello, reader, writer)),
         _ => Err(LinkError::NoHello),
@@ -73,7 +88,12 @@
 impl Reader {
     /// Returns the next message; fails if there is none in time. [`Message::Idle`] extends the time until the next one.
     pub(crate) async fn next(&mut self) -> Result<Message, LinkError> {
-        let frame = timeout(self.silence_limit, self.frames.next()).await?.ok_or(LinkError::Closed)??;
+        let may_stall = self.dialled && self.silence_limit == SILENCE_LIMIT;
+        let limit = if may_stall { STALLED_AFTER } else { self.silence_limit };
+        let frame = match timeout(limit, self.frames.next()).await {
+            Err(_) if may_stall => return Err(LinkError::Stalled),
+            frame => frame?.ok_or(LinkError::Closed)??,
+        };
         let message = from_msgpack(&frame)?;
         self.silence_limit = if message == Message::Idle { IDLE_SILENCE_LIMIT } else { SILENCE_LIMIT };
         Ok(message)
@@ -81,9 +101,16 @@
 }
 
 impl Writer {
-    async fn write(&mut self, messages: &[Message]) -> Result<(), LinkError> {
-        for message in messages {
-            self.0.feed(Bytes::from(to_msgpack(message)?)).await?;
+    pub(crate) async fn write(&mut self, message: &Message) -> Result<(), LinkError> {
+        self.write_frames([Bytes::from(to_msgpack(message)?)]).await
+    }
+
+    pub(crate) async fn write_frames(
+        &mut self,
+        frames: impl IntoIterator<Item = Bytes>,
+    ) -> Result<(), LinkError> {
+        for frame in frames {
+            self.0.feed(frame).await?;
         }
         timeout(SILENCE_LIMIT, SinkExt::<Bytes>::flush(&mut self.0)).await??;
         Ok(())
@@ -91,27 +118,39 @@
 
     /// Writes queued messages, and heartbeats when there are none, until the queue is closed or a write fails. If
     /// `may_idle` is set, heartbeats become less frequent after a while without other messages.
-    pub(crate) async fn run(mut self, mut queue: mpsc::Receiver<Message>, may_idle: bool) -> LinkError {
+    pub(crate) async fn run(
+        mut self,
+        session: &Session,
+        outgoing: &mut Outgoing,
+        may_idle: bool,
+    ) -> Result<(), LinkError> {
         let mut batch = Vec::with_capacity(WRITE_BATCH);
         let mut last_write_at = Instant::now();
         let mut interval = HEARTBEAT_INTERVAL;
         loop {
             batch.clear();
-            match timeout(interval, queue.recv_many(&mut batch, WRITE_BATCH)).await {
-                Ok(0) => return LinkError::Closed,
+            let idle = match timeout(interval, outgoing.queue.recv_many(&mut batch, WRITE_BATCH)).await {
+                Ok(0) => return Err(LinkError::Closed),
                 Ok(_) => {
                     last_write_at = Instant::now();
                     interval = HEARTBEAT_INTERVAL;
+                    false
                 }
-                Err(_) if may_idle && last_write_at.elapsed() >= IDLE_AFTER => {
-                    interval = IDLE_HEARTBEAT_INTERVAL;
-                    batch.push(Message::Idle);
-                }
-                Err(_) => batch.push(Message::Heartbeat),
+                Err(_) => true,
+            };
+            let encoded: Result<Vec<_>, _> =
+                batch.iter().map(|message| outgoing.encode(session, message)).collect();
+            let mut frames = encoded?;
+            if let Some(acknowledgement) = outgoing.acknowledgement(session, idle) {
+                frames.push(to_msgpack(&acknowledgement)?.into());
             }
-            if let Err(error) = self.write(&batch).await {
-                return error;
+            if idle && may_idle && last_write_at.elapsed() >= IDLE_AFTER {
+                interval = IDLE_HEARTBEAT_INTERVAL;
+                frames.push(to_msgpack(&Message::Idle)?.into());
+            } else if frames.is_empty() {
+                frames.push(to_msgpack(&Message::Heartbeat)?.into());
             }
+            self.write_frames(frames).await?;
         }
     }
 }
--- a/crates/mesh/src/mesh.rs
+++ b/crates/mesh/src/mesh.rs
@@ -9,12 +9,15 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use crate::link::{self, LinkError, SILENCE_LIMIT};
-use crate::{Hello, Message};
+use crate::link::{self, LinkError, Reader, SILENCE_LIMIT, Writer};
+use crate::session::Session;
+use crate::{Hello, LinkId, Message, Resume};
 
-/// Delay before a peer is dialled again.
+/// Time that a link lasts without a connection, so that a reset voids nothing.
+const RESUME_WINDOW: Duration = Duration::from_millis(150);
+/// Delay before a peer without a link is dialled again.
 const RECONNECT_DELAY: Duration = Duration::from_millis(100);
 /// Time after which a peer that is no longer registered and has no link is no longer dialled.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
@@ -43,6 +46,8 @@
         peer: HomeId,
         /// Whether a read or write timed out; otherwise the connection was closed or failed.
         silent: bool,
+        /// When the last connection ended.
+        since: Instant,
     },
     /// A peer sent a message other than a heartbeat.
     Received {
@@ -62,11 +67,10 @@
 
 /// A link that is up.
 struct Link {
-    /// When the last message arrived; none while the peer lets the link idle.
-    last_received_at: Arc<Mutex<Option<Instant>>>,
-    /// Increases with each new link to the same process, to tell a replaced link from the current one.
-    number: u64,
     queue: mpsc::Sender<Message>,
+    session: Arc<Session>,
+    /// When its connection ended, if it waits for another one.
+    suspended_at: Option<Instant>,
 }
 
 type Links = FastMap<HomeId, Link>;
@@ -82,6 +86,91 @@
     fn links(&self) -> MutexGuard<'_, Links> {
         lock(&self.links)
     }
+
+    /// The link to a process, if it can continue on another connection. The connection that carries it ends.
+    fn claim(&self, peer: HomeId) -> Option<Claim> {
+        let mut links = self.links();
+        let link = links.get_mut(&peer).filter(|link| link.session.peer.resumable)?;
+        link.suspended_at = None;
+        link.session.connection.send_modify(|number| *number += 1);
+        Some(Claim { number: *link.session.connection.borrow(), session: link.session.clone() })
+    }
+
+    /// Creates the link to a process, in place of an earlier one.
+    fn create(&self, id: LinkId, peer: Hello) -> Claim {
+        let (queue, messages) = mpsc::channel(MAX_QUEUED_MESSAGES);
+        let session = Arc::new(Session::new(id, peer, messages));
+        let link = Link { queue, session: session.clone(), suspended_at: None };
+        if let Some(old) = self.links().insert(session.peer.incarnation, link) {
+            old.session.connection.send_modify(|number| *number += 1);
+        }
+        Claim { number: 1, session }
+    }
+
+    /// Ends a link whose connection is gone, unless another connection carries it or another link has replaced it.
+    async fn end(&self, claim: &Claim, error: &LinkError, since: Instant) {
+        let peer = claim.session.peer.incarnation;
+        let replaced = {
+            let mut links = self.links();
+            let replaced = links.get(&peer).is_some_and(|link| !claim.carries(link));
+            if !replaced {
+                links.remove(&peer);
+            }
+            replaced
+        };
+        if !replaced {
+            let silent = matches!(error, LinkError::Stalled | LinkError::Timeout(_));
+            self.report_down(peer, error.to_string(), silent, since).await;
+        }
+    }
+
+    /// Ends the link to an instance whose process is gone, if it waits for another connection.
+    async fn end_suspended(&self, instance: &InstanceId) {
+        let ended = {
+            let mut links = self.links();
+            let suspended = links.iter().find_map(|(peer, link)| {
+                link.suspended_at.filter(|_| link.session.peer.instance == *instance).map(|at| (*peer, at))
+            });
+            if let Some((peer, _)) = suspended {
+                links.remove(&peer);
+            }
+            suspended
+        };
+        if let Some((peer, since)) = ended {
+            self.report_down(peer, "refused".to_owned(), false, since).await;
+        }
+    }
+
+    async fn report_down(&self, peer: HomeId, error: String, silent: bool, since: Instant) {
+        // Fails only when the node has stopped.
+        let _ = self.events.send(MeshEvent::Down { error, peer, silent, since }).await;
+    }
+
+    /// Whether the link now waits for another connection.
+    fn suspend(&self, claim: &Claim, now: Instant) -> bool {
+        let mut links = self.links();
+        let link = links.get_mut(&claim.session.peer.incarnation).filter(|link| claim.carries(link));
+        link.map(|link| link.suspended_at = Some(now)).is_some()
+    }
+}
+
+/// A connection's hold on a link; void once another connection has claimed the link.
+struct Claim {
+    number: u64,
+    session: Arc<Session>,
+}
+
+impl Claim {
+    fn carries(&self, link: &Link) -> bool {
+        Arc::ptr_eq(&link.session, &self.session) && *self.session.connection.borrow() == self.number
+    }
+
+    /// Waits until another connection has claimed the link.
+    async fn replaced(&self) {
+        let mut connection = self.session.connection.subscribe();
+        // Fails only when the session is gone.
+        let _ = connection.wait_for(|number| *number != self.number).await;
+    }
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -145,13 +234,15 @@
         false
     }
 
-    /// Peers with a link that have sent no message for longer than `limit`, without those that let their link idle.
+    /// Peers with a link that has no connection, or that have sent no message for longer than `limit`. Peers that let
+    /// their link idle do not count.
     #[must_use]
     pub fn unresponsive_peers(&self, now: Instant, limit: Duration) -> FastSet<HomeId> {
         let links = self.shared.links();
         let unresponsive = links.iter().filter(|(_, link)| {
-            lock(&link.last_received_at)
-                .is_some_and(|last_received_at| now.duration_since(last_received_at) > limit)
+            let last_received_at = *link.session.last_received_at();
+            let silent = last_received_at.is_some_and(|at| now.duration_since(at) > limit);
+            silent || link.suspended_at.is_some()
         });
         unresponsive.map(|(peer, _)| *peer).collect()
     }
@@ -162,7 +253,7 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let shared = shared.clone();
-                tokio::spawn(async move { run_link(stream, &shared).await });
+                tokio::spawn(async move { run_connection(stream, &shared, false).await });
             }
             Err(_) => sleep(ACCEPT_BACKOFF).await,
         }
@@ -173,8 +264,16 @@
 async fn dial_peer(peer: PeerAddress, shared: Arc<Shared>, listed_at: Arc<Mutex<Instant>>) {
     while lock(&listed_at).elapsed() < FORGET_AFTER {
         match timeout(SILENCE_LIMIT, TcpStream::connect(peer.address)).await {
-            Ok(Ok(stream)) => run_link(stream, &shared).await,
+            Ok(Ok(stream)) => {
+                // A task of its own, because this one is aborted when the peer gets another address.
+                let shared = shared.clone();
+                let connection = tokio::spawn(async move { run_connection(stream, &shared, true).await });
+                if connection.await.unwrap_or(false) {
+                    continue;
+                }
+            }
             Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+                shared.end_suspended(&peer.instance).await;
                 let refused = MeshEvent::Refused { instance: peer.instance.clone() };
                 let _ = shared.events.send(refused).await;
             }
@@ -185,59 +284,135 @@
     }
 }
 
-/// Runs a link until it is down. A link that was replaced by a newer one to the same process ends without an event.
-async fn run_link(stream: TcpStream, shared: &Shared) {
-    let Ok(Ok((hello, reader, writer))) = timeout(SILENCE_LIMIT, link::open(stream, &shared.local)).await
-    else {
-        return;
-    };
-    let peer = hello.incarnation;
-    let may_idle = hello.data_centre != shared.local.data_centre;
-    let (sender, queue) = mpsc::channel(MAX_QUEUED_MESSAGES);
-    let last_received_at = Arc::new(Mutex::new(Some(Instant::now())));
-    let number = {
-        let mut links = shared.links();
-        let number = links.get(&peer).map_or(1, |link| link.number + 1);
-        links.insert(peer, Link { last_received_at: last_received_at.clone(), number, queue: sender });
-        number
-    };
+/// Runs a connection until it ends. Returns true if its link now waits for another connection.
+async fn run_connection(stream: TcpStream, shared: &Arc<Shared>, dialled: bool) -> bool {
+    let opened = timeout(SILENCE_LIMIT, link::open(stream, &shared.local, dialled)).await;
+    let Ok(Ok((mut hello, mut reader, mut writer))) = opened else { return false };
+    hello.resumable &= shared.local.resumable;
+    let Some(claim) = claim_link(hello, shared, &mut reader, &mut writer).await else { return false };
+    let (error, resumable) = carry(&claim, shared, reader, writer).await;
+    let ended_at = Instant::now();
+    if matches!(error, LinkError::Replaced) {
+        return false;
+    }
+    if !resumable || !shared.suspend(&claim, ended_at) {
+        shared.end(&claim, &error, ended_at).await;
+        return false;
+    }
+    let shared = shared.clone();
+    tokio::spawn(async move {
+        sleep_until(resume_until(&claim.session, &error, ended_at)).await;
+        shared.end(&claim, &error, ended_at).await;
+    });
+    true
+}
+
+/// The link that a new connection carries: an earlier one if both sides can continue it, else a new one. None if the
+/// connection fails before that is agreed.
+async fn claim_link(
+    hello: Hello,
+    shared: &Shared,
+    reader: &mut Reader,
+    writer: &mut Writer,
+) -> Option<Claim> {
+    let mut id = 0;
+    if hello.resumable {
+        let claim = shared.claim(hello.incarnation);
+        let agreed = timeout(SILENCE_LIMIT, resume(claim.as_ref(), reader, writer)).await;
+        match (agreed.map_err(LinkError::from).flatten(), claim) {
+            (Ok(Agreed::Continue), claim) => return claim,
+            (Ok(Agreed::New(new)), _) => id = new,
+            (Err(error), Some(claim)) => {
+                shared.end(&claim, &error, Instant::now()).await;
+                return None;
+            }
+            (Err(_), None) => return None,
+        }
+    }
+    let claim = shared.create(id, hello.clone());
     let _ = shared.events.send(MeshEvent::Up(hello)).await;
-    let error = tokio::select! {
-        error = read_messages(peer, reader, &shared.events, &last_received_at) => error,
-        error = writer.run(queue, may_idle) => error,
+    Some(claim)
+}
+
+/// Until when another connection may continue a link. Never later than a silent link would have ended, because the
+/// bounds for runs of lost homes and owners rely on that.
+fn resume_until(session: &Session, error: &LinkError, ended_at: Instant) -> Instant {
+    let silent_at = session.last_received_at().unwrap_or(ended_at) + SILENCE_LIMIT;
+    match error {
+        LinkError::Stalled => silent_at,
+        _ => silent_at.min(ended_at + RESUME_WINDOW),
+    }
+}
+
+/// What both sides have agreed about a connection.
+enum Agreed {
+    Continue,
+    New(LinkId),
+}
+
+/// Agrees with the peer whether the claimed link continues. If so, sends again what the peer has not received.
+async fn resume(
+    claim: Option<&Claim>,
+    reader: &mut Reader,
+    writer: &mut Writer,
+) -> Result<Agreed, LinkError> {
+    // The lock is free once the earlier connection has ended; only then is the number of received messages final.
+    let mut link = match claim {
+        Some(claim) => Some((claim.session.outgoing.lock().await, &claim.session)),
+        None => None,
     };
-    let is_latest = {
-        let mut links = shared.links();
-        let is_latest = links.get(&peer).is_none_or(|link| link.number == number);
-        if is_latest {
-            links.remove(&peer);
-        }
-        is_latest
+    let nonce = rand::random();
+    let own = Resume {
+        link: link.as_ref().map(|(_, session)| session.id),
+        nonce,
+        received: link.as_ref().map_or(0, |(_, session)| session.received()),
     };
-    if is_latest {
-        let silent = matches!(error, LinkError::Timeout(_));
-        let _ = shared.events.send(MeshEvent::Down { error: error.to_string(), peer, silent }).await;
+    writer.write(&Message::Resume(own)).await?;
+    let Message::Resume(theirs) = reader.next().await? else { return Err(LinkError::ResumeFailed) };
+    match &mut link {
+        Some((outgoing, _)) if own.link == theirs.link => {
+            let frames = outgoing.resend(theirs.received).ok_or(LinkError::ResumeFailed)?;
+            writer.write_frames(frames).await?;
+            Ok(Agreed::Continue)
+        }
+        _ => Ok(Agreed::New(nonce ^ theirs.nonce)),
     }
 }
 
+/// Carries a link over a connection until the connection ends. Returns why it ended, and whether another connection may
+/// continue the link.
+async fn carry(claim: &Claim, shared: &Shared, reader: Reader, writer: Writer) -> (LinkError, bool) {
+    let session = &claim.session;
+    let may_idle = session.peer.data_centre != shared.local.data_centre;
+    let mut outgoing = session.outgoing.lock().await;
+    let ended = tokio::select! {
+        ended = read_messages(session, reader, &shared.events) => ended,
+        ended = writer.run(session, &mut outgoing, may_idle) => ended,
+        () = claim.replaced() => Err(LinkError::Replaced),
+    };
+    let error = ended.err().unwrap_or(LinkError::Closed);
+    let resumable = matches!(error, LinkError::Closed | LinkError::Io(_) | LinkError::Stalled);
+    (error, resumable && outgoing.is_resumable(session))
+}
+
 async fn read_messages(
-    peer: HomeId,
-    mut reader: link::Reader,
+    session: &Session,
+    mut reader: Reader,
     events: &mpsc::Sender<MeshEvent>,
-    last_received_at: &Mutex<Option<Instant>>,
-) -> LinkError {
+) -> Result<(), LinkError> {
+    let peer = session.peer.incarnation;
     loop {
-        let next = reader.next().await;
-        let idle = matches!(next, Ok(Message::Idle));
-        *lock(last_received_at) = (!idle).then(Instant::now);
-        match next {
-            Ok(Message::Heartbeat | Message::Idle) => {}
-            Ok(message) => {
+        let message = reader.next().await?;
+        *session.last_received_at() = (message != Message::Idle).then(Instant::now);
+        match message {
+            Message::Acknowledge(received) => session.acknowledge(received),
+            Message::Heartbeat | Message::Idle => {}
+            message => {
                 if events.send(MeshEvent::Received { message, peer }).await.is_err() {
-                    return LinkError::Closed;
+                    return Err(LinkError::Closed);
                 }
+                session.count_received();
             }
-            Err(error) => return error,
         }
     }
 }
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -5,6 +5,9 @@
 use hinge_wire::{DataCentreId, InstanceId, ServiceId, UpstreamId};
 use serde::{Deserialize, Serialize};
 
+/// Identifies a link between two processes; the same on both sides.
+pub type LinkId = u64;
+
 /// Identity of an entry; the first message in both directions.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Hello {
@@ -14,6 +17,9 @@
     pub incarnation: HomeId,
     /// Stays the same when the entry restarts.
     pub instance: InstanceId,
+    /// Whether the process acknowledges messages, so that a link to it can outlive a connection.
+    #[serde(default)]
+    pub resumable: bool,
 }
 
 /// Load of an owner's upstreams of one service.
@@ -47,9 +53,22 @@
     pub upstream: UpstreamId,
 }
 
+/// State of a link at the start of a new connection.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Resume {
+    /// Link that the sender has with the receiver.
+    pub link: Option<LinkId>,
+    /// Random number. If the link does not continue, those of both sides give the id of the new one.
+    pub nonce: u64,
+    /// Number of messages that the sender has received over the link.
+    pub received: u64,
+}
+
 /// A message between two entries.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Message {
+    /// Number of messages that the sender has received over the link; sent to a resumable peer only.
+    Acknowledge(u64),
     /// Tasks for the receiver's upstreams.
     Assign(Vec<Assignment>),
     /// Tasks that the sender no longer needs.
@@ -75,6 +94,8 @@
     Recall(Vec<AssignmentId>),
     /// States of tasks whose home is the receiver.
     Report(Vec<TaskReport>),
+    /// Follows [`Message::Hello`] if both processes are resumable. The link continues if both sides name the same one.
+    Resume(Resume),
     /// Load and state of the sender.
     Status(Status),
 }
--- /dev/null
+++ b/crates/mesh/src/session.rs
@@ -0,0 +1,129 @@
+//! State of a link that outlives its connection.
+//!
+//! A connection that breaks while both processes run loses the messages on their way. Both sides therefore count the
+//! messages that they have received and keep those that the other side has not acknowledged. A new connection between
+//! the same two processes continues where the last one ended, so that nothing handed over on the link becomes void.
+
+use std::collections::VecDeque;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use bytes::Bytes;
+use hinge_wire::{CodecError, to_msgpack};
+use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
+
+use crate::{Hello, LinkId, Message};
+
+/// Number of received messages after which they are acknowledged even if no heartbeat is due.
+const ACKNOWLEDGE_EVERY: u64 = 64;
+/// Maximum number of messages that are kept for a new connection. A link whose peer acknowledges less does not outlive
+/// its connection.
+const MAX_UNACKNOWLEDGED: usize = 4_096;
+
+/// A link between two processes, with or without a connection.
+pub(crate) struct Session {
+    /// Number of the connection that carries the link. A connection ends when another one has taken its place.
+    pub(crate) connection: watch::Sender<u64>,
+    /// Agreed by both sides.
+    pub(crate) id: LinkId,
+    /// When the last message arrived; none while the peer lets the link idle.
+    pub(crate) last_received_at: Mutex<Option<Instant>>,
+    /// Locked by the connection that carries the link.
+    pub(crate) outgoing: tokio::sync::Mutex<Outgoing>,
+    /// Identity of the peer; resumable only if both sides are.
+    pub(crate) peer: Hello,
+    /// Number of messages that the peer has acknowledged.
+    acknowledged: AtomicU64,
+    /// Number of messages received from the peer and passed on.
+    received: AtomicU64,
+}
+
+impl Session {
+    pub(crate) fn new(id: LinkId, peer: Hello, queue: mpsc::Receiver<Message>) -> Self {
+        let outgoing = Outgoing { first: 0, queue, reported: 0, unacknowledged: VecDeque::new() };
+        Self {
+            connection: watch::Sender::new(1),
+            id,
+            last_received_at: Mutex::new(Some(Instant::now())),
+            outgoing: tokio::sync::Mutex::new(outgoing),
+            peer,
+            acknowledged: AtomicU64::new(0),
+            received: AtomicU64::new(0),
+        }
+    }
+
+    pub(crate) fn last_received_at(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.last_received_at.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts a message that was passed on.
+    pub(crate) fn count_received(&self) {
+        self.received.fetch_add(1, Ordering::AcqRel);
+    }
+
+    /// Number of messages received from the peer.
+    pub(crate) fn received(&self) -> u64 {
+        self.received.load(Ordering::Acquire)
+    }
+
+    /// Stores how many messages the peer has received.
+    pub(crate) fn acknowledge(&self, received: u64) {
+        self.acknowledged.fetch_max(received, Ordering::AcqRel);
+    }
+}
+
+/// Messages on their way to the peer.
+pub(crate) struct Outgoing {
+    pub(crate) queue: mpsc::Receiver<Message>,
+    /// Number of messages sent before the first one in `unacknowledged`.
+    first: u64,
+    /// Number of received messages that the peer was last told about.
+    reported: u64,
+    /// Encoded messages that the peer has not acknowledged, oldest first.
+    unacknowledged: VecDeque<Bytes>,
+}
+
+impl Outgoing {
+    /// Encodes a message, and keeps it until the peer has acknowledged it.
+    pub(crate) fn encode(&mut self, session: &Session, message: &Message) -> Result<Bytes, CodecError> {
+        let frame = Bytes::from(to_msgpack(message)?);
+        if session.peer.resumable {
+            self.unacknowledged.push_back(frame.clone());
+            self.discard(session.acknowledged.load(Ordering::Acquire));
+        }
+        Ok(frame)
+    }
+
+    /// The acknowledgement to send now, if one is due. `idle` is set when there is nothing else to send.
+    pub(crate) fn acknowledgement(&mut self, session: &Session, idle: bool) -> Option<Message> {
+        let received = session.received();
+        let due = if idle { received > self.reported } else { received >= self.reported + ACKNOWLEDGE_EVERY };
+        if !due || !session.peer.resumable {
+            return None;
+        }
+        self.reported = received;
+        Some(Message::Acknowledge(received))
+    }
+
+    /// Whether a new connection can still continue the link.
+    pub(crate) fn is_resumable(&self, session: &Session) -> bool {
+        session.peer.resumable && self.unacknowledged.len() <= MAX_UNACKNOWLEDGED
+    }
+
+    /// Messages to send again to a peer that has received `received` messages; none if the count cannot be right.
+    pub(crate) fn resend(&mut self, received: u64) -> Option<Vec<Bytes>> {
+        let sent = self.first + self.unacknowledged.len() as u64;
+        if !(self.first..=sent).contains(&received) {
+            return None;
+        }
+        self.discard(received);
+        Some(self.unacknowledged.iter().cloned().collect())
+    }
+
+    fn discard(&mut self, received: u64) {
+        while self.first < received && self.unacknowledged.pop_front().is_some() {
+            self.first += 1;
+        }
+    }
+}
--- a/crates/mesh/tests/links.rs
+++ b/crates/mesh/tests/links.rs
@@ -11,7 +11,17 @@
 use tokio::time::{Instant, timeout};
 
 fn hello(number: u64) -> Hello {
-    Hello { data_centre: "dc1".into(), incarnation: number, instance: format!("entry-{number}").into() }
+    Hello {
+        data_centre: "dc1".into(),
+        incarnation: number,
+        instance: format!("entry-{number}").into(),
+        resumable: true,
+    }
+}
+
+/// Identity of a process that does not resume links.
+fn plain_hello(number: u64) -> Hello {
+    Hello { resumable: false, ..hello(number) }
 }
 
 async fn entry(number: u64) -> (Mesh, mpsc::Receiver<MeshEvent>, PeerAddress) {
@@ -56,7 +66,7 @@
     first.set_peers(&[PeerAddress { address, instance: "entry-2".into() }]);
     let (stream, _) = listener.accept().await.unwrap();
     drop(listener);
-    let frame = hinge_wire::to_msgpack(&Message::Hello(hello(2))).unwrap();
+    let frame = hinge_wire::to_msgpack(&Message::Hello(plain_hello(2))).unwrap();
     let mut stream = stream;
     stream.write_u32(u32::try_from(frame.len()).unwrap()).await.unwrap();
     stream.write_all(&frame).await.unwrap();
@@ -108,7 +118,7 @@
 async fn silence_after(messages: &[Message]) -> Duration {
     let (_mesh, mut events, address) = entry(1).await;
     let mut stream = TcpStream::connect(address.address).await.unwrap();
-    let far = Hello { data_centre: "dc2".into(), ..hello(2) };
+    let far = Hello { data_centre: "dc2".into(), ..plain_hello(2) };
     for message in [&[Message::Hello(far)], messages].concat() {
         let frame = hinge_wire::to_msgpack(&message).unwrap();
         stream.write_u32(u32::try_from(frame.len()).unwrap()).await.unwrap();
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -24,9 +24,9 @@
 impl Engine {
     pub(crate) fn handle_mesh_event(&mut self, now: Instant, event: MeshEvent) {
         match event {
-            MeshEvent::Down { error, peer, silent } => {
+            MeshEvent::Down { error, peer, silent, since } => {
                 self.outputs.push(Output::Log(LogLine::PeerLost { error, peer, silent }));
-                self.peers.mark_unlinked(now, peer, silent);
+                self.peers.mark_unlinked(since, peer, silent);
                 self.link_lost(now, peer);
             }
             MeshEvent::Received { message, peer } => self.handle_message(now, peer, message),
@@ -76,7 +76,12 @@
                     self.send(id, Message::Config { body, version });
                 }
             }
-            Message::Heartbeat | Message::Hello(_) | Message::Idle => {}
+            // Handled by the mesh.
+            Message::Acknowledge(_)
+            | Message::Heartbeat
+            | Message::Hello(_)
+            | Message::Idle
+            | Message::Resume(_) => {}
             Message::Owned(owned) => peer.claims = owned.into_iter().map(|claim| claim.upstream).collect(),
             Message::Recall(assignments) => {
                 for assignment in assignments {
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -142,12 +142,12 @@
         was_linked
     }
 
-    /// Records the loss of a link; `silent` if it timed out rather than being closed.
-    pub(crate) fn mark_unlinked(&mut self, now: Instant, id: HomeId, silent: bool) {
+    /// Records the loss of a link whose connection ended at `since`; `silent` if it timed out rather than being closed.
+    pub(crate) fn mark_unlinked(&mut self, since: Instant, id: HomeId, silent: bool) {
         let Some(peer) = self.peers.get_mut(&id) else { return };
         peer.linked = false;
-        peer.closed_at = (!silent).then_some(now);
-        peer.alive_until = now + if silent { SILENT_GRACE } else { CLOSED_GRACE };
+        peer.closed_at = (!silent).then_some(since);
+        peer.alive_until = since + if silent { SILENT_GRACE } else { CLOSED_GRACE };
     }
 
     /// Records that no process listens at the address of an instance.
--- a/crates/node/tests/config.rs
+++ b/crates/node/tests/config.rs
@@ -10,7 +10,12 @@
 use tokio::time::Instant;
 
 fn hello(number: u64) -> Hello {
-    Hello { data_centre: "dc1".into(), incarnation: number, instance: format!("entry-{number}").into() }
+    Hello {
+        data_centre: "dc1".into(),
+        incarnation: number,
+        instance: format!("entry-{number}").into(),
+        resumable: true,
+    }
 }
 
 struct Entry {
--- a/crates/node/tests/ownership.rs
+++ b/crates/node/tests/ownership.rs
@@ -11,7 +11,12 @@
 const UPSTREAMS: usize = 12;
 
 fn hello(number: u64) -> Hello {
-    Hello { data_centre: "dc1".into(), incarnation: number, instance: format!("entry-{number}").into() }
+    Hello {
+        data_centre: "dc1".into(),
+        incarnation: number,
+        instance: format!("entry-{number}").into(),
+        resumable: true,
+    }
 }
 
 fn entry(number: u64) -> EntryRecord {
@@ -88,7 +93,7 @@
     }
 
     fn unlink(&mut self, peer: u64, silent: bool) {
-        self.input(Input::Mesh(MeshEvent::Down { error: "test".to_owned(), peer, silent }));
+        self.input(Input::Mesh(MeshEvent::Down { error: "test".to_owned(), peer, silent, since: self.now }));
     }
 
     fn peer_owns(&mut self, peer: u64, upstreams: &[UpstreamRecord]) {
--- a/crates/node/tests/recipients.rs
+++ b/crates/node/tests/recipients.rs
@@ -16,6 +16,7 @@
         incarnation: number,
         instance: format!("{data_centre}-entry-{number:03}").into(),
         data_centre: data_centre.into(),
+        resumable: true,
     }
 }
 
