--- a/crates/mesh/tests/resume.rs
+++ b/crates/mesh/tests/resume.rs
@@ -1,6 +1,6 @@
 //! Links that outlive their connection, over loopback connections through a proxy that breaks them.
 
-#![allow(clippy::unwrap_used, reason = "tests")]
+#![allow(clippy::panic, clippy::unwrap_used, reason = "tests")]
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
