One malformed message or unexpected error no longer stops an entry

A configuration with a huge stretch ended the decision task at the next job (Duration::mul_f64 panics in every build); loads, capacities, run numbers, clocks and estimates near the limits of their types overflowed in seven more places. The task ended silently: the process stayed up, told the balancer that it was ready, and rejected every job. Found while reading: a call of an upstream that panics was never answered, so that the upstream was never asked again; one job larger than every upstream pushed the owners' average task size so high that they reported no slots for hundreds of tasks.

Change: times from outside are bounded where they come in, the other sums saturate. A call of an upstream that panics counts as a lost answer, a panic while a link's message is handled ends that link.

Ruled out: catching the panic and going on with the same engine; its state is unknown then.

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -3,10 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hinge_runs::{Assignment, AssignmentId, HomeId, Outcome, Resources, RunNumber};
+use hinge_runs::{Assignment, AssignmentId, HomeId, MAX_TIME, Outcome, Resources, RunNumber};
 use hinge_wire::{ServiceId, UpstreamId};
 use tokio::time::Instant;
 
+/// Upper bound of [`QueuePolicy::stretch`].
+const MAX_STRETCH: f64 = 1_000.0;
+
 /// Number of a job at its home.
 pub type JobNumber = u64;
 
@@ -21,7 +24,7 @@
     pub priority: u32,
     /// Service whose upstreams run the tasks.
     pub service: ServiceId,
-    /// Factor on the expected run time in a job's objective; values below 1 count as 1.
+    /// Factor on the expected run time in a job's objective; values below 1 count as 1, values above 1,000 as 1,000.
     pub stretch: f64,
     /// Time added to the stretched run time in a job's objective.
     pub target: Duration,
@@ -53,6 +56,19 @@
     pub tasks: u32,
 }
 
+impl JobRequest {
+    /// Limits the times that come from the caller and the operator, so that arithmetic with them cannot overflow.
+    pub(crate) fn bounded(mut self) -> Self {
+        let times = [&mut self.budget, &mut self.estimate, &mut self.queue.target, &mut self.queue.timeout];
+        for time in times {
+            *time = (*time).min(MAX_TIME);
+        }
+        let stretch = self.queue.stretch;
+        self.queue.stretch = if stretch.is_nan() { 1.0 } else { stretch.clamp(1.0, MAX_STRETCH) };
+        self
+    }
+}
+
 /// The final result of a job.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Answer {
@@ -87,6 +103,8 @@
     NoOwner,
     /// The job would miss its objective or its time budget.
     Overload,
+    /// A task needs more than any registered upstream of the service has.
+    TooLarge,
 }
 
 /// An output of [`JobTable`](crate::JobTable).
--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use hinge_runs::{AssignmentId, HomeId, Load, PRIORITY_LEVELS, priority_index};
+use hinge_runs::{AssignmentId, HomeId, Load, PRIORITY_LEVELS, bounded_ms, priority_index};
 use hinge_wire::{FastMap, FastSet, ServiceId};
 use rand::Rng;
 use rand::rngs::SmallRng;
@@ -16,6 +16,9 @@
 /// data centre survives a partition.
 const LOCAL_WEIGHT: u64 = 4;
 
+/// Upper bound of the room that a report can claim, so that the weights of the random choice cannot overflow.
+const MAX_FITTING_TASKS: u64 = 1 << 20;
+
 /// A load report from an owner.
 #[derive(Clone, Debug)]
 pub struct OwnerLoad {
@@ -58,15 +61,17 @@
 impl OwnerState {
     /// Estimated wait of one more task of this priority that has to queue.
     fn estimated_wait(&self, priority: usize) -> Duration {
-        let ahead: u32 = self.load.queued[..=priority].iter().sum();
+        let ahead: u64 = self.load.queued[..=priority].iter().copied().map(u64::from).sum();
         let in_flight = self.in_flight.iter().filter(|task| task.priority <= priority).count();
-        let ahead = u64::from(ahead) + u64::try_from(in_flight).unwrap_or(u64::MAX);
-        Duration::from_millis((ahead + 1) * self.load.mean_run_ms / u64::from(self.load.slots.max(1)))
+        let ahead = ahead.saturating_add(u64::try_from(in_flight).unwrap_or(u64::MAX));
+        let work_ms = ahead.saturating_add(1).saturating_mul(self.load.mean_run_ms);
+        bounded_ms(work_ms / u64::from(self.load.slots.max(1)))
     }
 
-    /// Number of tasks of this size that fit now.
+    /// Number of tasks of this size that fit now, at most [`MAX_FITTING_TASKS`].
     fn fitting_tasks(&self, cpu_millis: u64) -> u64 {
-        self.rooms_cpu_millis.iter().map(|room| room / cpu_millis.max(1)).sum()
+        let tasks = self.rooms_cpu_millis.iter().map(|room| room / cpu_millis.max(1));
+        tasks.fold(0, u64::saturating_add).min(MAX_FITTING_TASKS)
     }
 
     /// Reserves CPU in the smallest room that fits, if there is one.
--- a/crates/jobs/src/placing.rs
+++ b/crates/jobs/src/placing.rs
@@ -219,7 +219,7 @@
         };
         let avoid = if report.outcome == Outcome::NotStarted { None } else { report.upstream.clone() };
         let late = now + expected > job.objective_at;
-        let attempt = Attempt { avoid, expected, late, run: report.run + 1, start_within };
+        let attempt = Attempt { avoid, expected, late, run: report.run.saturating_add(1), start_within };
         if start_within.is_zero() || !self.assign_to_best_owner(now, placement, attempt) {
             self.answer(now, placement.job, Answer::Failed(FailCause::Late));
             return;
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use hinge_runs::{AssignmentId, HomeId, Outcome, TaskReport};
-use hinge_wire::{FastMap, FastSet};
+use hinge_runs::{AssignmentId, HomeId, Outcome, Resources, TaskReport, bounded_ms};
+use hinge_wire::{FastMap, FastSet, ServiceId};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use tokio::time::Instant;
@@ -50,6 +50,8 @@
     pub(crate) actions: Vec<Action>,
     pub(crate) assignments: FastMap<AssignmentId, Placement>,
     pub(crate) budgets: Budgets,
+    /// Sizes of the registered upstreams by service, without duplicates.
+    capacities: FastMap<ServiceId, Vec<Resources>>,
     pub(crate) estimates: Estimates,
     pub(crate) jobs: FastMap<JobNumber, Job>,
     pub(crate) next_assignment: AssignmentId,
@@ -71,6 +73,7 @@
             actions: Vec::new(),
             assignments: FastMap::default(),
             budgets: Budgets::default(),
+            capacities: FastMap::default(),
             estimates: Estimates::default(),
             jobs: FastMap::default(),
             next_assignment: 1,
@@ -135,10 +138,11 @@
 
     /// Admits or rejects a job; [`Action::Answer`] follows, possibly at once.
     pub fn submit(&mut self, now: Instant, request: JobRequest) -> JobNumber {
+        let request = request.bounded();
         let number = self.next_job;
         self.next_job += 1;
         let expected = self.estimates.expected(&request.queue.name, request.estimate);
-        let objective = expected.mul_f64(request.queue.stretch.max(1.0)) + request.queue.target;
+        let objective = expected.mul_f64(request.queue.stretch) + request.queue.target;
         let waited = self.budgets.waited(&request.queue, request.budget);
         let (tasks, expires_at) = (request.tasks, now + request.budget);
         let job = Job {
@@ -154,10 +158,31 @@
             withdrawn: false,
         };
         self.jobs.insert(number, job);
-        self.place_job(now, number);
+        if self.is_too_large(number) {
+            self.reject(now, number, RejectCause::TooLarge);
+        } else {
+            self.place_job(now, number);
+        }
         number
     }
 
+    /// Replaces the sizes of the registered upstreams by service. Jobs with larger tasks are rejected at once.
+    pub fn set_capacities<'a>(&mut self, upstreams: impl Iterator<Item = (&'a ServiceId, Resources)>) {
+        self.capacities.clear();
+        for (service, capacity) in upstreams {
+            let known = self.capacities.entry(service.clone()).or_default();
+            if !known.contains(&capacity) {
+                known.push(capacity);
+            }
+        }
+    }
+
+    fn is_too_large(&self, number: JobNumber) -> bool {
+        let Some(job) = self.jobs.get(&number) else { return false };
+        let capacities = self.capacities.get(&job.request.queue.service);
+        capacities.is_some_and(|known| !known.iter().any(|capacity| capacity.fits(&job.request.need)))
+    }
+
     /// Cancels all tasks of a job whose caller has disconnected; no answer follows.
     pub fn abandon(&mut self, now: Instant, number: JobNumber) {
         let Some(job) = self.jobs.remove(&number) else { return };
@@ -186,7 +211,7 @@
         }
         match report.outcome {
             Outcome::Started => {}
-            Outcome::Done => self.task_done(now, placement, Duration::from_millis(report.run_time_ms)),
+            Outcome::Done => self.task_done(now, placement, bounded_ms(report.run_time_ms)),
             Outcome::Failed => self.task_failed(now, placement, report),
             Outcome::Interrupted => self.retry_task(now, placement, report),
             Outcome::NotStarted if matches!(placement.stage, Stage::Offered | Stage::Recalled) => {
--- a/crates/jobs/tests/answers.rs
+++ b/crates/jobs/tests/answers.rs
@@ -2,9 +2,9 @@
 
 mod support;
 
-use hinge_jobs::{Answer, FailCause, RejectCause};
-use hinge_runs::Outcome;
-use support::{HOME, Home, load, ms, request};
+use hinge_jobs::{Answer, FailCause, JobRequest, RejectCause};
+use hinge_runs::{Outcome, Resources};
+use support::{HOME, Home, SERVICE, load, ms, request};
 
 fn rejected(answer: Answer) -> bool {
     matches!(answer, Answer::Rejected { cause: RejectCause::Overload, .. })
@@ -112,6 +112,23 @@
     assert!(matches!(home.answers[0].1, Answer::Rejected { cause: RejectCause::NoOwner, .. }));
 }
 
+/// Guards against callers that wait until their time is over for a job that no upstream can ever run, and against the
+/// refusal of jobs that fit on one of several kinds of upstreams.
+#[test]
+fn a_job_that_fits_on_no_upstream_is_rejected_immediately() {
+    let mut home = Home::new(&[(HOME, load(4, 0, 60))]);
+    let sizes = [(4_000, 64_000), (16_000, 1_024)];
+    let sizes = sizes.map(|(cpu_millis, memory_mb)| Resources { cpu_millis, gpus: 0, memory_mb });
+    let service = SERVICE.into();
+    home.table.set_capacities(sizes.into_iter().map(|capacity| (&service, capacity)));
+    home.submit(request("fits", 1, 60));
+    assert!(home.answers.is_empty());
+    let need = Resources { cpu_millis: 7_000, gpus: 0, memory_mb: 2_048 };
+    home.submit(JobRequest { need, ..request("fits on neither", 1, 60) });
+    assert!(matches!(home.answers[0].1, Answer::Rejected { cause: RejectCause::TooLarge, .. }));
+    assert_eq!(home.assigned.len(), 1);
+}
+
 /// Guards against tasks that continue for a caller that has disconnected.
 #[test]
 fn an_abandoned_job_is_cancelled_at_all_owners() {
--- a/crates/mesh/src/link.rs
+++ b/crates/mesh/src/link.rs
@@ -46,6 +46,8 @@
     Timeout(#[from] Elapsed),
     #[error("the first message is not Hello")]
     NoHello,
+    #[error("a task of the connection has panicked")]
+    Panicked,
     #[error("replaced by another connection")]
     Replaced,
     #[error("the link cannot be continued")]
--- a/crates/mesh/src/mesh.rs
+++ b/crates/mesh/src/mesh.rs
@@ -1,9 +1,11 @@
 //! The links of one entry: accepting and dialling connections, sending and receiving messages.
 
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use futures_util::FutureExt;
 use hinge_runs::HomeId;
 use hinge_wire::{FastMap, FastSet, InstanceId};
 use tokio::net::{TcpListener, TcpStream};
@@ -290,7 +292,9 @@
     let Ok(Ok((mut hello, mut reader, mut writer))) = opened else { return false };
     hello.resumable &= shared.local.resumable;
     let Some(claim) = claim_link(hello, shared, &mut reader, &mut writer).await else { return false };
-    let (error, resumable) = carry(&claim, shared, reader, writer).await;
+    // A panic while a message is handled ends the link and nothing else.
+    let carried = AssertUnwindSafe(carry(&claim, shared, reader, writer)).catch_unwind().await;
+    let (error, resumable) = carried.unwrap_or((LinkError::Panicked, false));
     let ended_at = Instant::now();
     if matches!(error, LinkError::Replaced) {
         return false;
--- /dev/null
+++ b/crates/mesh/tests/malformed.rs
@@ -0,0 +1,82 @@
+//! Frames that other programs send, or that were damaged on their way. `PROPTEST_CASES` sets the number of cases.
+
+#![allow(clippy::unwrap_used, reason = "tests")]
+
+use hinge_mesh::{Hello, Message, Resume, Status};
+use hinge_runs::{Outcome, TaskReport};
+use hinge_wire::{from_msgpack, to_msgpack};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::sample::Index;
+
+fn valid_frames() -> Vec<Vec<u8>> {
+    let hello =
+        Hello { data_centre: "dc1".into(), incarnation: 1, instance: "entry-1".into(), resumable: true };
+    let messages = [
+        Message::Hello(hello),
+        Message::Resume(Resume { link: Some(1), nonce: 2, received: 3 }),
+        Message::Status(Status::default()),
+        Message::Report(vec![TaskReport::new(1, Outcome::Done, 2)]),
+        Message::Cancel(vec![1, 2, 3]),
+        Message::Config { body: "{}".into(), version: 4 },
+    ];
+    messages.iter().map(|message| to_msgpack(message).unwrap()).collect()
+}
+
+/// Guards against a stack overflow, which no process survives.
+#[test]
+fn deeply_nested_frames_are_rejected() {
+    for opening in [0x91_u8, 0x81] {
+        let frame = vec![opening; 1_000_000];
+        assert!(from_msgpack::<Message>(&frame).is_err());
+    }
+}
+
+/// Guards against an allocation of the size that a frame claims to have.
+#[test]
+fn lengths_beyond_the_frame_are_rejected() {
+    for claim in [[0xdd_u8, 0xff, 0xff, 0xff, 0xff], [0xdf, 0xff, 0xff, 0xff, 0xff]] {
+        for name in ["Cancel", "Report", "Owned", "Assign"] {
+            let mut frame = vec![0x81, 0xa0 | u8::try_from(name.len()).unwrap()];
+            frame.extend_from_slice(name.as_bytes());
+            frame.extend_from_slice(&claim);
+            assert!(from_msgpack::<Message>(&frame).is_err(), "{name}");
+        }
+    }
+}
+
+/// Guards against a link that ends because a process of an older version says less about itself.
+#[test]
+fn hello_of_an_older_version_is_not_resumable() {
+    let frame = to_msgpack(&serde_json::json!({
+        "Hello": { "data_centre": "dc1", "incarnation": 7, "instance": "entry-7" }
+    }))
+    .unwrap();
+    let Message::Hello(hello) = from_msgpack(&frame).unwrap() else { unreachable!() };
+    assert!(!hello.resumable);
+}
+
+proptest! {
+    /// Guards against frames that end the process.
+    #[test]
+    fn arbitrary_frames_are_decoded_or_rejected(frame in vec(any::<u8>(), 0..300)) {
+        let _ = from_msgpack::<Message>(&frame);
+    }
+
+    /// Guards against frames that are valid but for a few bytes.
+    #[test]
+    fn damaged_frames_are_decoded_or_rejected(
+        frame in proptest::sample::select(valid_frames()),
+        changes in vec((any::<Index>(), any::<u8>()), 1..6),
+        end in any::<Index>(),
+    ) {
+        let mut frame = frame;
+        for (position, byte) in changes {
+            let position = position.index(frame.len());
+            frame[position] = byte;
+        }
+        let _ = from_msgpack::<Message>(&frame);
+        frame.truncate(end.index(frame.len()));
+        let _ = from_msgpack::<Message>(&frame);
+    }
+}
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -141,6 +141,8 @@
                 self.services = records.iter().map(|upstream| upstream.service.clone()).collect();
                 self.services.sort_unstable();
                 self.services.dedup();
+                let capacities = records.iter().map(|upstream| (&upstream.service, upstream.capacity));
+                self.jobs.set_capacities(capacities);
                 self.runner.handle(now, Event::Upstreams(records));
             }
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,10 +1,12 @@
 //! Drives an engine: feeds it inputs and executes its outputs.
 
 use std::future::Future;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::FutureExt;
 use hinge_jobs::{Answer, JobRequest};
 use hinge_mesh::{Hello, Mesh, MeshEvent, PeerAddress};
 use hinge_runs::{Hold, HoldReply, HomeId, StartOrder, StartReply, StopOrder};
@@ -304,7 +306,8 @@
     fn hold(&self, hold: Hold) {
         let (port, commands) = (self.port.clone(), self.commands.clone());
         tokio::spawn(async move {
-            let reply = port.hold(&hold).await;
+            // A panic counts as a lost answer: without any answer the upstream would not be asked again.
+            let reply = AssertUnwindSafe(port.hold(&hold)).catch_unwind().await.unwrap_or(HoldReply::Lost);
             let _ = commands.send(Command::Input(Input::HoldEnded { hold, reply })).await;
         });
     }
@@ -312,7 +315,7 @@
     fn start(&self, start: StartOrder) {
         let (port, commands) = (self.port.clone(), self.commands.clone());
         tokio::spawn(async move {
-            let reply = port.start(&start).await;
+            let reply = AssertUnwindSafe(port.start(&start)).catch_unwind().await.unwrap_or(StartReply::Lost);
             let _ = commands.send(Command::Input(Input::StartEnded { reply, start })).await;
         });
     }
--- /dev/null
+++ b/crates/node/tests/panics.rs
@@ -0,0 +1,71 @@
+//! Panics in the calls of a running node.
+
+#![allow(clippy::panic, clippy::unwrap_used, reason = "tests")]
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use hinge_mesh::Hello;
+use hinge_node::{Input, Node, NodeMetrics, NodeSettings, SuspendClock, UpstreamPort};
+use hinge_runs::{Hold, HoldReply, Listing, Resources, StartOrder, StartReply, StopOrder, UpstreamRecord};
+use tokio::net::TcpListener;
+use tokio::time::Instant;
+
+/// Panics in the first holds.
+#[derive(Clone, Default)]
+struct FailingPort {
+    holds: Arc<AtomicU64>,
+}
+
+impl UpstreamPort for FailingPort {
+    async fn hold(&self, _: &Hold) -> HoldReply {
+        assert!(self.holds.fetch_add(1, Ordering::SeqCst) >= 2, "an unexpected error");
+        HoldReply::Listed(Listing { clock_ms: 1, ..Listing::default() })
+    }
+
+    async fn start(&self, _: &StartOrder) -> StartReply {
+        StartReply::Lost
+    }
+
+    async fn stop(&self, _: &StopOrder) {}
+}
+
+struct Clock(Instant);
+
+impl SuspendClock for Clock {
+    fn elapsed(&self) -> Duration {
+        self.0.elapsed()
+    }
+}
+
+fn upstream() -> UpstreamRecord {
+    UpstreamRecord {
+        address: "10.0.0.1:80".into(),
+        capacity: Resources { cpu_millis: 16_000, gpus: 0, memory_mb: 32_768 },
+        data_centre: "dc1".into(),
+        draining: false,
+        id: "up-1".into(),
+        incarnation: None,
+        rack: "r1".into(),
+        sequence: 1,
+        service: "deicing".into(),
+    }
+}
+
+/// Guards against an upstream that is never used again because the task that waited for its answer has panicked.
+#[tokio::test(start_paused = true)]
+async fn an_upstream_is_asked_again_after_a_panic() {
+    let local =
+        Hello { data_centre: "dc1".into(), incarnation: 1, instance: "entry-1".into(), resumable: true };
+    let port = FailingPort::default();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let settings = NodeSettings { local, seed: 1, started_unix_ms: 1_767_000_000_000 };
+    let metrics = NodeMetrics::new().unwrap();
+    let (node, handle) = Node::new(settings, listener, port.clone(), Clock(Instant::now()), metrics);
+    tokio::spawn(node.run());
+    handle.send_input(Input::Entries(Vec::new())).await;
+    handle.send_input(Input::Upstreams(vec![upstream()])).await;
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    assert!(port.holds.load(Ordering::SeqCst) > 2);
+}
--- a/crates/route/src/rendezvous.rs
+++ b/crates/route/src/rendezvous.rs
@@ -114,7 +114,7 @@
         if self.slots[entry] < slots && self.extras_left > 0 && !self.has_extra[entry] {
             self.extras_left -= 1;
             self.has_extra[entry] = true;
-            self.slots[entry] += self.extra_slots;
+            self.slots[entry] = self.slots[entry].saturating_add(self.extra_slots);
         }
         let fits = self.slots[entry] >= slots;
         self.slots[entry] -= if fits { slots } else { 0 };
--- a/crates/runs/src/listing.rs
+++ b/crates/runs/src/listing.rs
@@ -8,6 +8,7 @@
 use crate::upstream::Ownership;
 use crate::{
     Action, EndKind, Ended, Hold, HoldReply, Listing, Notice, Outcome, Rejection, RunId, Runner, StopOrder,
+    bounded_ms,
 };
 
 /// A listing with this many ends may be truncated, so that the end of a run that is no longer running may be missing.
@@ -80,8 +81,7 @@
         upstream.last_end = end.number;
         upstream.acknowledge_after = now + ACKNOWLEDGE_AFTER;
         let Some(run) = upstream.runs.get(&end.run) else { return };
-        let (expected, actual) =
-            (Duration::from_millis(run.assignment.expected_ms), now.duration_since(run.ordered_at));
+        let (expected, actual) = (bounded_ms(run.assignment.expected_ms), now.duration_since(run.ordered_at));
         let (outcome, how) = match end.how {
             EndKind::Done => (Outcome::Done, "done"),
             EndKind::Failed => (Outcome::Failed, "failed"),
--- a/crates/runs/src/orders.rs
+++ b/crates/runs/src/orders.rs
@@ -181,7 +181,9 @@
                 }
                 self.requeue(now, id, &start.run, start.run.run);
             }
-            Rejection::OldRun => self.requeue(now, id, &start.run, start.run.run + RUN_INCREMENT),
+            Rejection::OldRun => {
+                self.requeue(now, id, &start.run, start.run.run.saturating_add(RUN_INCREMENT))
+            }
             Rejection::Unhealthy | Rejection::WrongIncarnation => {
                 self.requeue(now, id, &start.run, start.run.run);
                 self.pause_upstream(now, id, rejection_name(reason));
--- a/crates/runs/src/placement.rs
+++ b/crates/runs/src/placement.rs
@@ -1,14 +1,12 @@
 //! Choice of upstreams for queued tasks.
 
-use std::time::Duration;
-
 use hinge_wire::UpstreamId;
 use tokio::time::Instant;
 
 use crate::queue::Queued;
 use crate::runner::to_f64;
 use crate::upstream::Upstream;
-use crate::{Assignment, Resources, Runner};
+use crate::{Assignment, Resources, Runner, bounded_ms};
 
 /// Weight of the CPU left over against the speed of an upstream. Tight fits leave other upstreams free for large tasks.
 const FIT_WEIGHT: f64 = 0.15;
@@ -30,7 +28,7 @@
     /// Whether a run here is expected to end in time, that is, no later than a run at speed 1 that starts at
     /// `start_by`. Upstreams of at least [`NORMAL_SPEED`] always qualify.
     fn can_end_in_time(&self, now: Instant, task: &Queued) -> bool {
-        let expected = Duration::from_millis(task.assignment.expected_ms);
+        let expected = bounded_ms(task.assignment.expected_ms);
         self.speed >= NORMAL_SPEED || now + expected.div_f64(self.speed) <= task.start_by + expected
     }
 
--- a/crates/runs/src/runner.rs
+++ b/crates/runs/src/runner.rs
@@ -1,7 +1,6 @@
 //! State of an owner and the handling of its events.
 
 use std::collections::VecDeque;
-use std::time::Duration;
 
 use hinge_wire::{FastMap, FastSet, ServiceId, UpstreamId};
 use tokio::time::Instant;
@@ -10,7 +9,7 @@
 use crate::upstream::{Ownership, Run, Upstream};
 use crate::{
     Action, Assignment, AssignmentId, Event, Fence, HomeId, Load, Notice, Outcome, RunId, RunNumber,
-    StartOrder, TaskReport, UpstreamRecord, whole_ms,
+    StartOrder, TaskReport, UpstreamRecord, bounded_ms, whole_ms,
 };
 
 /// Number of ended runs that are remembered. An older listing may still show them as running, and they must not be
@@ -120,7 +119,8 @@
             ..Load::default()
         };
         for upstream in upstreams.filter(|upstream| upstream.accepts(now)) {
-            load.slots += self.average_tasks_in(upstream.record.capacity.cpu_millis);
+            let slots = self.average_tasks_in(upstream.record.capacity.cpu_millis);
+            load.slots = load.slots.saturating_add(slots);
             let free_cpu_millis = upstream.free().cpu_millis;
             if free_cpu_millis >= MIN_REPORTED_CPU_MILLIS {
                 load.rooms_cpu_millis.push(free_cpu_millis);
@@ -142,9 +142,13 @@
     }
 
     fn enqueue(&mut self, now: Instant, home: HomeId, assignment: Assignment) {
-        let cpu_millis = to_f64(assignment.need.cpu_millis);
-        self.mean_cpu_millis += AVERAGE_WEIGHT * (cpu_millis - self.mean_cpu_millis);
-        let start_by = now + Duration::from_millis(assignment.start_within_ms);
+        // A task that is larger than every upstream must not distort the average.
+        let largest = self.upstreams.values().map(|upstream| upstream.record.capacity.cpu_millis).max();
+        if let Some(largest) = largest {
+            let cpu_millis = to_f64(assignment.need.cpu_millis.min(largest));
+            self.mean_cpu_millis += AVERAGE_WEIGHT * (cpu_millis - self.mean_cpu_millis);
+        }
+        let start_by = now + bounded_ms(assignment.start_within_ms);
         self.queue.push(Queued { assignment, home, queued_at: now, start_by });
     }
 
@@ -285,7 +289,7 @@
             return;
         }
         self.placed.remove(&(run.home, run.assignment.id));
-        let start_by = run.ordered_at + Duration::from_millis(run.assignment.start_within_ms);
+        let start_by = run.ordered_at + bounded_ms(run.assignment.start_within_ms);
         let assignment = Assignment { run: run_number, waits: true, ..run.assignment };
         let task = Queued { assignment, home: run.home, queued_at: now, start_by };
         if now >= start_by {
--- a/crates/runs/src/stalled.rs
+++ b/crates/runs/src/stalled.rs
@@ -5,7 +5,7 @@
 use hinge_wire::UpstreamId;
 use tokio::time::Instant;
 
-use crate::{Notice, RunId, RunProgress, Runner};
+use crate::{Notice, RunId, RunProgress, Runner, bounded_ms};
 
 /// A run that has taken more than this multiple of the expected time for its completed share counts as an observation
 /// of a slow upstream. A smaller excess can come from a wrong estimate.
@@ -33,7 +33,7 @@
         let Some(run) = upstream.runs.get(&progress.run).filter(|run| run.overdue && !run.stopping) else {
             return false;
         };
-        let expected = Duration::from_millis(run.assignment.expected_ms);
+        let expected = bounded_ms(run.assignment.expected_ms);
         let age = now.duration_since(run.ordered_at);
         let done = f64::from(progress.done_percent.clamp(1, 100)) / 100.0;
         if age > expected.mul_f64(done * SLOW_FACTOR) {
--- a/crates/runs/src/types.rs
+++ b/crates/runs/src/types.rs
@@ -197,6 +197,16 @@
     pub slots: u32,
 }
 
+/// Longest time that is taken from a message; longer ones count as this long. Keeps sums and products of times from other
+/// processes within what the clock can represent.
+pub const MAX_TIME: Duration = Duration::from_secs(24 * 60 * 60);
+
+/// Converts milliseconds from a message to a time of at most [`MAX_TIME`].
+#[must_use]
+pub fn bounded_ms(time_ms: u64) -> Duration {
+    Duration::from_millis(time_ms).min(MAX_TIME)
+}
+
 /// Number of priorities that are counted separately in [`Load::queued`].
 pub const PRIORITY_LEVELS: usize = 4;
 
--- a/crates/runs/src/upstream.rs
+++ b/crates/runs/src/upstream.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use crate::health::Health;
-use crate::{Assignment, Fence, HomeId, Resources, RunId, UpstreamRecord, whole_ms};
+use crate::{Assignment, Fence, HomeId, Resources, RunId, UpstreamRecord, bounded_ms, whole_ms};
 
 /// Duration of the lease that each order requests. Together with the 0.5 s in which the loss of a home is detected it
 /// is shorter than the 1.3 s after which callers resubmit a job. So a run ends before its job is resubmitted even if
@@ -168,7 +168,7 @@
         let clock = self.clock?;
         let elapsed = now.duration_since(clock.at);
         let correction = (elapsed / CLOCK_DRIFT_DIVISOR).min(MAX_DRIFT_CORRECTION);
-        Some(clock.clock_ms + whole_ms(elapsed + LEASE - correction))
+        Some(clock.clock_ms.saturating_add(whole_ms(elapsed + LEASE - correction)))
     }
 
     /// Records that an order which renews the lease reached the upstream no later than `now`.
@@ -198,7 +198,7 @@
     /// Requests a probe when a run becomes overdue: the answer to a hold that showed its end may have been lost.
     pub(crate) fn probe_overdue(&mut self, now: Instant) {
         for run in self.runs.values_mut().filter(|run| !run.overdue && run.confirmed_at.is_some()) {
-            let expected = Duration::from_millis(run.assignment.expected_ms);
+            let expected = bounded_ms(run.assignment.expected_ms);
             if now.duration_since(run.ordered_at) > expected.mul_f64(OVERDUE_FACTOR) + OVERDUE_SLACK {
                 run.overdue = true;
                 self.probe_after = Some(self.probe_after.map_or(now, |after| after.min(now)));
--- a/crates/runs/tests/overload.rs
+++ b/crates/runs/tests/overload.rs
@@ -108,6 +108,19 @@
     assert_eq!(owner.started(), ["first", "large", "small-a"]);
 }
 
+/// Guards against an owner that gets no tasks any more because one job asked for more than any upstream has: its report
+/// counts slots in tasks of average size.
+#[test]
+fn a_task_larger_than_every_upstream_does_not_hide_the_free_slots() {
+    let mut owner = Owner::new(&["up-1"]);
+    let slots = |owner: &Owner| owner.runner.load(owner.now, &"deicing".into()).slots;
+    assert!(slots(&owner) > 0);
+    for id in 1..200 {
+        owner.assign(sized(id, &format!("huge-{id}"), u64::MAX / CORE));
+    }
+    assert!(slots(&owner) > 0);
+}
+
 /// Guards against a large, less urgent task that starts before a small urgent one.
 #[test]
 fn priority_precedes_task_size() {
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -22,6 +22,8 @@
     SettingRejected = 1007,
     ///The settings file was reloaded after a signal.
     SettingsReloaded = 1008,
+    ///A task that the process cannot run without has panicked or returned, so the process exits.
+    TaskEnded = 1009,
     ///A peer was seen for the first time.
     MemberJoined = 1100,
     ///A peer's heartbeat counter has not increased for the suspect time.
@@ -127,6 +129,7 @@
         Self::Stopped,
         Self::SettingRejected,
         Self::SettingsReloaded,
+        Self::TaskEnded,
         Self::MemberJoined,
         Self::MemberSuspect,
         Self::MemberDead,
@@ -197,6 +200,7 @@
             Self::Stopped => "STOPPED",
             Self::SettingRejected => "SETTING_REJECTED",
             Self::SettingsReloaded => "SETTINGS_RELOADED",
+            Self::TaskEnded => "TASK_ENDED",
             Self::MemberJoined => "MEMBER_JOINED",
             Self::MemberSuspect => "MEMBER_SUSPECT",
             Self::MemberDead => "MEMBER_DEAD",
@@ -260,6 +264,7 @@
             Self::Stopped => "info",
             Self::SettingRejected => "error",
             Self::SettingsReloaded => "info",
+            Self::TaskEnded => "error",
             Self::MemberJoined => "info",
             Self::MemberSuspect => "warn",
             Self::MemberDead => "warn",
