Jobs: returning callers are noticed from the first job of a process on

Cause: the longest recent budget of a queue was unknown at the start of a process and taken from its first job. After a restart that job is often one of a returning caller, and until the first new caller came none of them was noticed.

Change: a budget below the timeout counts as time waited, unless 32 jobs of the queue in a row have one.

Test: the_first_callers_after_a_start_can_be_returning_ones (fails before: the job is admitted).

--- a/crates/jobs/src/budget.rs
+++ b/crates/jobs/src/budget.rs
@@ -12,25 +12,29 @@
 use crate::QueuePolicy;
 use crate::estimate::MAX_QUEUES;
 
-/// Part of the distance to the last budget by which a queue's longest budget shrinks with each job.
-const DECAY_DIVISOR: u32 = 64;
+/// Number of consecutive jobs with less time than the timeout after which this is taken for the habit of the callers.
+const HABIT_JOBS: u32 = 32;
 
-/// Longest recent time budget by queue.
+/// Time budgets by queue.
 #[derive(Debug, Default)]
 pub(crate) struct Budgets {
-    longest: FastMap<Arc<str>, Duration>,
+    /// Number of consecutive jobs whose budgets were below the timeout.
+    short: FastMap<Arc<str>, u32>,
 }
 
 impl Budgets {
-    /// Time that the caller of a job with this budget has waited in earlier attempts. Zero if all callers of the queue
-    /// come with less than its timeout: then a short budget shows nothing.
+    /// Time that the caller of a job with this budget has waited in earlier attempts. Zero if all recent callers of the
+    /// queue came with less than its timeout: then a short budget shows nothing.
     pub(crate) fn waited(&mut self, queue: &QueuePolicy, budget: Duration) -> Duration {
-        if !self.longest.contains_key(&queue.name) && self.longest.len() >= MAX_QUEUES {
+        if budget >= queue.timeout {
+            self.short.remove(&queue.name);
             return Duration::ZERO;
         }
-        let longest = self.longest.entry(queue.name.clone()).or_insert(budget);
-        let shrunk = *longest - longest.saturating_sub(budget) / DECAY_DIVISOR;
-        *longest = shrunk.max(budget);
-        if *longest < queue.timeout { Duration::ZERO } else { queue.timeout.saturating_sub(budget) }
+        if !self.short.contains_key(&queue.name) && self.short.len() >= MAX_QUEUES {
+            return Duration::ZERO;
+        }
+        let short = self.short.entry(queue.name.clone()).or_default();
+        *short = short.saturating_add(1);
+        if *short > HABIT_JOBS { Duration::ZERO } else { queue.timeout - budget }
     }
 }
