--- a/crates/runs/src/lib.rs
+++ b/crates/runs/src/lib.rs
@@ -64,6 +64,7 @@
 mod event;
 mod health;
 mod listing;
+mod load;
 mod orders;
 mod placement;
 mod queue;
--- a/crates/runs/src/runner.rs
+++ b/crates/runs/src/runner.rs
@@ -2,23 +2,21 @@
 
 use std::collections::VecDeque;
 
-use hinge_wire::{FastMap, FastSet, ServiceId, UpstreamId};
+use hinge_wire::{FastMap, UpstreamId};
 use tokio::time::Instant;
 
 use crate::queue::{Queue, Queued};
 use crate::upstream::{Ownership, Run, Upstream};
 use crate::{
-    Action, Assignment, AssignmentId, Event, Fence, HomeId, Load, Notice, Outcome, RunId, RunNumber,
-    StartOrder, TaskReport, UpstreamRecord, bounded_ms, whole_ms,
+    Action, Assignment, AssignmentId, Event, Fence, HomeId, Notice, Outcome, RunId, RunNumber, StartOrder,
+    TaskReport, UpstreamRecord, bounded_ms, whole_ms,
 };
 
 /// Number of ended runs that are remembered. An older listing may still show them as running, and they must not be
 /// mistaken for runs that another owner started.
 const MAX_RECENT_ENDS: usize = 256;
 /// Weight of a new value in the exponential moving averages of task sizes and run times.
-const AVERAGE_WEIGHT: f64 = 0.05;
-/// Upstreams with less free CPU are left out of load reports.
-const MIN_REPORTED_CPU_MILLIS: u64 = 1_000;
+pub(crate) const AVERAGE_WEIGHT: f64 = 0.05;
 /// Average task size before the first assignment; load reports count slots in tasks of average size.
 const INITIAL_CPU_MILLIS: f64 = 4_000.0;
 /// Average run time before the first task has ended; homes estimate waits from it.
@@ -37,7 +35,7 @@
     pub(crate) queue: Queue,
     pub(crate) recent_ends: VecDeque<RunId>,
     pub(crate) upstreams: FastMap<UpstreamId, Upstream>,
-    mean_cpu_millis: f64,
+    pub(crate) mean_cpu_millis: f64,
 }
 
 impl Default for Runner {
@@ -109,45 +107,8 @@
         self.placed.len() + self.queue.iter().count()
     }
 
-    /// Current load of this owner's upstreams of a service.
-    #[must_use]
-    pub fn load(&self, now: Instant, service: &ServiceId) -> Load {
-        let upstreams = self.upstreams.values().filter(|upstream| upstream.record.service == *service);
-        let mut load = Load {
-            mean_run_ms: to_u64(self.mean_run_ms),
-            queued: self.queue.counts(service),
-            ..Load::default()
-        };
-        for upstream in upstreams.filter(|upstream| upstream.accepts(now)) {
-            let slots = self.average_tasks_in(upstream.record.capacity.cpu_millis);
-            load.slots = load.slots.saturating_add(slots);
-            let free_cpu_millis = upstream.free().cpu_millis;
-            if free_cpu_millis >= MIN_REPORTED_CPU_MILLIS {
-                load.rooms_cpu_millis.push(free_cpu_millis);
-            }
-        }
-        load.rooms_cpu_millis.sort_unstable();
-        load
-    }
-
-    /// Services of the upstreams that this entry owns or is taking over.
-    #[must_use]
-    pub fn services(&self) -> FastSet<ServiceId> {
-        let owned = self.upstreams.values().filter(|upstream| upstream.ownership != Ownership::None);
-        owned.map(|upstream| upstream.record.service.clone()).collect()
-    }
-
-    fn average_tasks_in(&self, cpu_millis: u64) -> u32 {
-        u32::try_from(cpu_millis / to_u64(self.mean_cpu_millis).max(1)).unwrap_or(u32::MAX)
-    }
-
     fn enqueue(&mut self, now: Instant, home: HomeId, assignment: Assignment) {
-        // A task that is larger than every upstream must not distort the average.
-        let largest = self.upstreams.values().map(|upstream| upstream.record.capacity.cpu_millis).max();
-        if let Some(largest) = largest {
-            let cpu_millis = to_f64(assignment.need.cpu_millis.min(largest));
-            self.mean_cpu_millis += AVERAGE_WEIGHT * (cpu_millis - self.mean_cpu_millis);
-        }
+        self.learn_task_size(assignment.need.cpu_millis);
         let start_by = now + bounded_ms(assignment.start_within_ms);
         self.queue.push(Queued { assignment, home, queued_at: now, start_by });
     }
@@ -330,6 +291,11 @@
         let Some(upstream) = self.upstreams.get_mut(id) else { return };
         let Some(lease_until_ms) = upstream.lease_until_ms(now) else { return };
         let run_id = RunId { task: task.assignment.task.clone(), run: task.assignment.run };
+        if upstream.runs.contains_key(&run_id) {
+            // A second run under the same id could not be told from the first one.
+            self.report_not_run(now, &task, "duplicate");
+            return;
+        }
         let queued = now.duration_since(task.queued_at);
         let free = upstream.free();
         let started =
@@ -369,6 +335,6 @@
 }
 
 #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "averages of positive numbers")]
-fn to_u64(value: f64) -> u64 {
+pub(crate) fn to_u64(value: f64) -> u64 {
     value.round() as u64
 }
--- a/crates/runs/src/types.rs
+++ b/crates/runs/src/types.rs
@@ -60,9 +60,9 @@
 
     fn add(self, other: Self) -> Self {
         Self {
-            cpu_millis: self.cpu_millis + other.cpu_millis,
-            gpus: self.gpus + other.gpus,
-            memory_mb: self.memory_mb + other.memory_mb,
+            cpu_millis: self.cpu_millis.saturating_add(other.cpu_millis),
+            gpus: self.gpus.saturating_add(other.gpus),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
         }
     }
 }
--- a/crates/runs/tests/overload.rs
+++ b/crates/runs/tests/overload.rs
@@ -121,6 +121,19 @@
     assert!(slots(&owner) > 0);
 }
 
+/// Guards against resources that stay reserved for ever after a run was assigned twice under the same id.
+#[test]
+fn a_run_that_is_assigned_twice_starts_once() {
+    let mut owner = Owner::new(&["up-1"]);
+    owner.assign(sized(1, "task", 4));
+    owner.assign(sized(2, "task", 4));
+    assert_eq!(owner.started(), ["task"]);
+    assert_eq!(owner.reports[&2], [Outcome::NotStarted]);
+    owner.end("task", 100, 1);
+    let rooms = owner.runner.load(owner.now, &"deicing".into()).rooms_cpu_millis;
+    assert_eq!(rooms, [16 * CORE]);
+}
+
 /// Guards against a large, less urgent task that starts before a small urgent one.
 #[test]
 fn priority_precedes_task_size() {
