Client, demo, entry: shared types in files below their users

The files of three groups named each other in a circle: client exchange, rules and builder (SubmitOptions is in options.rs now), demo cluster and options (DemoError in error.rs), entry shared, waiters and quota_log (lock in lock.rs). No change of behaviour. Left: member exchange and members, route lending and router.

--- a/crates/client/src/client.rs
+++ b/crates/client/src/client.rs
@@ -11,10 +11,11 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::backoff::Backoff;
-use crate::builder::{ClientBuilder, SubmitOptions};
+use crate::builder::ClientBuilder;
 use crate::error::ClientError;
 use crate::exchange::{End, Exchange};
 use crate::keys::{IssuedKey, KeyPool};
+use crate::options::SubmitOptions;
 use crate::rules::may_repeat_with_new_key;
 use crate::transport::{HttpTransport, Transport};
 
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -47,10 +47,12 @@
 mod error;
 mod exchange;
 mod keys;
+mod options;
 mod rules;
 mod transport;
 
-pub use builder::{ClientBuilder, SubmitOptions};
+pub use builder::ClientBuilder;
 pub use client::Client;
 pub use error::{BuildError, ClientError};
+pub use options::SubmitOptions;
 pub use transport::{HttpTransport, SendError, Transport};
--- a/crates/client/src/rules.rs
+++ b/crates/client/src/rules.rs
@@ -4,7 +4,7 @@
 use hinge_wire::{Answer, ErrorReply, Outcome, ResultCode, SubmissionState, SubmissionStatus, from_json};
 use http::{Response, StatusCode};
 
-use crate::builder::SubmitOptions;
+use crate::options::SubmitOptions;
 
 /// What a response to a submission or a poll means for the submission.
 #[derive(Debug)]
--- a/crates/demo/src/cluster.rs
+++ b/crates/demo/src/cluster.rs
@@ -4,18 +4,18 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hinge_client::{BuildError, Client};
-use hinge_conf::{EntrySettings, Flags, SettingError};
-use hinge_entry::{Entry, StartError};
+use hinge_client::Client;
+use hinge_conf::{EntrySettings, Flags};
+use hinge_entry::Entry;
 use hinge_fakes::{
     FakeList, FakeStore, FakeUpstream, Platform, ServerHandle, Shared, StartRecord, StoreCaps,
     UpstreamOptions, serve,
 };
 use hinge_wire::{InstanceKind, ListEntry, ListState};
-use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::error::DemoError;
 use crate::options::Options;
 use crate::submissions::SERVICE;
 
@@ -26,29 +26,6 @@
 const SLOTS_PER_UPSTREAM: u32 = 8;
 const UPSTREAMS_PER_RACK: usize = 2;
 
-/// Why the demonstration could not run.
-#[derive(Debug, Error)]
-pub enum DemoError {
-    /// The client's settings are not valid.
-    #[error(transparent)]
-    Client(#[from] BuildError),
-    /// An entry could not start.
-    #[error(transparent)]
-    Entry(#[from] StartError),
-    /// A listener of a stand-in could not be opened.
-    #[error("cannot start a stand-in: {0}")]
-    Io(#[from] std::io::Error),
-    /// The entries did not become ready within 10 seconds.
-    #[error("the entries did not become ready")]
-    NotReady,
-    /// An option is out of range; the text names the option.
-    #[error("{0}")]
-    Option(&'static str),
-    /// The settings of an entry are not valid.
-    #[error(transparent)]
-    Setting(#[from] SettingError),
-}
-
 /// Running stand-ins and entries.
 pub struct Cluster {
     entries: Vec<Entry>,
--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -19,12 +19,14 @@
 
 mod checks;
 mod cluster;
+mod error;
 mod options;
 mod report;
 mod submissions;
 mod workload;
 
-pub use cluster::{Cluster, DemoError};
+pub use cluster::Cluster;
+pub use error::DemoError;
 pub use options::Options;
 pub use report::{Report, Row};
 
--- a/crates/demo/src/options.rs
+++ b/crates/demo/src/options.rs
@@ -2,7 +2,7 @@
 
 use argh::FromArgs;
 
-use crate::cluster::DemoError;
+use crate::error::DemoError;
 
 const MAX_DURATION_MS: u64 = 60_000;
 const MAX_ENTRIES: usize = 8;
--- a/crates/demo/src/workload.rs
+++ b/crates/demo/src/workload.rs
@@ -9,7 +9,8 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
 
-use crate::cluster::{Cluster, DemoError};
+use crate::cluster::Cluster;
+use crate::error::DemoError;
 use crate::options::Options;
 use crate::report::{Report, Row};
 use crate::submissions::{CheckedSubmission, JOB_TASKS, job, long_job, oversized_request, request};
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -33,6 +33,7 @@
 mod counters;
 mod entry;
 mod lifecycle;
+mod lock;
 mod loops;
 mod operators;
 mod peer_server;
--- a/crates/entry/src/loops.rs
+++ b/crates/entry/src/loops.rs
@@ -16,8 +16,9 @@
 
 use crate::counters::Counters;
 use crate::lifecycle::LifecycleEvent;
+use crate::lock::lock;
 use crate::peers::{call, send_heartbeat};
-use crate::shared::{Shared, lock};
+use crate::shared::Shared;
 
 /// Time between ticks of the dispatcher and the membership.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
--- a/crates/entry/src/operators.rs
+++ b/crates/entry/src/operators.rs
@@ -9,9 +9,10 @@
 use serde::Serialize;
 
 use crate::lifecycle::LifecycleEvent;
+use crate::lock::lock;
 use crate::reply::{Encoding, HttpResponse, Rejection};
 use crate::server::BufferedRequest;
-use crate::shared::{Shared, lock};
+use crate::shared::Shared;
 
 #[derive(Serialize)]
 struct ConfigChanged<'a> {
--- a/crates/entry/src/peer_server.rs
+++ b/crates/entry/src/peer_server.rs
@@ -13,11 +13,12 @@
 use serde::Serialize;
 use tokio::time::Instant;
 
+use crate::lock::lock;
 use crate::operators;
 use crate::peers::VERSION_HEADER;
 use crate::reply::{Encoding, HttpResponse, Rejection};
 use crate::server::{BufferedRequest, Handler, rejection_response};
-use crate::shared::{Shared, lock};
+use crate::shared::Shared;
 use crate::submissions::{check_fields, check_id, parse_key, parse_keys};
 
 /// Maximum size of a received heartbeat. Instances send at most 1,400 bytes, but later versions may add fields.
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -18,8 +18,9 @@
 use thiserror::Error;
 
 use crate::connections::SendError;
+use crate::lock::lock;
 use crate::reply::Rejection;
-use crate::shared::{Shared, lock};
+use crate::shared::Shared;
 use crate::upstreams::with_body;
 
 /// Header with the version of the peer messages.
--- a/crates/entry/src/platform_list.rs
+++ b/crates/entry/src/platform_list.rs
@@ -12,8 +12,9 @@
 use serde::Serialize;
 use tokio::time::{Instant, sleep};
 
+use crate::lock::lock;
 use crate::loops::jittered;
-use crate::shared::{Shared, UpstreamAddresses, lock};
+use crate::shared::{Shared, UpstreamAddresses};
 use crate::upstreams::with_body;
 
 /// Time for which the platform may hold a long poll for a new list version open.
--- a/crates/entry/src/quota_log.rs
+++ b/crates/entry/src/quota_log.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 use tokio::time::Instant;
 
-use crate::shared::lock;
+use crate::lock::lock;
 
 /// Minimum time between two log lines about a team.
 const LOG_INTERVAL: Duration = Duration::from_secs(10);
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,7 +1,7 @@
 //! State shared by the servers and background loops of an entry instance.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 
 use hinge_conf::EntrySettings;
 use hinge_dispatch::{Action, Dispatcher, Event, Start};
@@ -16,6 +16,7 @@
 
 use crate::connections::Connections;
 use crate::lifecycle::{Lifecycle, LifecycleEvent};
+use crate::lock::lock;
 use crate::quota_log::QuotaLog;
 use crate::waiters::Waiters;
 
@@ -166,8 +167,3 @@
         other => PreparedAction::Other(other),
     }
 }
-
-/// Locks a mutex, ignoring poisoning: after a panic of its holder, the state is used as the panic left it.
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/entry/src/submissions.rs
+++ b/crates/entry/src/submissions.rs
@@ -12,9 +12,10 @@
 };
 use tokio::time::{Instant, timeout_at};
 
+use crate::lock::lock;
 use crate::peers::{PeerError, call};
 use crate::reply::Rejection;
-use crate::shared::{Shared, lock};
+use crate::shared::Shared;
 
 /// Maximum number of keys that one request may issue or cancel.
 pub(crate) const MAX_KEYS: usize = 1000;
--- a/crates/entry/src/waiters.rs
+++ b/crates/entry/src/waiters.rs
@@ -5,7 +5,7 @@
 use hinge_wire::{FastMap, Sequence};
 use tokio::sync::Notify;
 
-use crate::shared::lock;
+use crate::lock::lock;
 
 /// Notifications by submission; one exists only while a request waits for the submission.
 #[derive(Default)]
