--- a/crates/jobs/tests/answers.rs
+++ b/crates/jobs/tests/answers.rs
@@ -62,6 +62,17 @@
     assert!(!home.cancelled.is_empty());
 }
 
+/// Guards against a second run of a task whose first one may still exist because its owner was suspended.
+#[test]
+fn a_task_with_an_uncertain_run_is_not_repeated() {
+    let mut home = Home::new(&[(HOME, load(8, 0, 60)), (2, load(8, 0, 60))]);
+    let job = home.submit(request("a", 1, 60));
+    home.report(0, Outcome::Started);
+    home.report(0, Outcome::Uncertain);
+    assert_eq!(home.answers, [(job, Answer::Failed(FailCause::Interrupted))]);
+    assert_eq!(home.assigned.len(), 1);
+}
+
 /// Guards against the answer "has not run" for a job with a task that has started.
 #[test]
 fn a_withdrawn_job_is_rejected_only_if_no_task_started() {
--- a/crates/runs/tests/settlement.rs
+++ b/crates/runs/tests/settlement.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use hinge_runs::{Event, HoldReply, Outcome, Rejection, StartReply};
+use hinge_runs::{Action, Event, HoldReply, Outcome, Rejection, StartReply};
 use support::{HOME, Owner, first_hold, first_probe, first_start, ms, record};
 
 /// Guards against a second start of a task when the answer to the first one is lost but the run exists.
@@ -55,6 +55,41 @@
     assert!(probe.fence > fence);
 }
 
+/// Guards against a task that starts because the process was paused between the decision and the order: meanwhile its
+/// lease has run out, and its caller may have sent the job again.
+#[test]
+fn an_order_that_a_pause_delays_beyond_its_lease_starts_nothing() {
+    for pause_ms in [200, 500, 740, 760, 1_000, 3_000, 10_000] {
+        let mut owner = Owner::new();
+        owner.assign(1, "job.0");
+        let start = first_start(&owner.actions());
+        owner.upstream.advance(pause_ms);
+        let reply = owner.upstream.start(&start);
+        let expired = pause_ms > 750;
+        assert_eq!(
+            matches!(reply, StartReply::Rejected { reason: Rejection::Late, .. }),
+            expired,
+            "{pause_ms} ms"
+        );
+        assert_eq!(owner.upstream.running.is_empty(), expired, "{pause_ms} ms");
+    }
+}
+
+/// Guards against a process that goes on with what it knew before it was suspended: the runs may have expired, and
+/// another owner may have taken over.
+#[test]
+fn a_suspended_owner_takes_its_upstreams_over_again() {
+    let (mut owner, _) = Owner::with_run();
+    owner.now += ms(5_000);
+    owner.handle(Event::Suspended);
+    let actions = owner.actions();
+    let probe = first_probe(&actions).expect("a probe");
+    assert_eq!(probe.lease_until_ms, None, "nothing is renewed before the runs are listed");
+    assert_eq!(owner.outcomes(1), [Outcome::Uncertain]);
+    owner.assign(2, "job.1");
+    assert!(!owner.actions().iter().any(|action| matches!(action, Action::Start(_))));
+}
+
 /// Guards against runs of a failed owner that survive because its successor renews the upstream's lease.
 #[test]
 fn a_new_owner_stops_runs_of_its_predecessor() {
--- a/crates/store/tests/mirror.rs
+++ b/crates/store/tests/mirror.rs
@@ -13,7 +13,7 @@
     Registration, RegistrationEvent, Revision, Snapshot, WatchResponse,
 };
 use tokio::sync::{mpsc, watch};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// A store whose watches return the responses that the test has queued.
 #[derive(Clone, Default)]
@@ -172,6 +172,19 @@
     assert_eq!(keys(&next_snapshot(&mut events).await), [("a/1", 5), ("a/2", 6)]);
 }
 
+/// Guards against an upstream or a route that is used after it was withdrawn: a removed key leaves the copy with the
+/// watch that reports it.
+#[tokio::test(start_paused = true)]
+async fn a_removed_key_leaves_the_copy() {
+    let store = ScriptedStore::default();
+    store.set(&[("a/1", 1), ("a/2", 2)]);
+    let mut events = start(&store);
+    next_snapshot(&mut events).await;
+    store.changes(3, vec![Change::Removed { key: "a/1".into(), revision: 3 }]);
+    let snapshot = timeout(Duration::from_secs(10), next_snapshot(&mut events)).await.unwrap();
+    assert_eq!(keys(&snapshot), [("a/2", 2)]);
+}
+
 /// Guards against changes that are missed when the store has compacted the history after the watch's revision.
 #[tokio::test(start_paused = true)]
 async fn compacted_history_causes_a_full_read() {
