--- a/crates/celeryhinge/tests/processes.rs
+++ b/crates/celeryhinge/tests/processes.rs
@@ -1,6 +1,6 @@
 //! Submissions and planned stops through real processes.
 
-#![allow(clippy::unwrap_used, reason = "tests")]
+#![allow(clippy::panic, clippy::unwrap_used, reason = "tests")]
 
 mod support;
 
