--- a/crates/runs/tests/interleavings.rs
+++ b/crates/runs/tests/interleavings.rs
@@ -1,7 +1,9 @@
-//! Simulation of random interleavings of crashes, freezes, takeovers, resubmissions and late orders, without a network.
+//! Simulation of random interleavings of crashes, freezes, takeovers, resubmissions, cancellations, restarts of upstreams
+//! and late orders, without a network.
 //!
-//! Two processes are each the owner of an upstream and a home. Callers of a lost home resubmit their jobs to the other
-//! one 1.3 s later. The invariant is that no task has two concurrent runs.
+//! Two processes are each the owner of an upstream and a home. Callers of a lost home, and callers that disconnect,
+//! resubmit their jobs 1.3 s later. Late orders count their lease from their arrival, and reach an upstream that has
+//! restarted meanwhile. The invariant is that no task has two concurrent runs.
 
 #![allow(clippy::panic, clippy::unwrap_used, reason = "tests")]
 
@@ -27,12 +29,52 @@
 /// Time after which the upstreams of a silent owner are taken over.
 const TAKEOVER_MS: u64 = 2_500;
 const TASKS: u64 = 12;
+const RUN_TIME_MS: u64 = 900;
+/// Run times on upstreams of normal and low speed; some are longer than a resubmission takes.
+const LONG_RUN_TIMES_MS: [u64; 3] = [900, 1_800, 5_000];
+
+/// Faults in addition to kills, freezes and late orders.
+#[derive(Clone, Copy, Debug, Default)]
+struct Faults {
+    /// Callers disconnect and resubmit their jobs.
+    disconnects: bool,
+    /// The lease of a late hold counts from its arrival.
+    late_renewals: bool,
+    /// Homes answer the jobs on an owner whose link is down, and callers resubmit them.
+    link_losses: bool,
+    /// Run times of up to [`LONG_RUN_TIMES_MS`] instead of [`RUN_TIME_MS`].
+    long_runs: bool,
+    /// Upstreams crash and start again without state; late orders reach the new process.
+    restarts: bool,
+}
+
+const LONG_RUNS: Faults =
+    Faults { disconnects: false, late_renewals: false, link_losses: true, long_runs: true, restarts: false };
 
 #[derive(Clone, Debug)]
 enum Message {
-    Event { event: Event, owner: usize, epoch: u32 },
-    Order { action: Action, late: bool, epoch: u32, owner: usize },
-    Resubmit { task: u64 },
+    Disconnect {
+        assignment: u64,
+    },
+    Event {
+        event: Event,
+        owner: usize,
+        epoch: u32,
+    },
+    /// An order that the upstream executes now; `late_ms` is its delay if it is late, in which case it has no answer.
+    Order {
+        action: Action,
+        late_ms: Option<u64>,
+        epoch: u32,
+        owner: usize,
+    },
+    /// The records in the store, as an owner sees them.
+    Records {
+        owner: usize,
+    },
+    Resubmit {
+        task: u64,
+    },
 }
 
 struct Process {
@@ -48,10 +90,19 @@
     taken_over: bool,
 }
 
+/// An assignment that its home has not seen the end of.
+struct Assigned {
+    home: HomeId,
+    owner: usize,
+    task: u64,
+}
+
 struct Simulation {
-    assignments: BTreeMap<u64, (u64, HomeId)>,
+    assignments: BTreeMap<u64, Assigned>,
     base: Instant,
-    homes: BTreeMap<u64, usize>,
+    /// Upstreams whose process is down, with the time of the restart.
+    down: BTreeMap<String, u64>,
+    faults: Faults,
     messages: Vec<(u64, Message)>,
     next_assignment: u64,
     now_ms: u64,
@@ -77,12 +128,13 @@
 }
 
 impl Simulation {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, faults: Faults) -> Self {
         let upstreams = ["up-0", "up-1"].map(|id| (id.to_owned(), FakeUpstream::new()));
         let mut simulation = Self {
             assignments: BTreeMap::new(),
             base: Instant::now(),
-            homes: BTreeMap::new(),
+            down: BTreeMap::new(),
+            faults,
             messages: Vec::new(),
             next_assignment: 1,
             now_ms: 0,
@@ -101,8 +153,8 @@
         self.base + ms(self.now_ms)
     }
 
-    fn records() -> Vec<UpstreamRecord> {
-        vec![record("up-0", 1), record("up-1", 1)]
+    fn records(&self) -> Vec<UpstreamRecord> {
+        self.upstreams.iter().map(|(id, upstream)| record(id, upstream.incarnation)).collect()
     }
 
     fn fence(&self, owner: usize) -> Fence {
@@ -110,7 +162,7 @@
     }
 
     fn start_process(&mut self, owner: usize) {
-        self.handle(owner, Event::Upstreams(Self::records()));
+        self.handle(owner, Event::Upstreams(self.records()));
         let fence = self.fence(owner);
         self.handle(owner, Event::Own { fence, upstream: format!("up-{owner}").into() });
     }
@@ -127,52 +179,72 @@
     fn action(&mut self, owner: usize, action: Action) {
         let epoch = self.processes[owner].epoch;
         match action {
-            Action::Report { home, report } => {
+            Action::Report { report, .. } => {
                 if report.outcome != Outcome::Started {
-                    self.report(home, report.assignment, report.outcome);
+                    self.report(report.assignment, report.outcome);
                 }
             }
             Action::Notice(_) => {}
             action => {
-                let late = self.rng.random_bool(0.06);
-                let delay_ms =
-                    if late { self.rng.random_range(2_000..12_000) } else { self.rng.random_range(0..3) };
-                if late {
-                    self.drop_answer(owner, epoch, &action);
+                let late_ms = self.rng.random_bool(0.06).then(|| self.rng.random_range(2_000..12_000));
+                let delay_ms = late_ms.unwrap_or_else(|| self.rng.random_range(0..3));
+                if late_ms.is_some() {
+                    self.drop_answer(owner, epoch, &action, 200);
                 }
-                self.messages.push((self.now_ms + delay_ms, Message::Order { action, late, epoch, owner }));
+                let order = Message::Order { action, late_ms, epoch, owner };
+                self.messages.push((self.now_ms + delay_ms, order));
             }
         }
     }
 
-    /// Reports a lost answer to the sender of an order that is executed late.
-    fn drop_answer(&mut self, owner: usize, epoch: u32, action: &Action) {
+    /// Reports a lost answer to the sender of an order after `after_ms`.
+    fn drop_answer(&mut self, owner: usize, epoch: u32, action: &Action, after_ms: u64) {
         let event = match action {
             Action::Hold(hold) => Event::HoldEnded { hold: hold.clone(), reply: HoldReply::Lost },
             Action::Start(start) => Event::StartEnded { reply: StartReply::Lost, start: start.clone() },
             _ => return,
         };
-        self.messages.push((self.now_ms + 200, Message::Event { event, epoch, owner }));
+        self.messages.push((self.now_ms + after_ms, Message::Event { event, epoch, owner }));
     }
 
-    fn order(&mut self, owner: usize, epoch: u32, late: bool, action: Action) {
+    fn order(&mut self, owner: usize, epoch: u32, late_ms: Option<u64>, action: Action) {
+        let id = match &action {
+            Action::Hold(hold) => &hold.upstream,
+            Action::Start(start) => &start.upstream,
+            Action::Stop(stop) => &stop.upstream,
+            Action::Notice(_) | Action::Report { .. } => return,
+        };
+        if self.down.contains_key(&**id) {
+            if late_ms.is_none() {
+                self.drop_answer(owner, epoch, &action, 1);
+            }
+            return;
+        }
+        let run_time_ms = if self.faults.long_runs {
+            LONG_RUN_TIMES_MS[self.rng.random_range(0..LONG_RUN_TIMES_MS.len())]
+        } else {
+            RUN_TIME_MS
+        };
+        let upstream = self.upstreams.get_mut(&**id).unwrap();
+        upstream.run_time_ms = run_time_ms;
         let event = match action {
             Action::Hold(hold) => {
-                let upstream = self.upstreams.get_mut(&*hold.upstream).unwrap();
+                if let Some(late_ms) = late_ms {
+                    let counted_ms = if self.faults.late_renewals { late_ms } else { 0 };
+                    upstream.late_hold(&hold, counted_ms);
+                    return;
+                }
                 let reply = upstream.hold(&hold);
                 Event::HoldEnded { hold, reply }
             }
             Action::Start(start) => {
-                let reply = self.upstreams.get_mut(&*start.upstream).unwrap().start(&start);
+                let reply = upstream.start(&start);
                 Event::StartEnded { reply, start }
             }
-            Action::Stop(stop) => {
-                self.upstreams.get_mut(&*stop.upstream).unwrap().stop(stop.fence, &stop.run);
-                return;
-            }
+            Action::Stop(stop) => return upstream.stop(stop.fence, &stop.run),
             Action::Notice(_) | Action::Report { .. } => return,
         };
-        if !late {
+        if late_ms.is_none() {
             // A fixed short wait instead of the wait for the end of a run.
             let wait_ms = if matches!(event, Event::HoldEnded { .. }) { 20 } else { 1 };
             self.messages.push((self.now_ms + wait_ms, Message::Event { event, epoch, owner }));
@@ -180,11 +252,8 @@
     }
 
     /// Handles an owner's report as the home of the task.
-    fn report(&mut self, home: HomeId, assignment: u64, outcome: Outcome) {
-        let Some((task, expected)) = self.assignments.remove(&assignment) else { return };
-        if expected != home {
-            return;
-        }
+    fn report(&mut self, assignment: u64, outcome: Outcome) {
+        let Some(Assigned { task, .. }) = self.assignments.remove(&assignment) else { return };
         match outcome {
             Outcome::Started | Outcome::Done | Outcome::Failed => {}
             Outcome::Interrupted | Outcome::NotStarted => {
@@ -209,11 +278,54 @@
         let run = self.runs.entry(task).and_modify(|run| *run += 1).or_insert(1);
         let assignment = assignment(id, &format!("task.{task}"), *run);
         let home_id = home_id(home, self.processes[home].epoch);
-        self.homes.insert(task, home);
-        self.assignments.insert(id, (task, home_id));
+        self.assignments.insert(id, Assigned { home: home_id, owner, task });
+        if self.faults.disconnects && self.rng.random_bool(0.1) {
+            let after_ms = self.rng.random_range(10..1_000);
+            self.messages.push((self.now_ms + after_ms, Message::Disconnect { assignment: id }));
+        }
         self.handle(owner, Event::Assigned { assignment, home: home_id });
     }
 
+    /// Cancels an assignment whose caller has disconnected; the caller resubmits the job.
+    fn disconnect(&mut self, assignment: u64) {
+        let Some(Assigned { home, owner, task }) = self.assignments.remove(&assignment) else { return };
+        self.messages.push((self.now_ms + RESUBMIT_MS, Message::Resubmit { task }));
+        let epoch = self.processes[owner].epoch;
+        let event = Event::Cancelled { assignment, home };
+        self.messages.push((self.now_ms + 2, Message::Event { event, epoch, owner }));
+    }
+
+    /// Ends the assignments that satisfy `is_lost`: their homes answer that runs may still exist, and the callers
+    /// resubmit.
+    fn lose_assignments(&mut self, is_lost: impl Fn(&Assigned) -> bool) {
+        let at_ms = self.now_ms + RESUBMIT_MS;
+        let lost = self.assignments.extract_if(.., |_, assigned| is_lost(assigned));
+        let resubmits = lost.map(|(_, assigned)| (at_ms, Message::Resubmit { task: assigned.task }));
+        self.messages.extend(resubmits);
+    }
+
+    /// Crashes an upstream, which starts again later without any state.
+    fn crash_upstream(&mut self) {
+        let id = format!("up-{}", self.rng.random_range(0..2));
+        if self.down.contains_key(&id) {
+            return;
+        }
+        self.upstreams.get_mut(&id).unwrap().running.clear();
+        let down_ms = self.rng.random_range(50..3_000);
+        self.down.insert(id, self.now_ms + down_ms);
+    }
+
+    fn restart_upstreams(&mut self) {
+        let now_ms = self.now_ms;
+        for (id, _) in self.down.extract_if(.., |_, until_ms| *until_ms <= now_ms) {
+            self.upstreams.get_mut(&id).unwrap().restart();
+            for owner in 0..2 {
+                let lag_ms = self.rng.random_range(0..1_500);
+                self.messages.push((now_ms + lag_ms, Message::Records { owner }));
+            }
+        }
+    }
+
     /// Kills a process, which restarts later in a new epoch, or freezes it.
     fn kill_or_freeze(&mut self, owner: usize, killed: bool) {
         let now_ms = self.now_ms;
@@ -236,13 +348,8 @@
             self.messages.push((now_ms + LINK_SILENCE_MS, Message::Event { event, epoch, owner: peer }));
         }
         // Callers of a killed home see a closed connection and resubmit; callers of a frozen one wait.
-        let jobs: Vec<_> =
-            self.assignments.iter().filter(|(_, (_, home))| *home == id).map(|(id, _)| *id).collect();
-        for assignment in jobs {
-            if killed {
-                let (task, _) = self.assignments.remove(&assignment).unwrap();
-                self.messages.push((now_ms + RESUBMIT_MS, Message::Resubmit { task }));
-            }
+        if killed {
+            self.lose_assignments(|assigned| assigned.home == id);
         }
     }
 
@@ -257,6 +364,10 @@
             for epoch in 1..=epoch {
                 self.handle(peer, Event::HomeLost(home_id(owner, epoch)));
             }
+            if self.faults.link_losses {
+                let peer_id = home_id(peer, self.processes[peer].epoch);
+                self.lose_assignments(|assigned| assigned.home == peer_id && assigned.owner == owner);
+            }
         }
         if silent_ms >= TAKEOVER_MS && !self.processes[owner].taken_over && peer_up {
             self.processes[owner].taken_over = true;
@@ -283,6 +394,10 @@
             for epoch in 1..=self.processes[owner].epoch {
                 self.handle(peer, Event::HomeLost(home_id(owner, epoch)));
             }
+            if self.faults.link_losses {
+                let id = home_id(owner, self.processes[owner].epoch);
+                self.lose_assignments(|assigned| assigned.home == id && assigned.owner == peer);
+            }
         }
         if self.processes[owner].taken_over {
             self.handle(1 - owner, Event::Release(format!("up-{owner}").into()));
@@ -295,6 +410,7 @@
         for upstream in self.upstreams.values_mut() {
             upstream.advance(STEP_MS);
         }
+        self.restart_upstreams();
         let (due, later): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.messages).into_iter().partition(|(at_ms, _)| *at_ms <= self.now_ms);
         self.messages = later;
@@ -313,6 +429,9 @@
             let killed = self.rng.random_bool(0.5);
             self.kill_or_freeze(owner, killed);
         }
+        if self.faults.restarts && self.rng.random_bool(0.001) {
+            self.crash_upstream();
+        }
         self.check();
     }
 
@@ -331,7 +450,13 @@
                     None => self.handle(owner, event),
                 }
             }
-            Message::Order { action, late, epoch, owner } => self.order(owner, epoch, late, action),
+            Message::Disconnect { assignment } => self.disconnect(assignment),
+            Message::Order { action, late_ms, epoch, owner } => self.order(owner, epoch, late_ms, action),
+            Message::Records { owner } => {
+                if self.processes[owner].silent_since_ms.is_none() {
+                    self.handle(owner, Event::Upstreams(self.records()));
+                }
+            }
             Message::Resubmit { task } => self.submit(task),
         }
     }
@@ -349,15 +474,12 @@
     }
 }
 
-fn simulate(seed: u64) -> Simulation {
-    let mut simulation = Simulation::new(seed);
+fn simulate(seed: u64, faults: Faults) -> Simulation {
+    let mut simulation = Simulation::new(seed, faults);
     for task in 0..TASKS {
         let at_ms = simulation.rng.random_range(10..DURATION_MS / 2);
         simulation.messages.push((at_ms, Message::Resubmit { task }));
     }
-    for upstream in simulation.upstreams.values_mut() {
-        upstream.run_time_ms = 900;
-    }
     while simulation.now_ms < DURATION_MS {
         simulation.step();
     }
@@ -370,14 +492,45 @@
     /// Guards against two concurrent runs of a task after any interleaving of crashes, freezes and takeovers.
     #[test]
     fn no_task_runs_twice_at_a_time(seed in any::<u64>()) {
-        simulate(seed);
+        simulate(seed, Faults::default());
+    }
+
+    /// Guards against a run that its owner gave up during a freeze, and that goes on when its task is started again.
+    #[test]
+    fn no_long_task_runs_twice_at_a_time(seed in any::<u64>()) {
+        simulate(seed, LONG_RUNS);
+    }
+
+    /// Guards against a run that goes on after its caller has disconnected and resubmitted the job.
+    #[test]
+    fn no_task_runs_twice_when_callers_disconnect(seed in any::<u64>()) {
+        simulate(seed, Faults { disconnects: true, ..LONG_RUNS });
+    }
+
+    /// Guards against a renewal that is executed late and keeps runs alive which their owner counts as expired.
+    #[test]
+    fn no_task_runs_twice_when_renewals_arrive_late(seed in any::<u64>()) {
+        simulate(seed, Faults { late_renewals: true, ..LONG_RUNS });
+    }
+
+    /// Guards against a start order for an earlier process of an upstream that its next process executes, after the task
+    /// was started elsewhere.
+    #[test]
+    fn no_task_runs_twice_when_upstreams_restart(seed in any::<u64>()) {
+        simulate(seed, Faults { restarts: true, ..LONG_RUNS });
+    }
+
+    /// Guards against combinations of the faults above.
+    #[test]
+    fn no_task_runs_twice_with_all_faults(seed in any::<u64>()) {
+        simulate(seed, Faults { disconnects: true, late_renewals: true, restarts: true, ..LONG_RUNS });
     }
 }
 
-/// Guards against a simulation without runs and retries, in which the property above would hold trivially.
+/// Guards against a simulation without runs and retries, in which the properties above would hold trivially.
 #[test]
 fn the_simulation_starts_and_repeats_tasks() {
-    let simulations: Vec<_> = (0..20).map(simulate).collect();
+    let simulations: Vec<_> = (0..20).map(|seed| simulate(seed, Faults::default())).collect();
     let ends: u64 = simulations
         .iter()
         .flat_map(|simulation| simulation.upstreams.values())
@@ -396,6 +549,6 @@
 #[test]
 fn previously_failing_seeds_pass() {
     for seed in [17_398_944_092_223_189_901, 8_699_291_667_230_451_197] {
-        simulate(seed);
+        simulate(seed, Faults::default());
     }
 }
--- a/crates/runs/tests/support/mod.rs
+++ b/crates/runs/tests/support/mod.rs
@@ -180,6 +180,12 @@
         })
     }
 
+    /// Executes a hold late: its lease counts from its arrival and not from the time at which it was sent.
+    pub(crate) fn late_hold(&mut self, hold: &Hold, delay_ms: u64) {
+        let lease_until_ms = hold.lease_until_ms.map(|until_ms| until_ms + delay_ms);
+        self.hold(&Hold { lease_until_ms, ..hold.clone() });
+    }
+
     /// Replaces the process by a new one without state.
     pub(crate) fn restart(&mut self) {
         *self = Self {
