--- a/crates/codegen/src/numbers.rs
+++ b/crates/codegen/src/numbers.rs
@@ -117,8 +117,10 @@
 
 /// Returns the code of a `const fn` that maps each variant to a value; `arms` holds schema names and value expressions.
 fn match_fn(name: &str, doc: &str, output: &str, arms: &[(&str, String)]) -> String {
-    let mut code =
-        format!("#[doc = {doc:?}] #[must_use] pub const fn {name}(self) -> {output} {{ match self {{");
+    let mut code = format!(
+        "#[doc = {doc:?}] #[allow(clippy::too_many_lines, reason = \"one line for each value\")] #[must_use] \
+         pub const fn {name}(self) -> {output} {{ match self {{"
+    );
     for (variant, value) in arms {
         let _ = write!(code, "Self::{} => {value},", camel_case(variant));
     }
--- a/crates/node/src/journal.rs
+++ b/crates/node/src/journal.rs
@@ -109,6 +109,9 @@
                 &json!({ "cause": cause, "for_ms": for_ms, "upstream": upstream }),
             );
         }
+        RunNotice::Cancelled { run, upstream } => {
+            emit(LogEvent::RunCancelled, &json!({ "run": run.run, "task": run.task, "upstream": upstream }));
+        }
         RunNotice::Dropped { queued, reason, run } => {
             let queued_ms = whole_ms(*queued);
             emit(
@@ -126,6 +129,9 @@
         RunNotice::Owner { fence, state, upstream } => {
             emit(LogEvent::UpstreamOwner, &json!({ "fence": fence, "state": state, "upstream": upstream }));
         }
+        RunNotice::RenewalLost { fence, upstream } => {
+            emit(LogEvent::RenewalLost, &json!({ "fence": fence, "upstream": upstream }));
+        }
         RunNotice::Stalled { done_percent, run, run_time, upstream } => emit(
             LogEvent::RunStalled,
             &json!({
@@ -144,6 +150,10 @@
                 "run": run.run, "task": run.task, "upstream": upstream,
             }),
         ),
+        RunNotice::Survived { how, run, upstream } => emit(
+            LogEvent::RunSurvived,
+            &json!({ "how": how, "run": run.run, "task": run.task, "upstream": upstream }),
+        ),
         RunNotice::Unknown { run, upstream } => {
             emit(LogEvent::UnknownRun, &json!({ "run": run.run, "task": run.task, "upstream": upstream }));
         }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -120,6 +120,7 @@
         match notice {
             RunNotice::Available { .. } => self.events.with_label_values(&["upstream_available"]).inc(),
             RunNotice::Avoided { cause, .. } => self.avoided.with_label_values(&[cause]).inc(),
+            RunNotice::Cancelled { .. } => self.events.with_label_values(&["run_cancelled"]).inc(),
             RunNotice::Dropped { .. } => self.events.with_label_values(&["task_dropped"]).inc(),
             RunNotice::Ended { how, run_time, .. } => {
                 self.run_seconds.with_label_values(&[how]).observe(run_time.as_secs_f64());
@@ -127,11 +128,13 @@
             RunNotice::Owner { state, .. } => {
                 self.events.with_label_values(&[&format!("upstream_{state}")]).inc();
             }
+            RunNotice::RenewalLost { .. } => self.events.with_label_values(&["renewal_lost"]).inc(),
             RunNotice::Stalled { .. } => self.events.with_label_values(&["run_stalled"]).inc(),
             RunNotice::StartRejected { reason, .. } => {
                 self.rejected_starts.with_label_values(&[reason]).inc();
             }
             RunNotice::Started { queued, .. } => self.queue_seconds.observe(queued.as_secs_f64()),
+            RunNotice::Survived { .. } => self.events.with_label_values(&["run_survived"]).inc(),
             RunNotice::Unknown { .. } => self.events.with_label_values(&["unknown_run"]).inc(),
         }
     }
--- a/crates/runs/src/event.rs
+++ b/crates/runs/src/event.rs
@@ -252,6 +252,13 @@
         /// Upstream that is paused.
         upstream: UpstreamId,
     },
+    /// A run that is no longer needed is stopped for the first time.
+    Cancelled {
+        /// Run that is stopped.
+        run: RunId,
+        /// Upstream of the run.
+        upstream: UpstreamId,
+    },
     /// A run has ended.
     Ended {
         /// Log value for the way it ended, such as `done` or `expired`.
@@ -281,6 +288,13 @@
         /// Upstream whose ownership has changed.
         upstream: UpstreamId,
     },
+    /// A hold that renews the lease was not answered; it may still be executed.
+    RenewalLost {
+        /// Fencing token of the hold.
+        fence: Fence,
+        /// Upstream that the hold was for.
+        upstream: UpstreamId,
+    },
     /// A run makes too little progress and is stopped.
     Stalled {
         /// Completed share of the work, in percent.
@@ -314,6 +328,15 @@
         /// Upstream of the run.
         upstream: UpstreamId,
     },
+    /// An upstream still lists a run that this entry counts as ended.
+    Survived {
+        /// Log value for the way in which the run was ended, such as `expired`.
+        how: &'static str,
+        /// Run that still exists.
+        run: RunId,
+        /// Upstream of the run.
+        upstream: UpstreamId,
+    },
     /// An upstream has a run that this entry does not know; the run is stopped.
     Unknown {
         /// Run that is stopped.
--- a/crates/runs/src/lib.rs
+++ b/crates/runs/src/lib.rs
@@ -61,6 +61,7 @@
 //! # Ok::<(), &'static str>(())
 //! ```
 
+mod ends;
 mod event;
 mod health;
 mod listing;
--- a/crates/runs/src/listing.rs
+++ b/crates/runs/src/listing.rs
@@ -5,10 +5,11 @@
 use hinge_wire::{FastSet, UpstreamId};
 use tokio::time::Instant;
 
+use crate::ends::EndProof;
 use crate::upstream::Ownership;
 use crate::{
-    Action, EndKind, Ended, Hold, HoldReply, Listing, Notice, Outcome, Rejection, RunId, Runner, StopOrder,
-    bounded_ms,
+    Action, EndKind, Ended, Hold, HoldReply, Listing, Notice, Outcome, Rejection, RunId, RunProgress, Runner,
+    StopOrder, bounded_ms,
 };
 
 /// A listing with this many ends may be truncated, so that the end of a run that is no longer running may be missing.
@@ -100,7 +101,7 @@
             }
             EndKind::Interrupted => {}
         }
-        self.end_run(now, id, &end.run, outcome, how);
+        self.end_run(now, id, &end.run, outcome, how, EndProof::Listed);
     }
 
     /// Compares the listed runs with the known ones. Runs that never started are queued again, confirmed runs that have
@@ -128,16 +129,17 @@
         let mut to_stop: Vec<_> = stopping.filter(|run_id| running.contains(run_id)).cloned().collect();
         let unknown: Vec<_> = running
             .iter()
-            .filter(|run_id| !upstream.runs.contains_key(**run_id) && !self.recent_ends.contains(run_id))
+            .filter(|run_id| !upstream.runs.contains_key(**run_id) && self.recent_ends.get(run_id).is_none())
             .map(|run_id| (*run_id).clone())
             .collect();
         upstream.unknown_runs = unknown.iter().cloned().collect();
+        self.notice_surviving_runs(hold, listing);
         for run_id in never_started {
             let number = run_id.run;
             self.requeue(now, id, &run_id, number);
         }
         for run_id in vanished {
-            self.end_run(now, id, &run_id, Outcome::Interrupted, "vanished");
+            self.end_run(now, id, &run_id, Outcome::Interrupted, "vanished", EndProof::Listed);
         }
         for run_id in &unknown {
             self.actions.push(Action::Notice(Notice::Unknown { run: run_id.clone(), upstream: id.clone() }));
@@ -149,9 +151,20 @@
         self.check_progress(now, id, &listing.running);
     }
 
+    /// Logs the listed runs that this owner has given up, or whose end was listed before this hold was sent.
+    fn notice_surviving_runs(&mut self, hold: &Hold, listing: &Listing) {
+        for RunProgress { run, .. } in &listing.running {
+            let Some(end) = self.recent_ends.get(run) else { continue };
+            if end.proof == EndProof::Assumed || end.at < hold.sent_at {
+                let (how, run, upstream) = (end.how, run.clone(), hold.upstream.clone());
+                self.actions.push(Action::Notice(Notice::Survived { how, run, upstream }));
+            }
+        }
+    }
+
     /// Stops a run that was started although this entry no longer tracks it.
     pub(crate) fn stop_unknown_run(&mut self, id: &UpstreamId, run_id: &RunId) {
-        if self.recent_ends.contains(run_id) {
+        if self.recent_ends.get(run_id).is_some() {
             return;
         }
         if let Some(upstream) = self.upstreams.get_mut(id) {
--- a/crates/runs/src/orders.rs
+++ b/crates/runs/src/orders.rs
@@ -5,6 +5,7 @@
 use hinge_wire::UpstreamId;
 use tokio::time::Instant;
 
+use crate::ends::EndProof;
 use crate::upstream::Ownership;
 use crate::{Action, Fence, Hold, Notice, Outcome, Rejection, RunNumber, Runner, StartOrder, StartReply};
 
@@ -172,7 +173,9 @@
                     self.lose_ownership(now, id);
                 }
             }
-            Rejection::Invalid => self.end_run(now, id, &start.run, Outcome::Failed, "invalid"),
+            Rejection::Invalid => {
+                self.end_run(now, id, &start.run, Outcome::Failed, "invalid", EndProof::Listed);
+            }
             Rejection::Late => self.requeue(now, id, &start.run, start.run.run),
             Rejection::NoRoom => {
                 if let Some(upstream) = self.upstreams.get_mut(id) {
@@ -232,6 +235,10 @@
             upstream.probe_after = Some(now + HOLD_RETRY);
         }
         let expired = now > upstream.runs_expire_at;
+        if hold.lease_until_ms.is_some() {
+            let (fence, upstream) = (hold.fence, id.clone());
+            self.actions.push(Action::Notice(Notice::RenewalLost { fence, upstream }));
+        }
         if repeated {
             self.pause_upstream(now, id, if refused { "refused" } else { "unanswered" });
         }
--- a/crates/runs/src/runner.rs
+++ b/crates/runs/src/runner.rs
@@ -1,10 +1,9 @@
 //! State of an owner and the handling of its events.
 
-use std::collections::VecDeque;
-
 use hinge_wire::{FastMap, UpstreamId};
 use tokio::time::Instant;
 
+use crate::ends::{EndProof, RecentEnd, RecentEnds};
 use crate::queue::{Queue, Queued};
 use crate::upstream::{Ownership, Run, Upstream};
 use crate::{
@@ -12,9 +11,6 @@
     TaskReport, UpstreamRecord, bounded_ms, whole_ms,
 };
 
-/// Number of ended runs that are remembered. An older listing may still show them as running, and they must not be
-/// mistaken for runs that another owner started.
-const MAX_RECENT_ENDS: usize = 256;
 /// Weight of a new value in the exponential moving averages of task sizes and run times.
 pub(crate) const AVERAGE_WEIGHT: f64 = 0.05;
 /// Average task size before the first assignment; load reports count slots in tasks of average size.
@@ -33,7 +29,7 @@
     /// Runs with a home that expects a report.
     pub(crate) placed: FastMap<(HomeId, AssignmentId), (UpstreamId, RunId)>,
     pub(crate) queue: Queue,
-    pub(crate) recent_ends: VecDeque<RunId>,
+    pub(crate) recent_ends: RecentEnds,
     pub(crate) upstreams: FastMap<UpstreamId, Upstream>,
     pub(crate) mean_cpu_millis: f64,
 }
@@ -46,7 +42,7 @@
             mean_run_ms: INITIAL_RUN_MS,
             placed: FastMap::default(),
             queue: Queue::default(),
-            recent_ends: VecDeque::new(),
+            recent_ends: RecentEnds::default(),
             upstreams: FastMap::default(),
             mean_cpu_millis: INITIAL_CPU_MILLIS,
         }
@@ -152,6 +148,8 @@
         let Some(upstream) = self.upstreams.get_mut(id) else { return };
         let Some(run) = upstream.runs.get_mut(run_id) else { return };
         run.stopping = true;
+        let (run, upstream) = (run_id.clone(), id.clone());
+        self.actions.push(Action::Notice(Notice::Cancelled { run, upstream }));
         self.order_stop(id, run_id);
     }
 
@@ -196,14 +194,12 @@
         run_id: &RunId,
         outcome: Outcome,
         how: &'static str,
+        proof: EndProof,
     ) {
         let Some(run) = self.upstreams.get_mut(id).and_then(|upstream| upstream.remove_run(run_id)) else {
             return;
         };
-        if self.recent_ends.len() >= MAX_RECENT_ENDS {
-            self.recent_ends.pop_front();
-        }
-        self.recent_ends.push_back(run_id.clone());
+        self.recent_ends.record(run_id.clone(), RecentEnd { at: now, how, proof });
         let run_time = now.duration_since(run.ordered_at);
         let ended = Notice::Ended { how, run: run_id.clone(), run_time, upstream: id.clone() };
         self.actions.push(Action::Notice(ended));
@@ -224,6 +220,7 @@
         self.actions.push(Action::Report { home: run.home, report });
     }
 
+    /// Gives up all runs of an upstream without an answer from it.
     pub(crate) fn end_all_runs(
         &mut self,
         now: Instant,
@@ -237,7 +234,7 @@
             .map(|upstream| upstream.runs.keys().cloned().collect())
             .unwrap_or_default();
         for run in runs {
-            self.end_run(now, id, &run, outcome, how);
+            self.end_run(now, id, &run, outcome, how, EndProof::Assumed);
         }
     }
 
--- a/crates/wire/src/code.rs
+++ b/crates/wire/src/code.rs
@@ -146,6 +146,7 @@
         Self::ALL.iter().copied().find(|value| value.number() == number)
     }
     ///Name used in responses, logs and tables.
+    #[allow(clippy::too_many_lines, reason = "one line for each value")]
     #[must_use]
     pub const fn name(self) -> &'static str {
         match self {
@@ -196,6 +197,7 @@
 }
 impl ResultCode {
     ///Execution outcome that the code stands for.
+    #[allow(clippy::too_many_lines, reason = "one line for each value")]
     #[must_use]
     pub const fn outcome(self) -> crate::Outcome {
         match self {
@@ -244,6 +246,7 @@
         }
     }
     ///HTTP status of a response with this code.
+    #[allow(clippy::too_many_lines, reason = "one line for each value")]
     #[must_use]
     pub const fn http_status(self) -> u16 {
         match self {
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -94,6 +94,12 @@
     UnknownRun = 1614,
     ///A run makes too little progress and is stopped, so that its task can run elsewhere; gives its run time and the completed share.
     RunStalled = 1615,
+    ///A run is no longer needed, because its caller or its home is gone or its job has failed, and is stopped.
+    RunCancelled = 1616,
+    ///An upstream still lists a run that this owner has counted as ended; gives how it was ended.
+    RunSurvived = 1617,
+    ///A hold that renews the lease of an upstream's runs was not answered and may be executed later; gives its fencing token.
+    RenewalLost = 1618,
     ///An upstream has a new owner; gives the fencing token.
     UpstreamOwner = 1620,
     ///An upstream gets no new tasks for some time; gives the reason and the duration.
@@ -165,6 +171,9 @@
         Self::TaskDropped,
         Self::UnknownRun,
         Self::RunStalled,
+        Self::RunCancelled,
+        Self::RunSurvived,
+        Self::RenewalLost,
         Self::UpstreamOwner,
         Self::UpstreamAvoided,
         Self::UpstreamAvailable,
@@ -188,6 +197,7 @@
         Self::ALL.iter().copied().find(|value| value.number() == number)
     }
     ///Name used in responses, logs and tables.
+    #[allow(clippy::too_many_lines, reason = "one line for each value")]
     #[must_use]
     pub const fn name(self) -> &'static str {
         match self {
@@ -236,6 +246,9 @@
             Self::TaskDropped => "TASK_DROPPED",
             Self::UnknownRun => "UNKNOWN_RUN",
             Self::RunStalled => "RUN_STALLED",
+            Self::RunCancelled => "RUN_CANCELLED",
+            Self::RunSurvived => "RUN_SURVIVED",
+            Self::RenewalLost => "RENEWAL_LOST",
             Self::UpstreamOwner => "UPSTREAM_OWNER",
             Self::UpstreamAvoided => "UPSTREAM_AVOIDED",
             Self::UpstreamAvailable => "UPSTREAM_AVAILABLE",
@@ -252,6 +265,7 @@
 }
 impl LogEvent {
     ///Level at which the event is logged, as text such as `warn`.
+    #[allow(clippy::too_many_lines, reason = "one line for each value")]
     #[must_use]
     pub const fn level(self) -> &'static str {
         match self {
@@ -300,6 +314,9 @@
             Self::TaskDropped => "info",
             Self::UnknownRun => "warn",
             Self::RunStalled => "warn",
+            Self::RunCancelled => "info",
+            Self::RunSurvived => "warn",
+            Self::RenewalLost => "info",
             Self::UpstreamOwner => "info",
             Self::UpstreamAvoided => "warn",
             Self::UpstreamAvailable => "info",
