Runs: stop a listed run that its owner had given up

An owner that was suspended, found a lease expired, noticed a restart or was fenced off gives up the runs of an upstream without an answer from it. Their ids went into the same memory as ends that the upstream had listed, and reconciliation skips what is in there. So a run that was still there was never stopped, and every renewal and start for its neighbours kept it alive, while its home or its caller started the task again.

A listing is taken as outdated only for an end that the upstream has listed since the hold was sent; every other listed run that the owner does not know is stopped.

a_run_given_up_in_a_suspension_is_stopped failed before: the run went on. Ruled out: a lost stop order, which is repeated for each listing that shows the run.

--- a/crates/runs/src/ends.rs
+++ b/crates/runs/src/ends.rs
@@ -29,7 +29,7 @@
 }
 
 /// The last [`MAX_ENDS`] ends. An older listing may still show these runs as running, and they must not be mistaken for
-/// runs that another owner started.
+/// runs that are to be stopped.
 #[derive(Debug, Default)]
 pub(crate) struct RecentEnds {
     ends: FastMap<RunId, RecentEnd>,
@@ -52,4 +52,14 @@
     pub(crate) fn get(&self, run: &RunId) -> Option<&RecentEnd> {
         self.ends.get(run)
     }
+
+    /// Whether the upstream itself has shown that the run has ended.
+    pub(crate) fn is_proven(&self, run: &RunId) -> bool {
+        self.ends.get(run).is_some_and(|end| end.proof == EndProof::Listed)
+    }
+
+    /// Whether a listing that was requested at `sent_at` may show the run only because it is older than the run's end.
+    pub(crate) fn is_outdated(&self, run: &RunId, sent_at: Instant) -> bool {
+        self.ends.get(run).is_some_and(|end| end.proof == EndProof::Listed && sent_at <= end.at)
+    }
 }
--- a/crates/runs/src/listing.rs
+++ b/crates/runs/src/listing.rs
@@ -8,8 +8,8 @@
 use crate::ends::EndProof;
 use crate::upstream::Ownership;
 use crate::{
-    Action, EndKind, Ended, Hold, HoldReply, Listing, Notice, Outcome, Rejection, RunId, RunProgress, Runner,
-    StopOrder, bounded_ms,
+    Action, EndKind, Ended, Hold, HoldReply, Listing, Notice, Outcome, Rejection, RunId, Runner, StopOrder,
+    bounded_ms,
 };
 
 /// A listing with this many ends may be truncated, so that the end of a run that is no longer running may be missing.
@@ -129,11 +129,12 @@
         let mut to_stop: Vec<_> = stopping.filter(|run_id| running.contains(run_id)).cloned().collect();
         let unknown: Vec<_> = running
             .iter()
-            .filter(|run_id| !upstream.runs.contains_key(**run_id) && self.recent_ends.get(run_id).is_none())
+            .filter(|run_id| !upstream.runs.contains_key(**run_id))
+            .filter(|run_id| !self.recent_ends.is_outdated(run_id, hold.sent_at))
             .map(|run_id| (*run_id).clone())
             .collect();
         upstream.unknown_runs = unknown.iter().cloned().collect();
-        self.notice_surviving_runs(hold, listing);
+        self.notice_surviving_runs(id, &unknown);
         for run_id in never_started {
             let number = run_id.run;
             self.requeue(now, id, &run_id, number);
@@ -151,20 +152,18 @@
         self.check_progress(now, id, &listing.running);
     }
 
-    /// Logs the listed runs that this owner has given up, or whose end was listed before this hold was sent.
-    fn notice_surviving_runs(&mut self, hold: &Hold, listing: &Listing) {
-        for RunProgress { run, .. } in &listing.running {
+    /// Logs the listed runs that this owner has counted as ended too early.
+    fn notice_surviving_runs(&mut self, id: &UpstreamId, runs: &[RunId]) {
+        for run in runs {
             let Some(end) = self.recent_ends.get(run) else { continue };
-            if end.proof == EndProof::Assumed || end.at < hold.sent_at {
-                let (how, run, upstream) = (end.how, run.clone(), hold.upstream.clone());
-                self.actions.push(Action::Notice(Notice::Survived { how, run, upstream }));
-            }
+            let (how, run, upstream) = (end.how, run.clone(), id.clone());
+            self.actions.push(Action::Notice(Notice::Survived { how, run, upstream }));
         }
     }
 
     /// Stops a run that was started although this entry no longer tracks it.
     pub(crate) fn stop_unknown_run(&mut self, id: &UpstreamId, run_id: &RunId) {
-        if self.recent_ends.get(run_id).is_some() {
+        if self.recent_ends.is_proven(run_id) {
             return;
         }
         if let Some(upstream) = self.upstreams.get_mut(id) {
--- /dev/null
+++ b/crates/runs/tests/concurrent_runs.rs
@@ -0,0 +1,22 @@
+//! Runs that go on after their owner has reported their end or their caller has given them up, so that a second run of the
+//! same task would be concurrent with them (incident `docs/incidents/two-runs-at-a-time.md`).
+
+#![allow(clippy::expect_used, reason = "tests")]
+
+mod support;
+
+use hinge_runs::{Event, Outcome};
+use support::{Owner, ms};
+
+/// Guards against a run that was given up during a suspension of the process and goes on unnoticed: its lease is still
+/// valid, and later runs beside it renew it.
+#[test]
+fn a_run_given_up_in_a_suspension_is_stopped() {
+    let (mut owner, _) = Owner::with_run();
+    owner.now += ms(650);
+    owner.handle(Event::Suspended);
+    assert_eq!(owner.upstream.running.len(), 1, "the lease is still valid");
+    owner.answer_all();
+    assert_eq!(owner.outcomes(1), [Outcome::Uncertain]);
+    assert!(owner.upstream.running.is_empty());
+}
