Runs: raise the fencing token after a renewal without an answer

A hold that renews the lease and is not answered may be executed seconds later, and its time may count from its arrival. The owner kept its token, so the upstream obeyed it. It then extended leases that the owner counted as expired, or that a dead owner's callers counted on to expire before they submit again. platform.md had this as an open question and assumed one second at most; renewals of the last twelve seconds arrive one after the other, so the run may go on for longer.

The token is now raised like after a start without an answer; the next hold makes the late renewal void.

an_unanswered_renewal_is_fenced_by_the_next_hold failed before: the late hold was answered with a listing. Cost: a start or stop on its way under the older token is rejected as fenced and repeated. Remains: a renewal that is sent just before the owner dies and arrives within the same second.

--- a/crates/runs/src/listing.rs
+++ b/crates/runs/src/listing.rs
@@ -34,7 +34,10 @@
         }
         match reply {
             HoldReply::Listed(listing) => self.handle_listing(now, hold, &listing),
-            HoldReply::Lost => self.hold_failed(now, hold, false),
+            HoldReply::Lost => {
+                self.fence_unanswered_renewal(hold);
+                self.hold_failed(now, hold, false);
+            }
             HoldReply::Refused => self.hold_failed(now, hold, true),
             HoldReply::Rejected(Rejection::Fenced) => {
                 if hold.fence >= upstream.fence {
--- a/crates/runs/src/orders.rs
+++ b/crates/runs/src/orders.rs
@@ -218,6 +218,18 @@
         self.actions.extend(holds.into_iter().map(Action::Hold));
     }
 
+    /// Raises the fencing token after a renewal without an answer. The upstream may execute it seconds later, and the
+    /// lease would then last longer than this owner, or its successor, expects.
+    pub(crate) fn fence_unanswered_renewal(&mut self, hold: &Hold) {
+        let Some(upstream) = self.upstreams.get_mut(&hold.upstream) else { return };
+        if hold.lease_until_ms.is_none() {
+            return;
+        }
+        upstream.fence = upstream.fence.max(hold.fence + 1);
+        let (fence, upstream) = (hold.fence, hold.upstream.clone());
+        self.actions.push(Action::Notice(Notice::RenewalLost { fence, upstream }));
+    }
+
     /// Handles a hold that failed. Repeated failures pause the upstream; once the lease has expired for certain, its
     /// runs are reported as interrupted.
     pub(crate) fn hold_failed(&mut self, now: Instant, hold: &Hold, refused: bool) {
@@ -235,10 +247,6 @@
             upstream.probe_after = Some(now + HOLD_RETRY);
         }
         let expired = now > upstream.runs_expire_at;
-        if hold.lease_until_ms.is_some() {
-            let (fence, upstream) = (hold.fence, id.clone());
-            self.actions.push(Action::Notice(Notice::RenewalLost { fence, upstream }));
-        }
         if repeated {
             self.pause_upstream(now, id, if refused { "refused" } else { "unanswered" });
         }
