Runs: end the runs of a restarted upstream only under the raised token

When a new process of an upstream was noticed, all its runs were reported as interrupted at once, and repeated elsewhere. The new process has seen no fencing token, and obeys an order for its predecessor that is still on its way until the takeover has reached it.

The takeover now comes first. Its listing decides for each run: listed, it goes on; unconfirmed, its order is fenced and the task is queued again; otherwise it is reported as interrupted. A restarted upstream needs one round trip more.

--- a/crates/runs/src/listing.rs
+++ b/crates/runs/src/listing.rs
@@ -75,6 +75,9 @@
             self.run_ended(now, id, end);
         }
         self.reconcile_runs(now, hold, listing);
+        if let Some(upstream) = self.upstreams.get_mut(id) {
+            upstream.restarted = false;
+        }
     }
 
     fn run_ended(&mut self, now: Instant, id: &UpstreamId, end: &Ended) {
@@ -115,6 +118,7 @@
         let Some(upstream) = self.upstreams.get_mut(id) else { return };
         let mut never_started = Vec::new();
         let mut vanished = Vec::new();
+        let how = if upstream.restarted { "restarted" } else { "vanished" };
         for (run_id, run) in &mut upstream.runs {
             let listed = running.contains(run_id);
             match run.confirmed_at {
@@ -143,7 +147,7 @@
             self.requeue(now, id, &run_id, number);
         }
         for run_id in vanished {
-            self.end_run(now, id, &run_id, Outcome::Interrupted, "vanished", EndProof::Listed);
+            self.end_run(now, id, &run_id, Outcome::Interrupted, how, EndProof::Listed);
         }
         for run_id in &unknown {
             self.actions.push(Action::Notice(Notice::Unknown { run: run_id.clone(), upstream: id.clone() }));
--- a/crates/runs/src/orders.rs
+++ b/crates/runs/src/orders.rs
@@ -95,11 +95,12 @@
         self.notice_ownership(id, "lost");
     }
 
-    /// Handles a restart of the upstream's process, which has ended all runs of the previous one.
+    /// Handles a restart of the upstream's process. The new process has seen no fencing token, and may still execute
+    /// orders for the previous one; so the runs end only when it no longer lists them under the raised token.
     pub(crate) fn upstream_restarted(&mut self, now: Instant, id: &UpstreamId) {
-        self.end_all_runs(now, id, Outcome::Interrupted, "restarted");
         let Some(upstream) = self.upstreams.get_mut(id) else { return };
         upstream.reset_incarnation();
+        upstream.restarted = true;
         if upstream.ownership != Ownership::None {
             self.start_takeover(now, id);
         }
--- a/crates/runs/src/upstream.rs
+++ b/crates/runs/src/upstream.rs
@@ -91,6 +91,8 @@
     pub(crate) record: UpstreamRecord,
     /// Whether the upstream is still registered.
     pub(crate) registered: bool,
+    /// Whether its process has restarted since the last takeover.
+    pub(crate) restarted: bool,
     pub(crate) runs: FastMap<RunId, Run>,
     /// Number of consecutive holds without an answer. While it is not zero, leases are not renewed, so that the runs
     /// expire at a known time.
@@ -116,6 +118,7 @@
             probing: false,
             record,
             registered: true,
+            restarted: false,
             runs: FastMap::default(),
             lost_holds: 0,
             used: Resources::default(),
--- a/crates/runs/tests/support/mod.rs
+++ b/crates/runs/tests/support/mod.rs
@@ -263,7 +263,7 @@
         }
     }
 
-    fn answer(&mut self, action: Action) {
+    pub(crate) fn answer(&mut self, action: Action) {
         match action {
             Action::Hold(hold) if hold.wait.is_zero() || !self.upstream.ended.is_empty() => {
                 let reply = self.upstream.hold(&hold);
