--- a/crates/runs/tests/interleavings.rs
+++ b/crates/runs/tests/interleavings.rs
@@ -29,6 +29,8 @@
 /// Time after which the upstreams of a silent owner are taken over.
 const TAKEOVER_MS: u64 = 2_500;
 const TASKS: u64 = 12;
+/// Share of orders that are executed late and not answered.
+const LATE_SHARE: f64 = 0.06;
 const RUN_TIME_MS: u64 = 900;
 /// Run times on upstreams of normal and low speed; some are longer than a resubmission takes.
 const LONG_RUN_TIMES_MS: [u64; 3] = [900, 1_800, 5_000];
@@ -42,14 +44,28 @@
     late_renewals: bool,
     /// Homes answer the jobs on an owner whose link is down, and callers resubmit them.
     link_losses: bool,
+    /// Half of the orders are late instead of [`LATE_SHARE`].
+    many_late_orders: bool,
     /// Run times of up to [`LONG_RUN_TIMES_MS`] instead of [`RUN_TIME_MS`].
     long_runs: bool,
-    /// Upstreams crash and start again without state; late orders reach the new process.
+    /// Upstreams crash and start again without state.
     restarts: bool,
+    /// Late orders for a crashed process of an upstream reach its next one; otherwise they are lost with it.
+    stale_orders: bool,
 }
 
-const LONG_RUNS: Faults =
-    Faults { disconnects: false, late_renewals: false, link_losses: true, long_runs: true, restarts: false };
+const LONG_RUNS: Faults = Faults {
+    disconnects: false,
+    late_renewals: false,
+    link_losses: true,
+    long_runs: true,
+    many_late_orders: false,
+    restarts: false,
+    stale_orders: false,
+};
+
+const ALL_BUT_STALE_ORDERS: Faults =
+    Faults { disconnects: true, late_renewals: true, restarts: true, ..LONG_RUNS };
 
 #[derive(Clone, Debug)]
 enum Message {
@@ -62,8 +78,10 @@
         epoch: u32,
     },
     /// An order that the upstream executes now; `late_ms` is its delay if it is late, in which case it has no answer.
+    /// `crashes` is the number of crashes of upstreams before it was sent.
     Order {
         action: Action,
+        crashes: usize,
         late_ms: Option<u64>,
         epoch: u32,
         owner: usize,
@@ -100,6 +118,8 @@
 struct Simulation {
     assignments: BTreeMap<u64, Assigned>,
     base: Instant,
+    /// Upstreams in the order of their crashes.
+    crashed: Vec<String>,
     /// Upstreams whose process is down, with the time of the restart.
     down: BTreeMap<String, u64>,
     faults: Faults,
@@ -133,6 +153,7 @@
         let mut simulation = Self {
             assignments: BTreeMap::new(),
             base: Instant::now(),
+            crashed: Vec::new(),
             down: BTreeMap::new(),
             faults,
             messages: Vec::new(),
@@ -186,12 +207,14 @@
             }
             Action::Notice(_) => {}
             action => {
-                let late_ms = self.rng.random_bool(0.06).then(|| self.rng.random_range(2_000..12_000));
+                let late_share = if self.faults.many_late_orders { 0.5 } else { LATE_SHARE };
+                let late_ms = self.rng.random_bool(late_share).then(|| self.rng.random_range(2_000..12_000));
                 let delay_ms = late_ms.unwrap_or_else(|| self.rng.random_range(0..3));
                 if late_ms.is_some() {
                     self.drop_answer(owner, epoch, &action, 200);
                 }
-                let order = Message::Order { action, late_ms, epoch, owner };
+                let crashes = self.crashed.len();
+                let order = Message::Order { action, crashes, late_ms, epoch, owner };
                 self.messages.push((self.now_ms + delay_ms, order));
             }
         }
@@ -207,13 +230,17 @@
         self.messages.push((self.now_ms + after_ms, Message::Event { event, epoch, owner }));
     }
 
-    fn order(&mut self, owner: usize, epoch: u32, late_ms: Option<u64>, action: Action) {
+    fn order(&mut self, owner: usize, epoch: u32, crashes: usize, late_ms: Option<u64>, action: Action) {
         let id = match &action {
             Action::Hold(hold) => &hold.upstream,
             Action::Start(start) => &start.upstream,
             Action::Stop(stop) => &stop.upstream,
             Action::Notice(_) | Action::Report { .. } => return,
         };
+        let is_stale = self.crashed[crashes..].iter().any(|crashed| **crashed == **id);
+        if is_stale && late_ms.is_some() && !self.faults.stale_orders {
+            return;
+        }
         if self.down.contains_key(&**id) {
             if late_ms.is_none() {
                 self.drop_answer(owner, epoch, &action, 1);
@@ -312,7 +339,8 @@
         }
         self.upstreams.get_mut(&id).unwrap().running.clear();
         let down_ms = self.rng.random_range(50..3_000);
-        self.down.insert(id, self.now_ms + down_ms);
+        self.down.insert(id.clone(), self.now_ms + down_ms);
+        self.crashed.push(id);
     }
 
     fn restart_upstreams(&mut self) {
@@ -392,7 +420,9 @@
                 self.handle(owner, Event::HomeLost(home_id(peer, epoch)));
             }
             for epoch in 1..=self.processes[owner].epoch {
-                self.handle(peer, Event::HomeLost(home_id(owner, epoch)));
+                let event = Event::HomeLost(home_id(owner, epoch));
+                // A frozen peer notices the loss only when it resumes.
+                self.deliver(Message::Event { event, owner: peer, epoch: self.processes[peer].epoch });
             }
             if self.faults.link_losses {
                 let id = home_id(owner, self.processes[owner].epoch);
@@ -400,7 +430,8 @@
             }
         }
         if self.processes[owner].taken_over {
-            self.handle(1 - owner, Event::Release(format!("up-{owner}").into()));
+            let (event, peer) = (Event::Release(format!("up-{owner}").into()), 1 - owner);
+            self.deliver(Message::Event { event, owner: peer, epoch: self.processes[peer].epoch });
         }
         self.start_process(owner);
     }
@@ -451,7 +482,9 @@
                 }
             }
             Message::Disconnect { assignment } => self.disconnect(assignment),
-            Message::Order { action, late_ms, epoch, owner } => self.order(owner, epoch, late_ms, action),
+            Message::Order { action, crashes, late_ms, epoch, owner } => {
+                self.order(owner, epoch, crashes, late_ms, action);
+            }
             Message::Records { owner } => {
                 if self.processes[owner].silent_since_ms.is_none() {
                     self.handle(owner, Event::Upstreams(self.records()));
@@ -507,6 +540,12 @@
         simulate(seed, Faults { disconnects: true, ..LONG_RUNS });
     }
 
+    /// Guards against the same where stop orders are lost several times in a row.
+    #[test]
+    fn no_task_runs_twice_when_stop_orders_are_lost(seed in any::<u64>()) {
+        simulate(seed, Faults { disconnects: true, many_late_orders: true, ..LONG_RUNS });
+    }
+
     /// Guards against a renewal that is executed late and keeps runs alive which their owner counts as expired.
     #[test]
     fn no_task_runs_twice_when_renewals_arrive_late(seed in any::<u64>()) {
@@ -517,13 +556,19 @@
     /// was started elsewhere.
     #[test]
     fn no_task_runs_twice_when_upstreams_restart(seed in any::<u64>()) {
-        simulate(seed, Faults { restarts: true, ..LONG_RUNS });
+        simulate(seed, Faults { restarts: true, stale_orders: true, ..LONG_RUNS });
     }
 
     /// Guards against combinations of the faults above.
     #[test]
     fn no_task_runs_twice_with_all_faults(seed in any::<u64>()) {
-        simulate(seed, Faults { disconnects: true, late_renewals: true, restarts: true, ..LONG_RUNS });
+        simulate(seed, Faults { stale_orders: true, ..ALL_BUT_STALE_ORDERS });
+    }
+
+    /// Guards against the same combinations where a crash of an upstream discards the late orders on their way to it.
+    #[test]
+    fn no_task_runs_twice_with_all_faults_but_stale_orders(seed in any::<u64>()) {
+        simulate(seed, ALL_BUT_STALE_ORDERS);
     }
 }
 
