Runs: renew no lease beside a run that does not stop

A run that its caller or its home no longer needs was reported as uncertain at once, and its stop order was repeated for each listing that showed it.

A cancelled run that has not ended within 0.2 s, one of a lost home, and one that the owner does not know now keep their upstream from being renewed and from starting tasks, until they have ended or the lease has run out.

a_cancelled_run_that_does_not_stop_expires_before_its_job_is_resubmitted failed before: the run was still there after 1.3 s.

--- a/crates/runs/src/listing.rs
+++ b/crates/runs/src/listing.rs
@@ -132,7 +132,7 @@
                 None | Some(_) => {}
             }
         }
-        let stopping = upstream.runs.iter().filter(|(_, run)| run.stopping).map(|(run_id, _)| run_id);
+        let stopping = upstream.runs.iter().filter(|(_, run)| run.is_stopping()).map(|(run_id, _)| run_id);
         let mut to_stop: Vec<_> = stopping.filter(|run_id| running.contains(run_id)).cloned().collect();
         let unknown: Vec<_> = running
             .iter()
--- a/crates/runs/src/orders.rs
+++ b/crates/runs/src/orders.rs
@@ -274,7 +274,10 @@
 
 impl crate::upstream::Upstream {
     fn hold(&self, now: Instant, id: &UpstreamId, probe: bool, wait: Duration) -> Hold {
-        let renews = self.is_owned() && self.lost_holds == 0 && self.runs.values().any(|run| !run.stopping);
+        let renews = self.is_owned()
+            && self.lost_holds == 0
+            && !self.has_unstoppable_run(now)
+            && self.runs.values().any(|run| !run.is_stopping());
         Hold {
             address: self.record.address.clone(),
             fence: self.fence,
--- a/crates/runs/src/runner.rs
+++ b/crates/runs/src/runner.rs
@@ -5,7 +5,7 @@
 
 use crate::ends::{EndProof, RecentEnd, RecentEnds};
 use crate::queue::{Queue, Queued};
-use crate::upstream::{Ownership, Run, Upstream};
+use crate::upstream::{Ownership, Run, STOP_TIME, Upstream};
 use crate::{
     Action, Assignment, AssignmentId, Event, Fence, HomeId, Notice, Outcome, RunId, RunNumber, StartOrder,
     TaskReport, UpstreamRecord, bounded_ms, whole_ms,
@@ -54,9 +54,9 @@
     pub fn handle(&mut self, now: Instant, event: Event) {
         match event {
             Event::Assigned { assignment, home } => self.enqueue(now, home, assignment),
-            Event::Cancelled { assignment, home } => self.cancel(home, assignment),
+            Event::Cancelled { assignment, home } => self.cancel(now, home, assignment),
             Event::HoldEnded { hold, reply } => self.hold_ended(now, &hold, reply),
-            Event::HomeLost(home) => self.home_lost(home),
+            Event::HomeLost(home) => self.home_lost(now, home),
             Event::Own { fence, upstream } => self.take_ownership(now, &upstream, fence),
             Event::Recalled { assignment, home } => {
                 self.return_queued(home, assignment);
@@ -116,12 +116,12 @@
         }
     }
 
-    fn cancel(&mut self, home: HomeId, assignment: AssignmentId) {
+    fn cancel(&mut self, now: Instant, home: HomeId, assignment: AssignmentId) {
         if self.return_queued(home, assignment) {
             return;
         }
         if let Some((upstream, run)) = self.placed.remove(&(home, assignment)) {
-            self.stop_run(&upstream, &run);
+            self.stop_run(&upstream, &run, now + STOP_TIME);
             let report = TaskReport::new(assignment, Outcome::Uncertain, run.run);
             self.actions.push(Action::Report { home, report });
         }
@@ -135,19 +135,20 @@
         true
     }
 
-    fn home_lost(&mut self, home: HomeId) {
+    fn home_lost(&mut self, now: Instant, home: HomeId) {
         self.queue.extract(|task| task.home == home);
         let lost: Vec<_> = self.placed.extract_if(|(other, _), _| *other == home).collect();
         for (_, (upstream, run)) in lost {
-            self.stop_run(&upstream, &run);
+            // Detecting the loss has taken the time that a cancelled run has to end.
+            self.stop_run(&upstream, &run, now);
         }
     }
 
     /// Stops a run whose home no longer expects a report.
-    fn stop_run(&mut self, id: &UpstreamId, run_id: &RunId) {
+    fn stop_run(&mut self, id: &UpstreamId, run_id: &RunId, end_by: Instant) {
         let Some(upstream) = self.upstreams.get_mut(id) else { return };
         let Some(run) = upstream.runs.get_mut(run_id) else { return };
-        run.stopping = true;
+        run.end_by = Some(end_by);
         let (run, upstream) = (run_id.clone(), id.clone());
         self.actions.push(Action::Notice(Notice::Cancelled { run, upstream }));
         self.order_stop(id, run_id);
@@ -203,7 +204,7 @@
         let run_time = now.duration_since(run.ordered_at);
         let ended = Notice::Ended { how, run: run_id.clone(), run_time, upstream: id.clone() };
         self.actions.push(Action::Notice(ended));
-        if run.stopping {
+        if run.is_stopping() {
             return;
         }
         self.placed.remove(&(run.home, run.assignment.id));
@@ -243,7 +244,7 @@
         let Some(run) = self.upstreams.get_mut(id).and_then(|upstream| upstream.remove_run(run_id)) else {
             return;
         };
-        if run.stopping {
+        if run.is_stopping() {
             return;
         }
         self.placed.remove(&(run.home, run.assignment.id));
@@ -315,12 +316,12 @@
             Run {
                 assignment: task.assignment,
                 confirmed_at: None,
+                end_by: None,
                 fence: upstream.fence,
                 home: task.home,
                 ordered_at: now,
                 overdue: false,
                 stalled: false,
-                stopping: false,
             },
         );
     }
--- a/crates/runs/src/stalled.rs
+++ b/crates/runs/src/stalled.rs
@@ -30,7 +30,8 @@
 
     fn is_stalled(&mut self, now: Instant, id: &UpstreamId, progress: &RunProgress) -> bool {
         let Some(upstream) = self.upstreams.get_mut(id) else { return false };
-        let Some(run) = upstream.runs.get(&progress.run).filter(|run| run.overdue && !run.stopping) else {
+        let Some(run) = upstream.runs.get(&progress.run).filter(|run| run.overdue && !run.is_stopping())
+        else {
             return false;
         };
         let expected = bounded_ms(run.assignment.expected_ms);
--- a/crates/runs/src/upstream.rs
+++ b/crates/runs/src/upstream.rs
@@ -22,6 +22,10 @@
 /// that the upstream rejects every order as late.
 const MAX_DRIFT_CORRECTION: Duration = Duration::from_millis(200);
 
+/// Time in which a cancelled run ends, unless orders are lost. Together with [`LEASE_LIMIT`] it is shorter than the 1.3 s
+/// after which callers resubmit a job.
+pub(crate) const STOP_TIME: Duration = Duration::from_millis(200);
+
 /// Multiple of the expected run time after which a run is overdue.
 const OVERDUE_FACTOR: f64 = 1.5;
 /// Added to the overdue limit, so that short runs do not become overdue too soon.
@@ -45,6 +49,8 @@
     pub(crate) assignment: Assignment,
     /// When the upstream first confirmed that the run exists.
     pub(crate) confirmed_at: Option<Instant>,
+    /// When the run must have ended, after it was cancelled or its home lost; none if its home expects a report.
+    pub(crate) end_by: Option<Instant>,
     /// Fencing token of the start order.
     pub(crate) fence: Fence,
     pub(crate) home: HomeId,
@@ -53,8 +59,12 @@
     pub(crate) overdue: bool,
     /// Whether the run was stopped for lack of progress. Its home still expects a report.
     pub(crate) stalled: bool,
-    /// Whether the run was cancelled or its home lost. Its end is not reported.
-    pub(crate) stopping: bool,
+}
+
+impl Run {
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.end_by.is_some()
+    }
 }
 
 /// Last reading of an upstream's clock.
@@ -152,11 +162,18 @@
         self.ownership == Ownership::Owned
             && self.registered
             && !self.record.draining
-            && self.unknown_runs.is_empty()
+            && !self.has_unstoppable_run(now)
             && self.clock.is_some()
             && self.health.may_start(now, self.runs.len())
     }
 
+    /// Whether a run that must not go on has not ended in time. Meanwhile no order renews the lease, so that it expires
+    /// before the run's task is started again.
+    pub(crate) fn has_unstoppable_run(&self, now: Instant) -> bool {
+        let mut limits = self.runs.values().filter_map(|run| run.end_by);
+        !self.unknown_runs.is_empty() || limits.any(|end_by| now >= end_by)
+    }
+
     pub(crate) fn free(&self) -> Resources {
         self.record.capacity - self.used
     }
@@ -226,7 +243,7 @@
     pub(crate) fn hold_wait(&self, longest: Duration, stopping: Duration) -> Duration {
         if self.ownership == Ownership::Taking || (self.runs.is_empty() && self.unknown_runs.is_empty()) {
             Duration::ZERO
-        } else if !self.unknown_runs.is_empty() || self.runs.values().any(|run| run.stopping) {
+        } else if !self.unknown_runs.is_empty() || self.runs.values().any(Run::is_stopping) {
             stopping
         } else {
             longest
--- a/crates/runs/tests/concurrent_runs.rs
+++ b/crates/runs/tests/concurrent_runs.rs
@@ -5,8 +5,8 @@
 
 mod support;
 
-use hinge_runs::{Event, HoldReply, Outcome, Rejection, StartReply};
-use support::{Owner, first_hold, first_start, ms, record};
+use hinge_runs::{Action, Event, HoldReply, Outcome, Rejection, StartReply};
+use support::{FakeUpstream, HOME, Owner, first_hold, first_start, ms, record};
 
 /// Guards against a run that was given up during a suspension of the process and goes on unnoticed: its lease is still
 /// valid, and later runs beside it renew it.
@@ -94,3 +94,63 @@
     owner.answer_all();
     assert_eq!(owner.outcomes(1), [Outcome::Interrupted]);
 }
+
+/// Executes and answers the orders so far; stop orders are lost, and holds do not wait.
+fn answer_all_but_stops(owner: &mut Owner) {
+    for action in owner.actions() {
+        match action {
+            Action::Hold(hold) => {
+                let reply = owner.upstream.hold(&hold);
+                owner.handle(Event::HoldEnded { hold, reply });
+            }
+            Action::Stop(_) => {}
+            other => owner.answer(other),
+        }
+    }
+}
+
+/// Guards against a cancelled run whose stop orders are lost and which renewals of the runs beside it keep alive until its
+/// caller has resubmitted the job.
+#[test]
+fn a_cancelled_run_that_does_not_stop_expires_before_its_job_is_resubmitted() {
+    const RESUBMIT_MS: u64 = 1_300;
+    let mut owner = Owner::new();
+    owner.upstream.run_time_ms = 10_000;
+    owner.assign(1, "job.0");
+    owner.assign(2, "job.1");
+    answer_all_but_stops(&mut owner);
+    assert_eq!(owner.upstream.running.len(), 2);
+    owner.handle(Event::Cancelled { assignment: 1, home: HOME });
+    for assignment in 3..3 + RESUBMIT_MS / 10 {
+        answer_all_but_stops(&mut owner);
+        owner.advance(10);
+        owner.assign(assignment, &format!("job.{assignment}"));
+    }
+    assert!(!owner.upstream.running.iter().any(|run| &*run.id.task == "job.0"));
+}
+
+/// Guards against a new owner that renews the lease of its predecessor's runs with the start of its own, while its stop
+/// orders are lost.
+#[test]
+fn a_new_owner_starts_nothing_beside_runs_of_its_predecessor() {
+    let (mut first, _) = Owner::with_run();
+    let mut second = Owner::new();
+    second.upstream = std::mem::replace(&mut first.upstream, FakeUpstream::new());
+    second.handle(Event::Release("up-1".into()));
+    second.handle(Event::Own { fence: 100, upstream: "up-1".into() });
+    let takeover = first_hold(&second.actions());
+    let reply = second.upstream.hold(&takeover);
+    second.handle(Event::HoldEnded { hold: takeover, reply });
+    second.assign(2, "job.1");
+    let actions = second.actions();
+    assert!(!actions.iter().any(|action| matches!(action, Action::Start(_))));
+    assert_eq!(first_hold(&actions).lease_until_ms, None);
+    for action in actions {
+        second.answer(action);
+    }
+    let listing = second.listing();
+    second.handle(listing);
+    second.answer_all();
+    assert_eq!(second.upstream.running.len(), 1, "it starts once the old run has ended");
+    assert_eq!(&*second.upstream.running[0].id.task, "job.1");
+}
