--- a/crates/runs/tests/interleavings.rs
+++ b/crates/runs/tests/interleavings.rs
@@ -597,3 +597,20 @@
         simulate(seed, Faults::default());
     }
 }
+
+/// Seeds that failed before owners stopped the runs that they had given up, fenced lost renewals, and waited for the raised
+/// token after a restart of an upstream.
+#[test]
+fn previously_failing_seeds_with_more_faults_pass() {
+    let failed: [(Faults, [u64; 4]); 4] = [
+        (LONG_RUNS, [631, 784, 983, 2_393]),
+        (Faults { disconnects: true, ..LONG_RUNS }, [168, 2_006, 2_211, 2_934]),
+        (Faults { late_renewals: true, ..LONG_RUNS }, [213, 380, 500, 606]),
+        (ALL_BUT_STALE_ORDERS, [194, 209, 259, 345]),
+    ];
+    for (faults, seeds) in failed {
+        for seed in seeds {
+            simulate(seed, faults);
+        }
+    }
+}
