--- a/crates/runs/src/listing.rs
+++ b/crates/runs/src/listing.rs
@@ -110,8 +110,9 @@
         self.end_run(now, id, &end.run, outcome, how, EndProof::Listed);
     }
 
-    /// Compares the listed runs with the known ones. Runs that never started are queued again, confirmed runs that have
-    /// vanished are reported as interrupted, and unknown runs are stopped.
+    /// Compares the listed runs with the known ones. Runs that never started are queued again, runs that have vanished are
+    /// reported as interrupted, and unknown runs are stopped. After a restart of the upstream a run without a confirmation
+    /// counts as vanished: the earlier process may have started it.
     fn reconcile_runs(&mut self, now: Instant, hold: &Hold, listing: &Listing) {
         let id = &hold.upstream;
         let running: FastSet<&RunId> = listing.running.iter().map(|running| &running.run).collect();
@@ -123,6 +124,7 @@
             let listed = running.contains(run_id);
             match run.confirmed_at {
                 None if listed => run.confirmed_at = Some(now),
+                None if hold.fence > run.fence && upstream.restarted => vanished.push(run_id.clone()),
                 None if hold.fence > run.fence => never_started.push(run_id.clone()),
                 Some(confirmed_at)
                     if !listed && confirmed_at <= hold.sent_at && listing.ended.len() < MAX_LISTED_ENDS =>
