Mirror: end a range read when a page brings no new key

What was seen: nothing yet from callers. Read from the code and shown by a test: when the store does not find the place of the last key of a page, for instance because the key holds a character that the query does not carry unchanged, it answers with the same page again. The mirror then read that page without end, kept every copy in memory and never began to follow the list.

Change: the pages are collected by key. A page without a new key ends the read like the last page does; the watch then brings the rest as it changes. A page order that differs from ours is no longer of importance.

--- a/crates/store/src/mirror.rs
+++ b/crates/store/src/mirror.rs
@@ -128,27 +128,28 @@
         }
     }
 
-    async fn read_all(&self) -> Result<(Vec<Item>, Revision), KeyspaceError> {
-        let mut items: Vec<Item> = Vec::new();
+    async fn read_all(&self) -> Result<(BTreeMap<Arc<str>, Item>, Revision), KeyspaceError> {
+        let mut items: BTreeMap<Arc<str>, Item> = BTreeMap::new();
         let mut first_revision = None;
         loop {
-            let after = items.last().map(|item| item.key.clone());
+            let after = items.last_key_value().map(|(key, _)| key.clone());
             let Page { as_of, items: page, has_more } =
                 self.keyspace.range(&self.settings.prefix, after.as_deref()).await?;
-            let is_empty = page.is_empty();
-            items.extend(page);
+            let known = items.len();
+            items.extend(page.into_iter().map(|item| (item.key.clone(), item)));
             // Later pages may be read at later revisions, so the watch starts after the first page's revision; changes
             // that a later page already shows are then ignored.
             let revision = *first_revision.get_or_insert(as_of);
-            if !has_more || is_empty {
+            // A page without a new key would be followed by the same page again, without end.
+            let is_last = !has_more || items.len() == known;
+            if is_last {
                 return Ok((items, revision));
             }
         }
     }
 
     /// Replaces the copy by a complete read. After an outage, absent keys stay for the grace period.
-    fn replace(&mut self, items: Vec<Item>, revision: Revision) {
-        let items: BTreeMap<_, _> = items.into_iter().map(|item| (item.key.clone(), item)).collect();
+    fn replace(&mut self, items: BTreeMap<Arc<str>, Item>, revision: Revision) {
         let absent: Vec<_> =
             self.snapshot.items.keys().filter(|key| !items.contains_key(*key)).cloned().collect();
         for key in absent {
--- a/crates/store/tests/mirror.rs
+++ b/crates/store/tests/mirror.rs
@@ -15,6 +15,9 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
+/// Number of range reads after which the store is down, so that a read without end fails its test.
+const MAX_RANGES: u64 = 100;
+
 /// A store whose watches return the responses that the test has queued.
 #[derive(Clone, Default)]
 struct ScriptedStore {
@@ -24,6 +27,8 @@
 #[derive(Default)]
 struct State {
     down: bool,
+    /// Every range starts at the first key.
+    ignores_after: bool,
     items: BTreeMap<String, Revision>,
     leases: u64,
     page_size: usize,
@@ -61,10 +66,11 @@
 impl Keyspace for ScriptedStore {
     async fn range(&self, _: &str, after: Option<&str>) -> Result<Page, KeyspaceError> {
         let mut state = self.state.lock().unwrap();
-        if state.down {
+        if state.down || state.ranges >= MAX_RANGES {
             return Err(down());
         }
         state.ranges += 1;
+        let after = after.filter(|_| !state.ignores_after);
         let size = state.page_size.max(1);
         let rest: Vec<_> =
             state.items.iter().filter(|(key, _)| after.is_none_or(|after| key.as_str() > after)).collect();
@@ -153,6 +159,22 @@
     assert_eq!(next_snapshot(&mut events).await.items.len(), 5);
 }
 
+/// Guards against a read without end, whose pages fill the memory, when the store does not find the place of a key in
+/// the list.
+#[tokio::test(start_paused = true)]
+async fn a_page_without_a_new_key_ends_the_read() {
+    let store = ScriptedStore::default();
+    store.state.lock().unwrap().page_size = 2;
+    store.state.lock().unwrap().ignores_after = true;
+    store.set(&[("a/1", 1), ("a/2", 2), ("a/3", 3)]);
+    let mut events = start(&store);
+    let snapshot = timeout(Duration::from_secs(10), next_snapshot(&mut events)).await.unwrap();
+    assert_eq!(keys(&snapshot), [("a/1", 1), ("a/2", 2)]);
+    store.changes(4, vec![Change::Written(item("a/3", 4))]);
+    assert_eq!(keys(&next_snapshot(&mut events).await), [("a/1", 1), ("a/2", 2), ("a/3", 4)]);
+    assert_eq!(store.state.lock().unwrap().ranges, 2);
+}
+
 /// Guards against a copy that reverts to older values, because the watch reports changes that later pages already
 /// showed.
 #[tokio::test(start_paused = true)]
