--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -48,6 +48,8 @@
     StoreRecovered = 1204,
     ///An operator's change was written and is in force.
     ConfigChanged = 1205,
+    ///An item of the platform's store was not used, because it cannot be read; gives its key, the reason and the start of its value.
+    StoreItemRejected = 1206,
     ///An upstream was ejected and gets no tasks.
     UpstreamEjected = 1300,
     ///An ejected upstream is on probation and gets single tasks.
@@ -148,6 +150,7 @@
         Self::StoreUnreachable,
         Self::StoreRecovered,
         Self::ConfigChanged,
+        Self::StoreItemRejected,
         Self::UpstreamEjected,
         Self::UpstreamProbation,
         Self::UpstreamHealthy,
@@ -223,6 +226,7 @@
             Self::StoreUnreachable => "STORE_UNREACHABLE",
             Self::StoreRecovered => "STORE_RECOVERED",
             Self::ConfigChanged => "CONFIG_CHANGED",
+            Self::StoreItemRejected => "STORE_ITEM_REJECTED",
             Self::UpstreamEjected => "UPSTREAM_EJECTED",
             Self::UpstreamProbation => "UPSTREAM_PROBATION",
             Self::UpstreamHealthy => "UPSTREAM_HEALTHY",
@@ -291,6 +295,7 @@
             Self::StoreUnreachable => "warn",
             Self::StoreRecovered => "info",
             Self::ConfigChanged => "info",
+            Self::StoreItemRejected => "warn",
             Self::UpstreamEjected => "warn",
             Self::UpstreamProbation => "info",
             Self::UpstreamHealthy => "info",
