--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -66,7 +66,7 @@
     SheddingEnded = 1401,
     ///A team has reached its quota.
     QuotaLimited = 1402,
-    ///An upstream's answer was dropped because it was late, duplicate, for another task or truncated.
+    ///An upstream's answer, or a part of it, was dropped because it was late, duplicate, for another task, truncated or invalid.
     AnswerDropped = 1500,
     ///An input was rejected; gives the result code.
     InputRejected = 1501,
