Jobs, node: give up a task under which upstreams crash, also when its job is sent again

What callers saw: nothing but time bounded the starts of a task that crashes each upstream that starts it. Each crash also interrupts the tasks beside it, and takes an upstream away for seconds.

Cause: the end of a run by the loss of its upstream was reported as Interrupted, like a stop, and repeated without a count; a resubmission, usually at another entry, started from zero; a loss that was noticed after the caller had left (runs end 1.04 s after the last order) was reported to nobody.

Change: an owner that gives up the runs of an upstream without an answer (`expired`, `restarted`) tells all linked peers of them with its next status, before the reports, whether or not their callers still wait. Each entry remembers 4,096 lost runs for 60 s (crates/jobs/src/lost_runs.rs, no I/O) and passes them on with the first status of a link. A home does not place a task with three lost runs, or with two if it was alone on one of the upstreams, and answers its job as failed, never as not run (`FailCause::Crashes`, 200 `failed`; `TASK_GIVEN_UP`, 1606, with a counter). Both new fields are additions to `Status`, which entries of older versions ignore: an unknown message or outcome would end their links.

Why runs and not upstream ids are counted: an upstream comes back under its id, and where it is the only one it would be crashed without end.

Ruled out: an outcome or message of its own (breaks links between versions); counting at the home alone (it has dropped the job when the loss is noticed).

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hinge_runs::{Assignment, AssignmentId, HomeId, MAX_TIME, Outcome, Resources, RunNumber};
+use hinge_runs::{Assignment, AssignmentId, HomeId, MAX_TIME, Outcome, Resources, RunNumber, TaskName};
 use hinge_wire::{ServiceId, UpstreamId};
 use tokio::time::Instant;
 
@@ -57,6 +57,11 @@
 }
 
 impl JobRequest {
+    /// Name of the task at a position of the job.
+    pub(crate) fn task_name(&self, task: u32) -> TaskName {
+        Arc::from(format!("{}.{task}", self.task_prefix))
+    }
+
     /// Limits the times that come from the caller and the operator, so that arithmetic with them cannot overflow.
     pub(crate) fn bounded(mut self) -> Self {
         let times = [&mut self.budget, &mut self.estimate, &mut self.queue.target, &mut self.queue.timeout];
@@ -90,6 +95,8 @@
 pub enum FailCause {
     /// A task has failed [`QueuePolicy::max_attempts`] times.
     Attempts,
+    /// Too many upstreams were lost while a task ran on them, in this submission of the job or in earlier ones.
+    Crashes,
     /// It is unknown whether a run of a task still exists, so that the task cannot be started again.
     Interrupted,
     /// The time budget is used up, or a task can no longer start in time.
@@ -180,6 +187,15 @@
         /// Time since the job was submitted.
         total: Duration,
     },
+    /// A task is not started again, because too many upstreams were lost while it ran on them.
+    GivenUp {
+        /// Id of the job, as chosen by the caller.
+        id: Arc<str>,
+        /// Position of the task in the job.
+        task: u32,
+        /// The lost upstreams.
+        upstreams: Vec<UpstreamId>,
+    },
     /// A waiting task is recalled because another owner has room for it.
     Moved {
         /// Id of the job, as chosen by the caller.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -8,6 +8,7 @@
 //!   [`Answer::Rejected`] means that no task has run.
 //! - The objective of a job counts from its caller's first attempt. Callers that come back after they have waited for too
 //!   long are served only where there is room, so that they do not delay callers that can still be in time.
+//! - A task under which several upstreams were lost is not started again, also when its job is sent again.
 //! - A task is started again only if its previous run is known to have ended. If that is unknown, the job fails.
 //!
 //! ```
@@ -46,6 +47,7 @@
 mod budget;
 mod estimate;
 mod job;
+mod lost_runs;
 mod owners;
 mod placing;
 mod table;
--- a/crates/jobs/src/placing.rs
+++ b/crates/jobs/src/placing.rs
@@ -1,6 +1,5 @@
 //! Placement of tasks at owners: first placement, retries, and moves to owners that have become free.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use hinge_runs::{Assignment, Outcome, RunNumber, TaskReport, whole_ms};
@@ -132,7 +131,7 @@
             service: request.queue.service.clone(),
             spec: request.spec.clone(),
             start_within_ms: whole_ms(attempt.start_within).max(1),
-            task: Arc::from(format!("{}.{}", request.task_prefix, placement.task)),
+            task: request.task_name(placement.task),
             waits: placement.stage == Stage::Waiting,
         };
         self.assignments.insert(id, placement);
@@ -194,6 +193,9 @@
 
     /// Places a task that its owner returned without a start at the owner that is best now.
     pub(crate) fn move_returned_task(&mut self, now: Instant, placement: Placement, report: &TaskReport) {
+        if self.give_up_crashing(now, placement.job, [placement.task].into_iter()) {
+            return;
+        }
         let Some(job) = self.jobs.get(&placement.job) else { return };
         let expected = self.estimates.expected(&job.request.queue.name, job.request.estimate);
         let start_within = job.objective_at.saturating_duration_since(now + expected);
@@ -206,8 +208,11 @@
     }
 
     /// Starts a task again whose previous run is known to have ended. The job fails if the answer would come too late
-    /// to be of use to the caller.
+    /// to be of use to the caller, or if the task may crash further upstreams.
     pub(crate) fn retry_task(&mut self, now: Instant, placement: Placement, report: &TaskReport) {
+        if self.give_up_crashing(now, placement.job, [placement.task].into_iter()) {
+            return;
+        }
         let Some(job) = self.jobs.get(&placement.job) else { return };
         let expected = self.estimates.expected(&job.request.queue.name, job.request.estimate);
         let start_within = job.use_until.saturating_duration_since(now + expected);
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hinge_runs::{AssignmentId, HomeId, Outcome, Resources, TaskReport, bounded_ms};
+use hinge_runs::{AssignmentId, HomeId, LostRun, Outcome, Resources, TaskReport, bounded_ms};
 use hinge_wire::{FastMap, FastSet, ServiceId};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -11,6 +11,7 @@
 use crate::budget::Budgets;
 use crate::estimate::Estimates;
 use crate::job::{Job, TaskState};
+use crate::lost_runs::LostRuns;
 use crate::owners::Owners;
 use crate::{Action, Answer, FailCause, JobNumber, JobRequest, Notice, OwnerLoad, RejectCause};
 
@@ -54,6 +55,7 @@
     capacities: FastMap<ServiceId, Vec<Resources>>,
     pub(crate) estimates: Estimates,
     pub(crate) jobs: FastMap<JobNumber, Job>,
+    lost_runs: LostRuns,
     pub(crate) next_assignment: AssignmentId,
     pub(crate) next_job: JobNumber,
     pub(crate) home: HomeId,
@@ -76,6 +78,7 @@
             capacities: FastMap::default(),
             estimates: Estimates::default(),
             jobs: FastMap::default(),
+            lost_runs: LostRuns::default(),
             next_assignment: 1,
             next_job: 1,
             home,
@@ -158,6 +161,9 @@
             withdrawn: false,
         };
         self.jobs.insert(number, job);
+        if self.give_up_crashing(now, number, 0..tasks) {
+            return number;
+        }
         if self.is_too_large(number) {
             self.reject(now, number, RejectCause::TooLarge);
         } else {
@@ -279,6 +285,38 @@
         }
     }
 
+    /// Remembers that an upstream was lost during a run, whose home may be another entry. A task under which several
+    /// upstreams were lost is not started again, and its job fails. Call it before the report about the run.
+    pub fn record_lost_run(&mut self, now: Instant, lost: LostRun) {
+        self.lost_runs.record(now, lost);
+    }
+
+    /// All lost runs that are remembered, for entries that do not know them.
+    pub fn lost_runs(&self) -> impl Iterator<Item = &LostRun> {
+        self.lost_runs.iter()
+    }
+
+    /// Fails a job if one of the given tasks must not be started again; false if all of them may be started.
+    pub(crate) fn give_up_crashing(
+        &mut self,
+        now: Instant,
+        number: JobNumber,
+        mut tasks: impl Iterator<Item = u32>,
+    ) -> bool {
+        if self.lost_runs.is_empty() {
+            return false;
+        }
+        let Some(job) = self.jobs.get(&number) else { return false };
+        let given_up = tasks.find_map(|task| {
+            let upstreams = self.lost_runs.given_up(now, &job.request.task_name(task))?;
+            Some(Notice::GivenUp { id: job.request.id.clone(), task, upstreams })
+        });
+        let Some(notice) = given_up else { return false };
+        self.actions.push(Action::Notice(notice));
+        self.answer(now, number, Answer::Failed(FailCause::Crashes));
+        true
+    }
+
     /// Handles the loss of the link to an owner. Jobs with tasks there fail, because their runs may still exist.
     pub fn owner_lost(&mut self, now: Instant, owner: HomeId) {
         self.owners.remove(owner);
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hinge_jobs::{Action, Answer, JobNumber, JobRequest, JobTable, OwnerLoad, QueuePolicy};
-use hinge_runs::{Assignment, AssignmentId, HomeId, Load, Outcome, Resources, TaskReport};
+use hinge_runs::{Assignment, AssignmentId, HomeId, Load, LostRun, Outcome, Resources, RunId, TaskReport};
 use tokio::time::Instant;
 
 pub(crate) const SERVICE: &str = "deicing";
@@ -94,6 +94,14 @@
         self.collect();
     }
 
+    /// Reports the end of an assignment's run whose upstream was lost, as its owner does.
+    pub(crate) fn report_lost(&mut self, position: usize, upstream: &str, alone: bool) {
+        let assignment = &self.assigned[position].1;
+        let run = RunId { task: assignment.task.clone(), run: assignment.run };
+        self.table.record_lost_run(self.now, LostRun { alone, run, upstream: upstream.into() });
+        self.report(position, Outcome::Interrupted);
+    }
+
     pub(crate) fn rebalance_after(&mut self, time_ms: u64) {
         self.now += ms(time_ms);
         self.table.rebalance(self.now);
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -1,7 +1,7 @@
 //! Messages between entries.
 
 use bytes::Bytes;
-use hinge_runs::{Assignment, AssignmentId, Fence, HomeId, Load, TaskReport};
+use hinge_runs::{Assignment, AssignmentId, Fence, HomeId, Load, LostRun, TaskReport};
 use hinge_wire::{DataCentreId, InstanceId, ServiceId, UpstreamId};
 use serde::{Deserialize, Serialize};
 
@@ -42,6 +42,10 @@
     pub last_assignment: AssignmentId,
     /// Loads of the sender's upstreams by service; with no slots if the receiver should not use them.
     pub loads: Vec<ServiceLoad>,
+    /// Runs that were lost with their upstream since the last status; all that the sender remembers in the first one.
+    /// Absent from older entries.
+    #[serde(default)]
+    pub lost_runs: Vec<LostRun>,
 }
 
 /// An upstream that an entry owns.
--- a/crates/mesh/tests/malformed.rs
+++ b/crates/mesh/tests/malformed.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "tests")]
 
 use hinge_mesh::{Hello, Message, Resume, Status};
-use hinge_runs::{Outcome, TaskReport};
+use hinge_runs::{LostRun, Outcome, RunId, TaskReport};
 use hinge_wire::{from_msgpack, to_msgpack};
 use proptest::collection::vec;
 use proptest::prelude::*;
@@ -12,10 +12,13 @@
 fn valid_frames() -> Vec<Vec<u8>> {
     let hello =
         Hello { data_centre: "dc1".into(), incarnation: 1, instance: "entry-1".into(), resumable: true };
+    let lost =
+        LostRun { alone: true, run: RunId { task: "job.0.0.1".into(), run: 5 }, upstream: "up-1".into() };
     let messages = [
         Message::Hello(hello),
         Message::Resume(Resume { link: Some(1), nonce: 2, received: 3 }),
         Message::Status(Status::default()),
+        Message::Status(Status { lost_runs: vec![lost], ..Status::default() }),
         Message::Report(vec![TaskReport::new(1, Outcome::Done, 2)]),
         Message::Cancel(vec![1, 2, 3]),
         Message::Config { body: "{}".into(), version: 4 },
@@ -56,6 +59,17 @@
     assert!(!hello.resumable);
 }
 
+/// Guards against links that end, again and again, because the peer has an older version, which knows nothing of lost runs,
+/// or a newer one, which says more.
+#[test]
+fn messages_of_other_versions_are_decoded() {
+    let status = serde_json::json!({
+        "Status": { "config_version": 1, "draining": false, "last_assignment": 0, "loads": [], "added_later": 1 }
+    });
+    let expected = Message::Status(Status { config_version: 1, ..Status::default() });
+    assert_eq!(from_msgpack::<Message>(&to_msgpack(&status).unwrap()).unwrap(), expected);
+}
+
 proptest! {
     /// Guards against frames that end the process.
     #[test]
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use hinge_jobs::{JobNumber, JobTable};
 use hinge_mesh::{Hello, OwnedUpstream};
-use hinge_runs::{Event, Fence, HomeId, Runner, UpstreamRecord};
+use hinge_runs::{Event, Fence, HomeId, LostRun, Runner, UpstreamRecord};
 use hinge_wire::{FastMap, FastSet, ServiceId, UpstreamId};
 use tokio::time::Instant;
 
@@ -45,6 +45,8 @@
     pub(crate) outboxes: FastMap<HomeId, Outbox>,
     pub(crate) outputs: Vec<Output>,
     pub(crate) local: LocalEntry,
+    /// Lost runs that the peers have not been told of.
+    pub(crate) lost_runs: Vec<LostRun>,
     pub(crate) own_id: HomeId,
     /// When ownership is updated next.
     pub(crate) next_ownership_update: Instant,
@@ -84,6 +86,7 @@
             outboxes: FastMap::default(),
             outputs: Vec::new(),
             local: LocalEntry { data_centre: local.data_centre, draining: false, instance: local.instance },
+            lost_runs: Vec::new(),
             own_id: local.incarnation,
             next_ownership_update: now,
             peers: Peers::default(),
@@ -184,6 +187,14 @@
         self.jobs.pending(queue)
     }
 
+    /// Remembers the runs that were lost with their upstream, and sends them to the peers with the next flush.
+    fn record_lost_runs(&mut self, now: Instant) {
+        for lost in self.runner.drain_lost_runs() {
+            self.jobs.record_lost_run(now, lost.clone());
+            self.lost_runs.push(lost);
+        }
+    }
+
     /// Handles the actions of the job table and the runner until neither produces more.
     fn dispatch_actions(&mut self, now: Instant) {
         loop {
@@ -191,6 +202,7 @@
             for action in job_actions {
                 self.handle_job_action(now, action);
             }
+            self.record_lost_runs(now);
             let run_actions: Vec<_> = self.runner.drain_actions().collect();
             if run_actions.is_empty() {
                 break;
--- a/crates/node/src/journal.rs
+++ b/crates/node/src/journal.rs
@@ -87,6 +87,9 @@
                 &json!({ "cause": cause, "job": id, "outcome": outcome, "queue": queue, "total_ms": total_ms }),
             );
         }
+        JobNotice::GivenUp { id, task, upstreams } => {
+            emit(LogEvent::TaskGivenUp, &json!({ "job": id, "task": task, "upstreams": upstreams }));
+        }
         JobNotice::Moved { id, task, wait } => {
             emit(LogEvent::TaskMoved, &json!({ "job": id, "task": task, "wait_ms": whole_ms(*wait) }));
         }
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -46,7 +46,8 @@
         self.send(peer, Message::Owned(self.sent_owned.clone()));
         self.update_load_recipients(now);
         let loads = self.loads(now);
-        self.send_status(peer, &loads);
+        let lost_runs: Vec<_> = self.jobs.lost_runs().cloned().collect();
+        self.send_status(peer, &loads, &lost_runs);
     }
 
     /// Discards what was sent over a lost link: assignments in either direction become void, as they do at the peer.
@@ -97,7 +98,10 @@
         }
     }
 
-    pub(crate) fn handle_status(&mut self, now: Instant, id: HomeId, status: Status) {
+    pub(crate) fn handle_status(&mut self, now: Instant, id: HomeId, mut status: Status) {
+        for lost in std::mem::take(&mut status.lost_runs) {
+            self.jobs.record_lost_run(now, lost);
+        }
         for service_load in &status.loads {
             let load = if status.draining { Load::default() } else { service_load.load.clone() };
             let service = service_load.service.clone();
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -111,6 +111,7 @@
                 self.jobs.with_label_values(&[&**queue, outcome]).inc();
                 self.job_seconds.with_label_values(&[&**queue]).observe(total.as_secs_f64());
             }
+            JobNotice::GivenUp { .. } => self.events.with_label_values(&["task_given_up"]).inc(),
             JobNotice::Moved { .. } => self.events.with_label_values(&["task_moved"]).inc(),
             JobNotice::Repeated { .. } => self.events.with_label_values(&["task_repeated"]).inc(),
         }
--- a/crates/node/src/outbox.rs
+++ b/crates/node/src/outbox.rs
@@ -4,7 +4,7 @@
 
 use hinge_jobs::OwnerLoad;
 use hinge_mesh::{Message, OwnedUpstream, ServiceLoad, Status};
-use hinge_runs::{Assignment, AssignmentId, HomeId, Load, TaskReport};
+use hinge_runs::{Assignment, AssignmentId, HomeId, Load, LostRun, TaskReport};
 use tokio::time::Instant;
 
 use crate::recipients::{Candidate, load_recipients};
@@ -95,6 +95,7 @@
     }
 
     pub(crate) fn send_messages(&mut self, now: Instant) {
+        self.send_lost_runs(now);
         let outboxes = std::mem::take(&mut self.outboxes);
         let mut recipients = Vec::new();
         for (peer, outbox) in outboxes {
@@ -127,7 +128,20 @@
         recipients.sort_unstable();
         recipients.dedup();
         for peer in recipients {
-            self.send_status(peer, &loads);
+            self.send_status(peer, &loads, &[]);
+        }
+    }
+
+    /// Tells all linked peers of the runs that were lost since the last call. Must precede the reports about them.
+    fn send_lost_runs(&mut self, now: Instant) {
+        if self.lost_runs.is_empty() {
+            return;
+        }
+        let lost_runs = std::mem::take(&mut self.lost_runs);
+        let loads = self.loads(now);
+        let linked: Vec<_> = self.peers.linked().map(|(peer, _)| peer).collect();
+        for peer in linked {
+            self.send_status(peer, &loads, &lost_runs);
         }
     }
 
@@ -158,7 +172,7 @@
         let loads = self.loads(now);
         let changed: Vec<_> = before.symmetric_difference(&self.load_recipients).copied().collect();
         for peer in changed {
-            self.send_status(peer, &loads);
+            self.send_status(peer, &loads, &[]);
         }
     }
 
@@ -171,14 +185,16 @@
 
     /// Sends the status of this entry to a peer. Peers that are not recipients of loads see no free slots, so they
     /// assign no tasks to this entry.
-    pub(crate) fn send_status(&mut self, peer: HomeId, loads: &[ServiceLoad]) {
+    pub(crate) fn send_status(&mut self, peer: HomeId, loads: &[ServiceLoad], lost_runs: &[LostRun]) {
         self.local_status.note_unscheduled(loads);
         self.remote_status.note_unscheduled(loads);
         let last_assignment = self.peers.get_mut(peer).map_or(0, |peer| peer.last_assignment);
         let loads = if self.load_recipients.contains(&peer) { loads.to_vec() } else { without_slots(loads) };
         let config_version = self.config_version();
         let draining = self.local.draining;
-        self.send(peer, Message::Status(Status { config_version, draining, last_assignment, loads }));
+        let lost_runs = lost_runs.to_vec();
+        let status = Status { config_version, draining, last_assignment, loads, lost_runs };
+        self.send(peer, Message::Status(status));
     }
 
     pub(crate) fn send(&mut self, peer: HomeId, message: Message) {
--- a/crates/node/tests/malformed.rs
+++ b/crates/node/tests/malformed.rs
@@ -10,9 +10,10 @@
 use hinge_mesh::{Hello, MeshEvent, Message, OwnedUpstream, ServiceLoad, Status};
 use hinge_node::{Engine, Input, Output};
 use hinge_runs::{
-    Assignment, EndKind, Ended, Hold, HoldReply, Listing, Load, Outcome, Rejection, Resources, RunId,
-    RunProgress, StartOrder, StartReply, TaskReport, UpstreamRecord,
+    Assignment, EndKind, Ended, Hold, HoldReply, Listing, Load, LostRun, Outcome, Rejection, Resources,
+    RunId, RunProgress, StartOrder, StartReply, TaskReport, UpstreamRecord,
 };
+use hinge_wire::UpstreamId;
 use proptest::collection::vec;
 use proptest::prelude::*;
 use tokio::time::Instant;
@@ -87,13 +88,32 @@
     })
 }
 
+fn upstream_id() -> impl Strategy<Value = UpstreamId> {
+    prop_oneof![
+        4 => (0..3u32).prop_map(|number| format!("up-{number}").into()),
+        1 => Just("".into()),
+        1 => Just("u".repeat(100_000).into()),
+    ]
+}
+
+fn lost_run() -> impl Strategy<Value = LostRun> {
+    (any::<bool>(), run(), upstream_id()).prop_map(|(alone, run, upstream)| LostRun { alone, run, upstream })
+}
+
 fn status() -> impl Strategy<Value = Status> {
     let load = (number(), [small_number(), small_number(), small_number(), small_number()]);
-    (load, vec(number(), 0..4), small_number(), number(), number(), any::<bool>()).prop_map(
-        |((mean_run_ms, queued), rooms_cpu_millis, slots, config_version, last_assignment, draining)| {
+    let rest = (number(), any::<bool>(), vec(lost_run(), 0..4));
+    (load, vec(number(), 0..4), small_number(), number(), rest).prop_map(
+        |(
+            (mean_run_ms, queued),
+            rooms_cpu_millis,
+            slots,
+            config_version,
+            (last_assignment, draining, lost_runs),
+        )| {
             let load = Load { mean_run_ms, queued, rooms_cpu_millis, slots };
             let loads = vec![ServiceLoad { load, service: SERVICE.into() }];
-            Status { config_version, draining, last_assignment, loads }
+            Status { config_version, draining, last_assignment, loads, lost_runs }
         },
     )
 }
--- a/crates/runs/src/lib.rs
+++ b/crates/runs/src/lib.rs
@@ -80,6 +80,6 @@
 };
 pub use runner::Runner;
 pub use types::{
-    Assignment, AssignmentId, Fence, HomeId, Incarnation, Load, MAX_TIME, Outcome, PRIORITY_LEVELS,
+    Assignment, AssignmentId, Fence, HomeId, Incarnation, Load, LostRun, MAX_TIME, Outcome, PRIORITY_LEVELS,
     Resources, RunId, RunNumber, TaskName, TaskReport, UpstreamRecord, bounded_ms, priority_index, whole_ms,
 };
--- a/crates/runs/src/runner.rs
+++ b/crates/runs/src/runner.rs
@@ -7,8 +7,8 @@
 use crate::queue::{Queue, Queued};
 use crate::upstream::{Ownership, Run, Upstream};
 use crate::{
-    Action, Assignment, AssignmentId, Event, Fence, HomeId, Notice, Outcome, RunId, RunNumber, StartOrder,
-    TaskReport, UpstreamRecord, bounded_ms, whole_ms,
+    Action, Assignment, AssignmentId, Event, Fence, HomeId, LostRun, Notice, Outcome, RunId, RunNumber,
+    StartOrder, TaskReport, UpstreamRecord, bounded_ms, whole_ms,
 };
 
 /// Weight of a new value in the exponential moving averages of task sizes and run times.
@@ -25,6 +25,8 @@
     /// Upstreams without ownership, runs and calls in flight. Events iterate over `upstreams` only, so that their cost
     /// does not depend on the number of inactive upstreams.
     pub(crate) inactive: FastMap<UpstreamId, Upstream>,
+    /// Runs that were lost with their upstream, whether or not their homes still expect reports.
+    lost_runs: Vec<LostRun>,
     pub(crate) mean_run_ms: f64,
     /// Runs with a home that expects a report.
     pub(crate) placed: FastMap<(HomeId, AssignmentId), (UpstreamId, RunId)>,
@@ -39,6 +41,7 @@
         Self {
             actions: Vec::new(),
             inactive: FastMap::default(),
+            lost_runs: Vec::new(),
             mean_run_ms: INITIAL_RUN_MS,
             placed: FastMap::default(),
             queue: Queue::default(),
@@ -79,6 +82,11 @@
         self.actions.drain(..)
     }
 
+    /// Removes and returns the runs that were lost with their upstream since the last call, in order.
+    pub fn drain_lost_runs(&mut self) -> std::vec::Drain<'_, LostRun> {
+        self.lost_runs.drain(..)
+    }
+
     /// Upstreams that this entry owns or is taking over, with their fencing tokens.
     pub fn owned(&self) -> impl Iterator<Item = (&UpstreamId, Fence)> {
         let owned = self.upstreams.iter().filter(|(_, upstream)| upstream.ownership != Ownership::None);
@@ -233,6 +241,12 @@
             .get(id)
             .map(|upstream| upstream.runs.keys().cloned().collect())
             .unwrap_or_default();
+        if outcome == Outcome::Interrupted {
+            let has_unknown_runs = |upstream: &Upstream| !upstream.unknown_runs.is_empty();
+            let alone = runs.len() == 1 && !self.upstreams.get(id).is_some_and(has_unknown_runs);
+            let lost = |run: &RunId| LostRun { alone, run: run.clone(), upstream: id.clone() };
+            self.lost_runs.extend(runs.iter().map(lost));
+        }
         for run in runs {
             self.end_run(now, id, &run, outcome, how, EndProof::Assumed);
         }
--- a/crates/runs/src/types.rs
+++ b/crates/runs/src/types.rs
@@ -183,6 +183,18 @@
     }
 }
 
+/// A run that ended because its upstream restarted or stopped answering. The task may have crashed the upstream, or it
+/// ran beside the one that did.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LostRun {
+    /// Whether no other run was on the upstream, so that no other task can have crashed it.
+    pub alone: bool,
+    /// Run that no longer exists.
+    pub run: RunId,
+    /// Upstream that was lost.
+    pub upstream: UpstreamId,
+}
+
 /// Load of one owner's upstreams of one service.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Load {
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -82,6 +82,8 @@
     JobRefused = 1604,
     ///A task that waits at a busy owner is moved to one with free slots; gives the estimated wait that it avoids.
     TaskMoved = 1605,
+    ///A task is not started again, because upstreams were lost while it ran on them, and its job fails; gives these upstreams.
+    TaskGivenUp = 1606,
     ///A start order was sent to an upstream; gives the time in the queue and the free capacity.
     RunStarted = 1610,
     ///A run has ended; gives the outcome and the time since its start order.
@@ -165,6 +167,7 @@
         Self::TaskRepeated,
         Self::JobRefused,
         Self::TaskMoved,
+        Self::TaskGivenUp,
         Self::RunStarted,
         Self::RunEnded,
         Self::StartRejected,
@@ -240,6 +243,7 @@
             Self::TaskRepeated => "TASK_REPEATED",
             Self::JobRefused => "JOB_REFUSED",
             Self::TaskMoved => "TASK_MOVED",
+            Self::TaskGivenUp => "TASK_GIVEN_UP",
             Self::RunStarted => "RUN_STARTED",
             Self::RunEnded => "RUN_ENDED",
             Self::StartRejected => "START_REJECTED",
@@ -308,6 +312,7 @@
             Self::TaskRepeated => "info",
             Self::JobRefused => "info",
             Self::TaskMoved => "info",
+            Self::TaskGivenUp => "warn",
             Self::RunStarted => "info",
             Self::RunEnded => "info",
             Self::StartRejected => "info",
