Runs, jobs: test that a capacity that shrinks and grows is used at once

An upstream's capacity may change while it runs, and an upstream may start whatever it is told to. The code held: no fault was found. The record's capacity counts from its arrival; runs in progress and runs that are being stopped count until the upstream has listed their end, also beyond a shrunk capacity; a job that is larger than every upstream is refused with 503 only while that is so. There were no tests of it.

Looked at and left: the division of upstreams among entries weighs them by capacity.

--- a/crates/jobs/tests/answers.rs
+++ b/crates/jobs/tests/answers.rs
@@ -140,6 +140,25 @@
     assert_eq!(home.assigned.len(), 1);
 }
 
+/// Guards against a job that is refused for good because all upstreams were too small for a while.
+#[test]
+fn a_job_is_admitted_again_once_an_upstream_has_grown() {
+    let mut home = Home::new(&[(HOME, load(4, 0, 60))]);
+    let service = SERVICE.into();
+    let resize = |home: &mut Home, cpu_millis| {
+        let capacity = Resources { cpu_millis, gpus: 0, memory_mb: 32_768 };
+        home.table.set_capacities([(&service, capacity)].into_iter());
+    };
+    for (cpu_millis, is_admitted) in [(16_000, true), (6_000, false), (7_000, true)] {
+        resize(&mut home, cpu_millis);
+        let assigned = home.assigned.len();
+        home.submit(request(&format!("{cpu_millis}"), 1, 60));
+        assert_eq!(home.assigned.len() > assigned, is_admitted, "{cpu_millis}");
+    }
+    let [(_, answer)] = home.answers.as_slice() else { unreachable!("one answer") };
+    assert!(matches!(answer, Answer::Rejected { cause: RejectCause::TooLarge, .. }));
+}
+
 /// Guards against tasks that continue for a caller that has disconnected.
 #[test]
 fn an_abandoned_job_is_cancelled_at_all_owners() {
