--- a/crates/runs/src/runner.rs
+++ b/crates/runs/src/runner.rs
@@ -7,8 +7,8 @@
 use crate::queue::{Queue, Queued};
 use crate::upstream::{Ownership, Run, STOP_TIME, Upstream};
 use crate::{
-    Action, Assignment, AssignmentId, Event, Fence, HomeId, Notice, Outcome, RunId, RunNumber, StartOrder,
-    TaskReport, UpstreamRecord, bounded_ms, whole_ms,
+    Action, Assignment, AssignmentId, Event, Fence, HomeId, LostRun, Notice, Outcome, RunId, RunNumber,
+    StartOrder, TaskReport, UpstreamRecord, bounded_ms, whole_ms,
 };
 
 /// Weight of a new value in the exponential moving averages of task sizes and run times.
@@ -25,6 +25,8 @@
     /// Upstreams without ownership, runs and calls in flight. Events iterate over `upstreams` only, so that their cost
     /// does not depend on the number of inactive upstreams.
     pub(crate) inactive: FastMap<UpstreamId, Upstream>,
+    /// Runs that were lost with their upstream, whether or not their homes still expect reports.
+    lost_runs: Vec<LostRun>,
     pub(crate) mean_run_ms: f64,
     /// Runs with a home that expects a report.
     pub(crate) placed: FastMap<(HomeId, AssignmentId), (UpstreamId, RunId)>,
@@ -39,6 +41,7 @@
         Self {
             actions: Vec::new(),
             inactive: FastMap::default(),
+            lost_runs: Vec::new(),
             mean_run_ms: INITIAL_RUN_MS,
             placed: FastMap::default(),
             queue: Queue::default(),
@@ -79,6 +82,11 @@
         self.actions.drain(..)
     }
 
+    /// Removes and returns the runs that were lost with their upstream since the last call, in order.
+    pub fn drain_lost_runs(&mut self) -> std::vec::Drain<'_, LostRun> {
+        self.lost_runs.drain(..)
+    }
+
     /// Upstreams that this entry owns or is taking over, with their fencing tokens.
     pub fn owned(&self) -> impl Iterator<Item = (&UpstreamId, Fence)> {
         let owned = self.upstreams.iter().filter(|(_, upstream)| upstream.ownership != Ownership::None);
@@ -234,11 +242,22 @@
             .get(id)
             .map(|upstream| upstream.runs.keys().cloned().collect())
             .unwrap_or_default();
+        if outcome == Outcome::Interrupted {
+            self.record_lost_runs(id, &runs);
+        }
         for run in runs {
             self.end_run(now, id, &run, outcome, how, EndProof::Assumed);
         }
     }
 
+    /// Records the runs that were lost with their upstream.
+    pub(crate) fn record_lost_runs(&mut self, id: &UpstreamId, runs: &[RunId]) {
+        let Some(upstream) = self.upstreams.get(id) else { return };
+        let alone = upstream.runs.len() == 1 && upstream.unknown_runs.is_empty();
+        let lost = |run: &RunId| LostRun { alone, run: run.clone(), upstream: id.clone() };
+        self.lost_runs.extend(runs.iter().map(lost));
+    }
+
     /// Queues a task again whose run did not start, unless its home no longer expects a report.
     pub(crate) fn requeue(&mut self, now: Instant, id: &UpstreamId, run_id: &RunId, run_number: RunNumber) {
         let Some(run) = self.upstreams.get_mut(id).and_then(|upstream| upstream.remove_run(run_id)) else {
