Node: limit the weight of one upstream in the division

What was seen: not by callers; shown by a test. One record of another program with a capacity of 10,000 cores among 30 of 16 cores took all upstreams from one of three entries: it owned 0 of 30.

Cause: the division is even to within its largest upstream, and the odd one was larger than all others together.

Change: the weight of an upstream is at most four times the median of its data centre. All entries compute it from the same list. Ruled out: a limit on the capacity alone, as one below that of a large machine would still skew the division of small ones.

Evidence: an_odd_capacity_leaves_the_division_even failed before (0 of 30) and passes (6 to 14 of 30 for each entry).

--- a/crates/node/src/ownership.rs
+++ b/crates/node/src/ownership.rs
@@ -15,6 +15,9 @@
 const MAX_REPORT_AGE: Duration = Duration::from_secs(4);
 /// CPU capacity of one weight unit in the division of upstreams, in thousandths of a core.
 const UNIT_CPU_MILLIS: u64 = 1_000;
+/// Upper bound of the weight of an upstream, as a multiple of the median of its data centre. A weight far above all others
+/// would be the whole share of an entry, and leave other entries without upstreams.
+const MAX_WEIGHT_FACTOR: u32 = 4;
 
 /// This entry, as far as the division of upstreams is concerned.
 #[derive(Debug)]
@@ -64,8 +67,9 @@
         entries: &[InstanceId],
         upstreams: &[&UpstreamRecord],
     ) -> &[UpstreamId] {
+        let limit = median_weight(upstreams).saturating_mul(MAX_WEIGHT_FACTOR);
         let mut weighted: Vec<_> =
-            upstreams.iter().map(|upstream| (upstream.id.clone(), weight(upstream))).collect();
+            upstreams.iter().map(|upstream| (upstream.id.clone(), weight(upstream).min(limit))).collect();
         weighted.sort_unstable();
         let cached = self.divisions.remove(data_centre);
         let unchanged = cached.filter(|cached| cached.entries == entries && cached.upstreams == weighted);
@@ -151,3 +155,11 @@
     let weight = upstream.capacity.cpu_millis / UNIT_CPU_MILLIS;
     u32::try_from(weight).unwrap_or(u32::MAX).max(1)
 }
+
+/// Median of the weights; of two middle ones the lower, so that one of two upstreams cannot set it alone.
+fn median_weight(upstreams: &[&UpstreamRecord]) -> u32 {
+    let mut weights: Vec<_> = upstreams.iter().map(|upstream| weight(upstream)).collect();
+    weights.sort_unstable();
+    let middle = weights.len().saturating_sub(1) / 2;
+    weights.get(middle).copied().unwrap_or(1)
+}
--- a/crates/node/tests/ownership.rs
+++ b/crates/node/tests/ownership.rs
@@ -252,3 +252,22 @@
     entry_1.wait(2_000);
     assert!(entry_1.owned().is_empty());
 }
+
+/// Guards against one record with a capacity far above all others that draws the shares of other entries to itself.
+#[test]
+fn an_odd_capacity_leaves_the_division_even() {
+    let mut upstreams: Vec<_> = (0..30).map(|number| upstream("dc1", number, 1)).collect();
+    let mut odd = upstream("dc1", 30, 1);
+    odd.capacity.cpu_millis = 10_000_000;
+    upstreams.push(odd);
+    let entries: Vec<_> = (1..=3).map(entry).collect();
+    for number in 1..=3 {
+        let mut entry = Entry::new(number);
+        entry.input(Input::Entries(entries.clone()));
+        entry.input(Input::Upstreams(upstreams.clone()));
+        entry.wait(200);
+        let owned = entry.owned();
+        let usual = owned.iter().filter(|id| *id != "dc1-up-30").count();
+        assert!((6..=14).contains(&usual), "entry {number} owns {usual} of 30");
+    }
+}
