Runs: leave upstreams that have not answered out of the size of tasks

What was seen: not by callers; shown by a test. A record of another program with a capacity of 10,000 cores, whose address answers nothing, let tasks that are larger than every real upstream count as usual ones; the load reports then showed no free slots, so that no task was placed.

Cause: the size of a task was bounded by the largest registered upstream, answered or not.

Change: only upstreams that have answered since they were taken over count.

Evidence: the_capacity_of_an_upstream_without_an_answer_does_not_hide_the_ free_slots failed before and passes.

--- a/crates/runs/src/load.rs
+++ b/crates/runs/src/load.rs
@@ -45,8 +45,10 @@
 
     /// Updates the average task size, in which load reports count slots.
     pub(crate) fn learn_task_size(&mut self, cpu_millis: u64) {
-        // A task that is larger than every upstream must not distort the average.
-        let largest = self.upstreams.values().map(|upstream| upstream.record.capacity.cpu_millis).max();
+        // A task that is larger than every upstream must not distort the average. The record of an upstream that has not
+        // answered may be that of another program.
+        let answered = self.upstreams.values().filter(|upstream| upstream.is_owned());
+        let largest = answered.map(|upstream| upstream.record.capacity.cpu_millis).max();
         if let Some(largest) = largest {
             let size = to_f64(cpu_millis.min(largest));
             self.mean_cpu_millis += AVERAGE_WEIGHT * (size - self.mean_cpu_millis);
--- a/crates/runs/tests/overload.rs
+++ b/crates/runs/tests/overload.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use hinge_runs::{
     Action, Assignment, EndKind, Event, HoldReply, Listing, Outcome, Resources, Runner, StartReply,
@@ -21,6 +21,8 @@
     runner: Runner,
     /// Started tasks with their upstreams, in order.
     started: Vec<(String, String)>,
+    /// Upstreams that answer no hold.
+    unanswered: BTreeSet<String>,
 }
 
 impl Owner {
@@ -30,6 +32,7 @@
             reports: BTreeMap::new(),
             runner: Runner::default(),
             started: Vec::new(),
+            unanswered: BTreeSet::new(),
         };
         owner.handle(Event::Upstreams(upstreams.iter().map(|id| record(id, 1)).collect()));
         for id in upstreams {
@@ -53,7 +56,7 @@
 
     fn execute(&mut self, action: Action) {
         match action {
-            Action::Hold(hold) if hold.wait.is_zero() => {
+            Action::Hold(hold) if hold.wait.is_zero() && !self.unanswered.contains(&*hold.upstream) => {
                 let reply = HoldReply::Listed(Listing { clock_ms: 1, ..Listing::default() });
                 self.runner.handle(self.now, Event::HoldEnded { hold, reply });
             }
@@ -205,3 +208,21 @@
     owner.end("trial", 10, 4);
     assert_eq!(owner.started()[3..], ["trial", "beside"]);
 }
+
+/// Guards against a record of another program whose capacity lets a huge task count as a usual one, so that the free slots
+/// of the real upstreams are hidden: an upstream that has never answered tells nothing about the size of tasks.
+#[test]
+fn the_capacity_of_an_upstream_without_an_answer_does_not_hide_the_free_slots() {
+    let mut owner = Owner::new(&["up-1"]);
+    let mut odd = record("up-2", 1);
+    odd.capacity.cpu_millis = 10_000_000;
+    owner.unanswered.insert("up-2".to_owned());
+    owner.handle(Event::Upstreams(vec![record("up-1", 1), odd]));
+    owner.handle(Event::Own { fence: 1, upstream: "up-2".into() });
+    let slots = |owner: &Owner| owner.runner.load(owner.now, &"deicing".into()).slots;
+    assert!(slots(&owner) > 0);
+    for id in 1..200 {
+        owner.assign(sized(id, &format!("huge-{id}"), 9_000));
+    }
+    assert!(slots(&owner) > 0);
+}
