Runs, jobs: keep tasks that are tried again apart from others

What callers saw: after a crash, the crashing task and the tasks that were lost beside it were placed among others again.

Change: an owner places a task that avoids the upstream of its earlier run where no task runs, and no other beside it, while there is room elsewhere; with less room it is placed as before. A job that is sent again avoids the upstream that was lost last under a task, and so does a task that its owner has returned.

Tests: runs/overload (a retry runs apart, and does not wait for an empty upstream), jobs/crashes (avoided upstream). Each of four mutations fails one of them: no cost, others beside a retry, a retry beside others, nothing avoided.

--- a/crates/jobs/src/lost_runs.rs
+++ b/crates/jobs/src/lost_runs.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 /// Number of lost runs after which a task is given up. Fewer are not enough: the tasks that run beside a crashing one are
-/// lost with it, sometimes twice.
+/// lost with it, long ones sometimes twice.
 const MAX_LOST_RUNS: usize = 3;
 /// The same if no other run was on one of the lost upstreams, so that only this task can have crashed it.
 const MAX_LOST_RUNS_ALONE: usize = 2;
@@ -71,6 +71,11 @@
         (runs.len() >= limit).then(|| runs.iter().map(|loss| loss.upstream.clone()).collect())
     }
 
+    /// The upstream that was lost last under a task, unless that is forgotten.
+    pub(crate) fn last_upstream(&self, task: &str) -> Option<UpstreamId> {
+        self.by_task.get(task)?.last().map(|loss| loss.upstream.clone())
+    }
+
     /// Whether nothing is remembered.
     pub(crate) fn is_empty(&self) -> bool {
         self.order.is_empty()
--- a/crates/jobs/src/placing.rs
+++ b/crates/jobs/src/placing.rs
@@ -120,8 +120,9 @@
             None => job.tasks.push(state),
         }
         let request = &job.request;
+        let task = request.task_name(placement.task);
         let assignment = Assignment {
-            avoid: attempt.avoid,
+            avoid: attempt.avoid.or_else(|| self.lost_runs.last_upstream(&task)),
             expected_ms: whole_ms(attempt.expected).max(1),
             id,
             late: attempt.late,
@@ -131,7 +132,7 @@
             service: request.queue.service.clone(),
             spec: request.spec.clone(),
             start_within_ms: whole_ms(attempt.start_within).max(1),
-            task: request.task_name(placement.task),
+            task,
             waits: placement.stage == Stage::Waiting,
         };
         self.assignments.insert(id, placement);
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -55,7 +55,7 @@
     capacities: FastMap<ServiceId, Vec<Resources>>,
     pub(crate) estimates: Estimates,
     pub(crate) jobs: FastMap<JobNumber, Job>,
-    lost_runs: LostRuns,
+    pub(crate) lost_runs: LostRuns,
     pub(crate) next_assignment: AssignmentId,
     pub(crate) next_job: JobNumber,
     pub(crate) home: HomeId,
--- a/crates/jobs/tests/crashes.rs
+++ b/crates/jobs/tests/crashes.rs
@@ -89,6 +89,17 @@
     assert_eq!(home.assigned.len(), 4, "other jobs are not affected");
 }
 
+/// Guards against a job that is sent again and starts where the upstream was lost, which may be down, and among other tasks:
+/// owners keep tasks that avoid an upstream apart.
+#[test]
+fn a_job_that_is_sent_again_avoids_the_upstream_that_was_lost() {
+    let mut home = home();
+    home.table.record_lost_run(home.now, loss("a.0.0.1", 10, "up-1"));
+    home.submit(request("a", 2, 60));
+    let avoided: Vec<_> = home.assigned.iter().map(|(_, assignment)| assignment.avoid.as_deref()).collect();
+    assert_eq!(avoided, [None, Some("up-1")]);
+}
+
 /// Guards against a start after a loss that became known while the task waited at its owner.
 #[test]
 fn a_returned_task_is_not_placed_again_once_its_losses_are_known() {
--- a/crates/runs/src/placement.rs
+++ b/crates/runs/src/placement.rs
@@ -13,11 +13,19 @@
 /// Upstreams of at least this speed are used whatever the time limit of a task.
 const NORMAL_SPEED: f64 = 0.7;
 
+/// Added to the cost where a task that is tried again would run beside other tasks. It may have crashed its last upstream,
+/// and would crash the next one under them; alone, it also shows whether it does.
+const RETRY_BESIDE_COST: f64 = 1.0;
+
 /// An upstream with its remaining resources during one pass over the queue.
 #[derive(Debug)]
 struct Candidate<'a> {
     free: Resources,
+    /// Whether a task that is tried again runs here.
+    has_retry: bool,
     id: &'a UpstreamId,
+    /// Whether any task runs here.
+    occupied: bool,
     speed: f64,
     /// Number of tasks that may still start in this pass; at most one on an upstream that is on probation or slow.
     starts_left: usize,
@@ -32,14 +40,22 @@
         self.speed >= NORMAL_SPEED || now + expected.div_f64(self.speed) <= task.start_by + expected
     }
 
-    /// Cost of a start here; the lowest wins. Prefers fast upstreams, and tight fits among upstreams of similar speed.
+    /// Cost of a start here; the lowest wins. Prefers fast upstreams, and tight fits among upstreams of similar speed, and
+    /// keeps tasks that are tried again apart from others.
     fn cost(&self, assignment: &Assignment) -> f64 {
+        let beside_retry = self.has_retry || (self.occupied && is_retry(assignment));
         let left = to_f64(self.free.cpu_millis - assignment.need.cpu_millis);
         let capacity = to_f64(self.upstream.record.capacity.cpu_millis).max(1.0);
-        1.0 / self.speed + FIT_WEIGHT * left / capacity
+        let apart = if beside_retry { RETRY_BESIDE_COST } else { 0.0 };
+        1.0 / self.speed + FIT_WEIGHT * left / capacity + apart
     }
 }
 
+/// Whether an earlier run of the task ended without success.
+const fn is_retry(assignment: &Assignment) -> bool {
+    assignment.avoid.is_some()
+}
+
 /// One pass over the queue.
 #[derive(Debug)]
 struct Pass<'a> {
@@ -53,7 +69,9 @@
         let mut candidates: Vec<_> = accepting
             .map(|(id, upstream)| Candidate {
                 free: upstream.free(),
+                has_retry: upstream.runs.values().any(|run| is_retry(&run.assignment)),
                 id,
+                occupied: !upstream.runs.is_empty(),
                 speed: upstream.health.speed(now),
                 starts_left: upstream.health.starts_left(now, upstream.runs.len()),
                 upstream,
@@ -78,6 +96,8 @@
         });
         let best = usable.min_by(|a, b| a.cost(assignment).total_cmp(&b.cost(assignment)))?;
         best.free -= assignment.need;
+        best.has_retry |= is_retry(assignment);
+        best.occupied = true;
         best.starts_left -= 1;
         Some(best.id.clone())
     }
--- a/crates/runs/tests/overload.rs
+++ b/crates/runs/tests/overload.rs
@@ -205,3 +205,33 @@
     owner.end("trial", 10, 4);
     assert_eq!(owner.started()[3..], ["trial", "beside"]);
 }
+
+/// Guards against tasks that are lost with an upstream because a task that has just lost one runs beside them: it is tried
+/// again alone, and stays alone, while there is room elsewhere.
+#[test]
+fn a_task_that_is_tried_again_runs_apart_from_others() {
+    let mut owner = Owner::new(&["up-1", "up-2", "up-3"]);
+    owner.assign(sized(1, "first", 5));
+    owner.assign(Assignment { avoid: Some("up-0".into()), ..sized(2, "retry", 5) });
+    for (id, task) in [(3, "second"), (4, "third"), (5, "fourth")] {
+        owner.assign(sized(id, task, 5));
+    }
+    let upstream_of = |task: &str| {
+        let started = owner.started.iter().find(|(started, _)| started == task);
+        started.expect("started").1.clone()
+    };
+    let sound = ["first", "second", "third"].map(upstream_of);
+    assert!(sound.iter().all(|upstream| *upstream == sound[0]), "{:?}", owner.started);
+    let apart = upstream_of("retry");
+    assert_eq!(owner.started.iter().filter(|(_, upstream)| *upstream == apart).count(), 1);
+}
+
+/// Guards against a task that waits for an empty upstream although it fits beside others.
+#[test]
+fn a_task_that_is_tried_again_does_not_wait_for_an_empty_upstream() {
+    let mut owner = Owner::new(&["up-1"]);
+    owner.assign(sized(1, "first", 5));
+    owner.assign(Assignment { avoid: Some("up-0".into()), ..sized(2, "retry", 5) });
+    owner.assign(sized(3, "second", 5));
+    assert_eq!(owner.started(), ["first", "retry", "second"]);
+}
