Jobs, node: pass on only the lost runs of an entry's own upstreams

Cause: with the first status of a link an entry sent all lost runs that it remembered, those of its peers included, and the receiver remembered them for another 60 s. Between links that come and go a lost run could circulate without end, and each new link cost a message that grows with the number of entries.

Change: an entry sends only what it noticed itself. Further losses of a task that is given up anyway are not remembered, so that one task cannot displace others from the memory.

--- a/crates/jobs/src/lost_runs.rs
+++ b/crates/jobs/src/lost_runs.rs
@@ -36,27 +36,42 @@
     }
 }
 
+/// A lost run in the order of all.
+#[derive(Debug)]
+struct Remembered {
+    lost: LostRun,
+    recorded_at: Instant,
+    source: Source,
+}
+
+/// Where a lost run was noticed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Source {
+    Peer,
+    ThisEntry,
+}
+
 /// The lost runs of all tasks.
 #[derive(Debug, Default)]
 pub(crate) struct LostRuns {
     by_task: FastMap<TaskName, Vec<Loss>>,
     /// In the order in which they were recorded.
-    order: VecDeque<(Instant, LostRun)>,
+    order: VecDeque<Remembered>,
 }
 
 impl LostRuns {
-    /// Records a lost run, unless it is known already.
-    pub(crate) fn record(&mut self, now: Instant, lost: LostRun) {
+    /// Records a lost run, unless it is known already or its task is given up anyway.
+    pub(crate) fn record(&mut self, now: Instant, lost: LostRun, source: Source) {
         self.expire(now);
         if lost.run.task.len() > MAX_NAME_BYTES || lost.upstream.len() > MAX_NAME_BYTES {
             return;
         }
         let runs = self.by_task.entry(lost.run.task.clone()).or_default();
-        if runs.iter().any(|known| known.is_of(&lost)) {
+        if runs.len() >= MAX_LOST_RUNS || runs.iter().any(|known| known.is_of(&lost)) {
             return;
         }
         runs.push(Loss { alone: lost.alone, run: lost.run.run, upstream: lost.upstream.clone() });
-        self.order.push_back((now, lost));
+        self.order.push_back(Remembered { lost, recorded_at: now, source });
         if self.order.len() > MAX_REMEMBERED {
             self.forget_oldest();
         }
@@ -81,25 +96,28 @@
         self.order.is_empty()
     }
 
-    /// All remembered lost runs, oldest first.
-    pub(crate) fn iter(&self) -> impl Iterator<Item = &LostRun> {
-        self.order.iter().map(|(_, lost)| lost)
+    /// The remembered lost runs that this entry noticed itself, oldest first. Those of peers are not passed on, so that none
+    /// circulates between entries without end.
+    pub(crate) fn own(&mut self, now: Instant) -> impl Iterator<Item = &LostRun> {
+        self.expire(now);
+        let own = self.order.iter().filter(|remembered| remembered.source == Source::ThisEntry);
+        own.map(|remembered| &remembered.lost)
     }
 
     /// Forgets what is older than the retention time.
     fn expire(&mut self, now: Instant) {
         let is_over = |at: Instant| now.saturating_duration_since(at) >= RETENTION;
-        while self.order.front().is_some_and(|(at, _)| is_over(*at)) {
+        while self.order.front().is_some_and(|oldest| is_over(oldest.recorded_at)) {
             self.forget_oldest();
         }
     }
 
     fn forget_oldest(&mut self) {
-        let Some((_, oldest)) = self.order.pop_front() else { return };
-        let Some(runs) = self.by_task.get_mut(&oldest.run.task) else { return };
-        runs.retain(|loss| !loss.is_of(&oldest));
+        let Some(Remembered { lost, .. }) = self.order.pop_front() else { return };
+        let Some(runs) = self.by_task.get_mut(&lost.run.task) else { return };
+        runs.retain(|loss| !loss.is_of(&lost));
         if runs.is_empty() {
-            self.by_task.remove(&oldest.run.task);
+            self.by_task.remove(&lost.run.task);
         }
     }
 }
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -11,7 +11,7 @@
 use crate::budget::Budgets;
 use crate::estimate::Estimates;
 use crate::job::{Job, TaskState};
-use crate::lost_runs::LostRuns;
+use crate::lost_runs::{LostRuns, Source};
 use crate::owners::Owners;
 use crate::{Action, Answer, FailCause, JobNumber, JobRequest, Notice, OwnerLoad, RejectCause};
 
@@ -285,15 +285,20 @@
         }
     }
 
-    /// Remembers that an upstream was lost during a run, whose home may be another entry. A task under which several
-    /// upstreams were lost is not started again, and its job fails. Call it before the report about the run.
-    pub fn record_lost_run(&mut self, now: Instant, lost: LostRun) {
-        self.lost_runs.record(now, lost);
+    /// Remembers that an upstream of this entry was lost during a run, whose home may be another entry. A task under which
+    /// several upstreams were lost is not started again, and its job fails. Call it before the report about the run.
+    pub fn record_own_lost_run(&mut self, now: Instant, lost: LostRun) {
+        self.lost_runs.record(now, lost, Source::ThisEntry);
     }
 
-    /// All lost runs that are remembered, for entries that do not know them.
-    pub fn lost_runs(&self) -> impl Iterator<Item = &LostRun> {
-        self.lost_runs.iter()
+    /// Remembers that an upstream of a peer was lost during a run.
+    pub fn record_peer_lost_run(&mut self, now: Instant, lost: LostRun) {
+        self.lost_runs.record(now, lost, Source::Peer);
+    }
+
+    /// The remembered lost runs on upstreams of this entry, for peers that may not know them.
+    pub fn own_lost_runs(&mut self, now: Instant) -> impl Iterator<Item = &LostRun> {
+        self.lost_runs.own(now)
     }
 
     /// Fails a job if one of the given tasks must not be started again; false if all of them may be started.
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -42,7 +42,7 @@
     pub last_assignment: AssignmentId,
     /// Loads of the sender's upstreams by service; with no slots if the receiver should not use them.
     pub loads: Vec<ServiceLoad>,
-    /// Runs that were lost with their upstream since the last status; all that the sender remembers in the first one.
+    /// Runs that were lost with an upstream of the sender since the last status; all that it remembers in the first one.
     /// Absent from older entries.
     #[serde(default)]
     pub lost_runs: Vec<LostRun>,
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -190,7 +190,7 @@
     /// Remembers the runs that were lost with their upstream, and sends them to the peers with the next flush.
     fn record_lost_runs(&mut self, now: Instant) {
         for lost in self.runner.drain_lost_runs() {
-            self.jobs.record_lost_run(now, lost.clone());
+            self.jobs.record_own_lost_run(now, lost.clone());
             self.lost_runs.push(lost);
         }
     }
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -46,7 +46,7 @@
         self.send(peer, Message::Owned(self.sent_owned.clone()));
         self.update_load_recipients(now);
         let loads = self.loads(now);
-        let lost_runs: Vec<_> = self.jobs.lost_runs().cloned().collect();
+        let lost_runs: Vec<_> = self.jobs.own_lost_runs(now).cloned().collect();
         self.send_status(peer, &loads, &lost_runs);
     }
 
@@ -100,7 +100,7 @@
 
     pub(crate) fn handle_status(&mut self, now: Instant, id: HomeId, mut status: Status) {
         for lost in std::mem::take(&mut status.lost_runs) {
-            self.jobs.record_lost_run(now, lost);
+            self.jobs.record_peer_lost_run(now, lost);
         }
         for service_load in &status.loads {
             let load = if status.draining { Load::default() } else { service_load.load.clone() };
