--- a/crates/runs/src/listing.rs
+++ b/crates/runs/src/listing.rs
@@ -8,8 +8,8 @@
 use crate::ends::EndProof;
 use crate::upstream::Ownership;
 use crate::{
-    Action, EndKind, Ended, Hold, HoldReply, Listing, Notice, Outcome, Rejection, RunId, RunProgress, Runner,
-    StopOrder, bounded_ms,
+    Action, EndKind, Ended, Hold, HoldReply, Listing, Notice, Outcome, Rejection, RunId, Runner, StopOrder,
+    bounded_ms,
 };
 
 /// A listing with this many ends may be truncated, so that the end of a run that is no longer running may be missing.
@@ -34,7 +34,10 @@
         }
         match reply {
             HoldReply::Listed(listing) => self.handle_listing(now, hold, &listing),
-            HoldReply::Lost => self.hold_failed(now, hold, false),
+            HoldReply::Lost => {
+                self.fence_unanswered_renewal(hold);
+                self.hold_failed(now, hold, false);
+            }
             HoldReply::Refused => self.hold_failed(now, hold, true),
             HoldReply::Rejected(Rejection::Fenced) => {
                 if hold.fence >= upstream.fence {
@@ -72,6 +75,9 @@
             self.run_ended(now, id, end);
         }
         self.reconcile_runs(now, hold, listing);
+        if let Some(upstream) = self.upstreams.get_mut(id) {
+            upstream.restarted = false;
+        }
     }
 
     fn run_ended(&mut self, now: Instant, id: &UpstreamId, end: &Ended) {
@@ -104,18 +110,21 @@
         self.end_run(now, id, &end.run, outcome, how, EndProof::Listed);
     }
 
-    /// Compares the listed runs with the known ones. Runs that never started are queued again, confirmed runs that have
-    /// vanished are reported as interrupted, and unknown runs are stopped.
+    /// Compares the listed runs with the known ones. Runs that never started are queued again, runs that have vanished are
+    /// reported as interrupted, and unknown runs are stopped. After a restart of the upstream a run without a confirmation
+    /// counts as vanished: the earlier process may have started it.
     fn reconcile_runs(&mut self, now: Instant, hold: &Hold, listing: &Listing) {
         let id = &hold.upstream;
         let running: FastSet<&RunId> = listing.running.iter().map(|running| &running.run).collect();
         let Some(upstream) = self.upstreams.get_mut(id) else { return };
         let mut never_started = Vec::new();
         let mut vanished = Vec::new();
+        let how = if upstream.restarted { "restarted" } else { "vanished" };
         for (run_id, run) in &mut upstream.runs {
             let listed = running.contains(run_id);
             match run.confirmed_at {
                 None if listed => run.confirmed_at = Some(now),
+                None if hold.fence > run.fence && upstream.restarted => vanished.push(run_id.clone()),
                 None if hold.fence > run.fence => never_started.push(run_id.clone()),
                 Some(confirmed_at)
                     if !listed && confirmed_at <= hold.sent_at && listing.ended.len() < MAX_LISTED_ENDS =>
@@ -125,21 +134,22 @@
                 None | Some(_) => {}
             }
         }
-        let stopping = upstream.runs.iter().filter(|(_, run)| run.stopping).map(|(run_id, _)| run_id);
+        let stopping = upstream.runs.iter().filter(|(_, run)| run.is_stopping()).map(|(run_id, _)| run_id);
         let mut to_stop: Vec<_> = stopping.filter(|run_id| running.contains(run_id)).cloned().collect();
         let unknown: Vec<_> = running
             .iter()
-            .filter(|run_id| !upstream.runs.contains_key(**run_id) && self.recent_ends.get(run_id).is_none())
+            .filter(|run_id| !upstream.runs.contains_key(**run_id))
+            .filter(|run_id| !self.recent_ends.is_outdated(run_id, hold.sent_at))
             .map(|run_id| (*run_id).clone())
             .collect();
         upstream.unknown_runs = unknown.iter().cloned().collect();
-        self.notice_surviving_runs(hold, listing);
+        self.notice_surviving_runs(id, &unknown);
         for run_id in never_started {
             let number = run_id.run;
             self.requeue(now, id, &run_id, number);
         }
         for run_id in vanished {
-            self.end_run(now, id, &run_id, Outcome::Interrupted, "vanished", EndProof::Listed);
+            self.end_run(now, id, &run_id, Outcome::Interrupted, how, EndProof::Listed);
         }
         for run_id in &unknown {
             self.actions.push(Action::Notice(Notice::Unknown { run: run_id.clone(), upstream: id.clone() }));
@@ -151,20 +161,18 @@
         self.check_progress(now, id, &listing.running);
     }
 
-    /// Logs the listed runs that this owner has given up, or whose end was listed before this hold was sent.
-    fn notice_surviving_runs(&mut self, hold: &Hold, listing: &Listing) {
-        for RunProgress { run, .. } in &listing.running {
+    /// Logs the listed runs that this owner has counted as ended too early.
+    fn notice_surviving_runs(&mut self, id: &UpstreamId, runs: &[RunId]) {
+        for run in runs {
             let Some(end) = self.recent_ends.get(run) else { continue };
-            if end.proof == EndProof::Assumed || end.at < hold.sent_at {
-                let (how, run, upstream) = (end.how, run.clone(), hold.upstream.clone());
-                self.actions.push(Action::Notice(Notice::Survived { how, run, upstream }));
-            }
+            let (how, run, upstream) = (end.how, run.clone(), id.clone());
+            self.actions.push(Action::Notice(Notice::Survived { how, run, upstream }));
         }
     }
 
     /// Stops a run that was started although this entry no longer tracks it.
     pub(crate) fn stop_unknown_run(&mut self, id: &UpstreamId, run_id: &RunId) {
-        if self.recent_ends.get(run_id).is_some() {
+        if self.recent_ends.is_proven(run_id) {
             return;
         }
         if let Some(upstream) = self.upstreams.get_mut(id) {
--- a/crates/runs/src/orders.rs
+++ b/crates/runs/src/orders.rs
@@ -95,11 +95,12 @@
         self.notice_ownership(id, "lost");
     }
 
-    /// Handles a restart of the upstream's process, which has ended all runs of the previous one.
+    /// Handles a restart of the upstream's process. The new process has seen no fencing token, and may still execute
+    /// orders for the previous one; so the runs end only when it no longer lists them under the raised token.
     pub(crate) fn upstream_restarted(&mut self, now: Instant, id: &UpstreamId) {
-        self.end_all_runs(now, id, Outcome::Interrupted, "restarted");
         let Some(upstream) = self.upstreams.get_mut(id) else { return };
         upstream.reset_incarnation();
+        upstream.restarted = true;
         if upstream.ownership != Ownership::None {
             self.start_takeover(now, id);
         }
@@ -218,6 +219,18 @@
         self.actions.extend(holds.into_iter().map(Action::Hold));
     }
 
+    /// Raises the fencing token after a renewal without an answer. The upstream may execute it seconds later, and the
+    /// lease would then last longer than this owner, or its successor, expects.
+    pub(crate) fn fence_unanswered_renewal(&mut self, hold: &Hold) {
+        let Some(upstream) = self.upstreams.get_mut(&hold.upstream) else { return };
+        if hold.lease_until_ms.is_none() {
+            return;
+        }
+        upstream.fence = upstream.fence.max(hold.fence + 1);
+        let (fence, upstream) = (hold.fence, hold.upstream.clone());
+        self.actions.push(Action::Notice(Notice::RenewalLost { fence, upstream }));
+    }
+
     /// Handles a hold that failed. Repeated failures pause the upstream; once the lease has expired for certain, its
     /// runs are reported as interrupted.
     pub(crate) fn hold_failed(&mut self, now: Instant, hold: &Hold, refused: bool) {
@@ -235,10 +248,6 @@
             upstream.probe_after = Some(now + HOLD_RETRY);
         }
         let expired = now > upstream.runs_expire_at;
-        if hold.lease_until_ms.is_some() {
-            let (fence, upstream) = (hold.fence, id.clone());
-            self.actions.push(Action::Notice(Notice::RenewalLost { fence, upstream }));
-        }
         if repeated {
             self.pause_upstream(now, id, if refused { "refused" } else { "unanswered" });
         }
@@ -265,7 +274,10 @@
 
 impl crate::upstream::Upstream {
     fn hold(&self, now: Instant, id: &UpstreamId, probe: bool, wait: Duration) -> Hold {
-        let renews = self.is_owned() && self.lost_holds == 0 && self.runs.values().any(|run| !run.stopping);
+        let renews = self.is_owned()
+            && self.lost_holds == 0
+            && !self.has_unstoppable_run(now)
+            && self.runs.values().any(|run| !run.is_stopping());
         Hold {
             address: self.record.address.clone(),
             fence: self.fence,
