--- a/crates/runs/src/listing.rs
+++ b/crates/runs/src/listing.rs
@@ -119,7 +119,8 @@
         let Some(upstream) = self.upstreams.get_mut(id) else { return };
         let mut never_started = Vec::new();
         let mut vanished = Vec::new();
-        let how = if upstream.restarted { "restarted" } else { "vanished" };
+        let restarted = upstream.restarted;
+        let how = if restarted { "restarted" } else { "vanished" };
         for (run_id, run) in &mut upstream.runs {
             let listed = running.contains(run_id);
             match run.confirmed_at {
@@ -148,6 +149,9 @@
             let number = run_id.run;
             self.requeue(now, id, &run_id, number);
         }
+        if restarted {
+            self.record_lost_runs(id, &vanished);
+        }
         for run_id in vanished {
             self.end_run(now, id, &run_id, Outcome::Interrupted, how, EndProof::Listed);
         }
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -48,6 +48,8 @@
     StoreRecovered = 1204,
     ///An operator's change was written and is in force.
     ConfigChanged = 1205,
+    ///An item of the platform's store was not used, because it cannot be read; gives its key, the reason and the start of its value.
+    StoreItemRejected = 1206,
     ///An upstream was ejected and gets no tasks.
     UpstreamEjected = 1300,
     ///An ejected upstream is on probation and gets single tasks.
@@ -64,7 +66,7 @@
     SheddingEnded = 1401,
     ///A team has reached its quota.
     QuotaLimited = 1402,
-    ///An upstream's answer was dropped because it was late, duplicate, for another task or truncated.
+    ///An upstream's answer, or a part of it, was dropped because it was late, duplicate, for another task, truncated or invalid.
     AnswerDropped = 1500,
     ///An input was rejected; gives the result code.
     InputRejected = 1501,
@@ -82,6 +84,8 @@
     JobRefused = 1604,
     ///A task that waits at a busy owner is moved to one with free slots; gives the estimated wait that it avoids.
     TaskMoved = 1605,
+    ///A task is not started again, because upstreams were lost while it ran on them, and its job fails; gives these upstreams.
+    TaskGivenUp = 1606,
     ///A start order was sent to an upstream; gives the time in the queue and the free capacity.
     RunStarted = 1610,
     ///A run has ended; gives the outcome and the time since its start order.
@@ -148,6 +152,7 @@
         Self::StoreUnreachable,
         Self::StoreRecovered,
         Self::ConfigChanged,
+        Self::StoreItemRejected,
         Self::UpstreamEjected,
         Self::UpstreamProbation,
         Self::UpstreamHealthy,
@@ -165,6 +170,7 @@
         Self::TaskRepeated,
         Self::JobRefused,
         Self::TaskMoved,
+        Self::TaskGivenUp,
         Self::RunStarted,
         Self::RunEnded,
         Self::StartRejected,
@@ -223,6 +229,7 @@
             Self::StoreUnreachable => "STORE_UNREACHABLE",
             Self::StoreRecovered => "STORE_RECOVERED",
             Self::ConfigChanged => "CONFIG_CHANGED",
+            Self::StoreItemRejected => "STORE_ITEM_REJECTED",
             Self::UpstreamEjected => "UPSTREAM_EJECTED",
             Self::UpstreamProbation => "UPSTREAM_PROBATION",
             Self::UpstreamHealthy => "UPSTREAM_HEALTHY",
@@ -240,6 +247,7 @@
             Self::TaskRepeated => "TASK_REPEATED",
             Self::JobRefused => "JOB_REFUSED",
             Self::TaskMoved => "TASK_MOVED",
+            Self::TaskGivenUp => "TASK_GIVEN_UP",
             Self::RunStarted => "RUN_STARTED",
             Self::RunEnded => "RUN_ENDED",
             Self::StartRejected => "START_REJECTED",
@@ -291,6 +299,7 @@
             Self::StoreUnreachable => "warn",
             Self::StoreRecovered => "info",
             Self::ConfigChanged => "info",
+            Self::StoreItemRejected => "warn",
             Self::UpstreamEjected => "warn",
             Self::UpstreamProbation => "info",
             Self::UpstreamHealthy => "info",
@@ -308,6 +317,7 @@
             Self::TaskRepeated => "info",
             Self::JobRefused => "info",
             Self::TaskMoved => "info",
+            Self::TaskGivenUp => "warn",
             Self::RunStarted => "info",
             Self::RunEnded => "info",
             Self::StartRejected => "info",
