Node: a cancellation overtakes the assignment of its batch; reproduction

Engine::send_messages sends the lists of a batch in the order reports, recalls, cancellations, assignments. So when a task is handed over and cancelled in one batch, the owner receives the cancellation of an unknown assignment, ignores it, and then starts a task that no home knows. The test submits and abandons a job in one batch, and sees a run that is not stopped.

--- /dev/null
+++ b/crates/node/tests/cancellation.rs
@@ -0,0 +1,118 @@
+//! Cancellation of tasks that are on their way to another entry.
+
+use std::time::Duration;
+
+use hinge_jobs::{JobRequest, QueuePolicy};
+use hinge_mesh::{Hello, MeshEvent, Message};
+use hinge_node::{Engine, Input, Output};
+use hinge_runs::{HoldReply, Listing, Resources, StartReply, UpstreamRecord};
+use tokio::time::Instant;
+
+const SUBMISSION: u64 = 1;
+
+fn hello(number: u64) -> Hello {
+    Hello {
+        data_centre: "dc1".into(),
+        incarnation: number,
+        instance: format!("entry-{number}").into(),
+        resumable: true,
+    }
+}
+
+fn upstream() -> UpstreamRecord {
+    UpstreamRecord {
+        address: "10.0.0.1:80".into(),
+        capacity: Resources { cpu_millis: 16_000, gpus: 0, memory_mb: 32_768 },
+        data_centre: "dc1".into(),
+        draining: false,
+        id: "up-1".into(),
+        incarnation: None,
+        rack: "r1".into(),
+        sequence: 1,
+        service: "deicing".into(),
+    }
+}
+
+fn job() -> JobRequest {
+    JobRequest {
+        budget: Duration::from_secs(5),
+        estimate: Duration::from_millis(100),
+        id: "job".into(),
+        need: Resources { cpu_millis: 7_000, gpus: 0, memory_mb: 64 },
+        queue: QueuePolicy {
+            max_attempts: 3,
+            name: "queue".into(),
+            priority: 0,
+            service: "deicing".into(),
+            stretch: 1.6,
+            target: Duration::from_secs(1),
+            timeout: Duration::from_secs(5),
+        },
+        run: 1,
+        spec: "spec".into(),
+        task_prefix: "job.0.0".into(),
+        tasks: 1,
+    }
+}
+
+/// What an entry sent to the other entry and to its upstream.
+#[derive(Default)]
+struct Sent {
+    messages: Vec<Message>,
+    starts: usize,
+    stops: usize,
+}
+
+/// Executes the entry's outputs.
+fn process_outputs(engine: &mut Engine, now: Instant) -> Sent {
+    let mut sent = Sent::default();
+    for _ in 0..4 {
+        engine.flush(now);
+        let outputs: Vec<_> = engine.drain_outputs().collect();
+        for output in outputs {
+            match output {
+                Output::Hold(hold) => {
+                    let reply = HoldReply::Listed(Listing { clock_ms: 1, ..Listing::default() });
+                    engine.handle(now, Input::HoldEnded { hold, reply });
+                }
+                Output::Send { message, .. } => sent.messages.push(message),
+                Output::Start(start) => {
+                    sent.starts += 1;
+                    engine
+                        .handle(now, Input::StartEnded { reply: StartReply::Started { clock_ms: 1 }, start });
+                }
+                Output::Stop(_) => sent.stops += 1,
+                _ => {}
+            }
+        }
+    }
+    sent
+}
+
+fn receive(engine: &mut Engine, now: Instant, from: u64, messages: Vec<Message>) {
+    for message in messages {
+        engine.handle(now, Input::Mesh(MeshEvent::Received { message, peer: from }));
+    }
+}
+
+/// Guards against a cancellation that overtakes the assignment of the same batch: the task runs although its job has been
+/// answered, and runs twice when the job is sent again.
+#[test]
+fn a_task_cancelled_in_the_batch_of_its_assignment_does_not_run_on() {
+    let now = Instant::now();
+    let (mut home, mut owner) = (Engine::new(now, hello(1), 1_000, 1), Engine::new(now, hello(2), 1_000, 2));
+    owner.handle(now, Input::Upstreams(vec![upstream()]));
+    process_outputs(&mut owner, now);
+    home.handle(now, Input::Mesh(MeshEvent::Up(hello(2))));
+    owner.handle(now, Input::Mesh(MeshEvent::Up(hello(1))));
+    let sent = process_outputs(&mut owner, now);
+    receive(&mut home, now, 2, sent.messages);
+    process_outputs(&mut home, now);
+
+    home.handle(now, Input::Submit { request: Box::new(job()), submission: SUBMISSION });
+    home.handle(now, Input::Abandon(SUBMISSION));
+    let sent = process_outputs(&mut home, now);
+    receive(&mut owner, now, 1, sent.messages);
+    let sent = process_outputs(&mut owner, now);
+    assert_eq!(sent.starts, sent.stops, "started and stopped runs");
+}
