Runs: four tests that fail on runs, tokens and ends of a lost or restarted upstream

Each test fails on this code: a run is kept for ever and never reported when its upstream is released while it is taken over again after a restart; a former owner sends a stop order with a token that can be above that of its successor; end numbers of a previous process count for the next one; a process whose start time is before that of its predecessor is not noticed, and no token is raised for it.

--- /dev/null
+++ b/crates/runs/tests/lost_ownership.rs
@@ -0,0 +1,96 @@
+//! Runs, tokens and end numbers of an upstream whose owner changes, or whose process restarts, at an inconvenient moment.
+
+#![allow(clippy::expect_used, reason = "tests")]
+
+mod support;
+
+use hinge_runs::{
+    Action, EndKind, Ended, Event, HoldReply, Listing, Outcome, Rejection, StartOrder, StartReply,
+};
+use support::{Owner, first_hold, record};
+
+fn as_start(action: &Action) -> Option<&StartOrder> {
+    match action {
+        Action::Start(start) => Some(start),
+        _ => None,
+    }
+}
+
+/// Guards against a run that its owner keeps for ever, without a report to its home: the upstream is released while it is
+/// taken over again after a restart, and a released upstream is no longer asked for its runs.
+#[test]
+fn an_upstream_released_after_a_restart_still_reports_its_runs() {
+    let (mut owner, _) = Owner::with_run();
+    owner.upstream.restart();
+    owner.handle(Event::Upstreams(vec![record("up-1", 2)]));
+    let takeover = owner.actions();
+    owner.handle(Event::Release("up-1".into()));
+    for action in takeover {
+        owner.answer(action);
+    }
+    owner.answer_all();
+    assert_eq!(owner.outcomes(1), [Outcome::Interrupted]);
+    owner.handle(Event::Release("up-1".into()));
+    assert_eq!(owner.runner.owned().count(), 0, "the idle upstream is released");
+}
+
+/// Guards against a former owner that fences its successor: the answer to a start order arrives after the loss of ownership,
+/// and the stop order for the run carries a raised token.
+#[test]
+fn a_former_owner_gives_no_orders() {
+    let mut owner = Owner::new();
+    owner.assign(1, "job.0");
+    owner.assign(2, "job.1");
+    let actions = owner.actions();
+    let starts: Vec<_> = actions.iter().filter_map(|action| as_start(action)).collect();
+    let confirmed = owner.upstream.start(starts[0]);
+    assert!(matches!(confirmed, StartReply::Started { .. }));
+    let fenced = StartReply::Rejected { clock_ms: None, reason: Rejection::Fenced };
+    owner.handle(Event::StartEnded { reply: fenced, start: starts[1].clone() });
+    owner.actions();
+    assert_eq!(owner.outcomes(1), [Outcome::Uncertain]);
+    owner.handle(Event::StartEnded { reply: confirmed, start: starts[0].clone() });
+    let orders = owner.actions();
+    assert!(orders.is_empty(), "{orders:?}");
+}
+
+/// Guards against an answer of the previous process that arrives after the takeover of its successor, and whose end numbers
+/// then count as those of the successor: its own ends would be ignored, and done tasks repeated.
+#[test]
+fn a_late_answer_of_the_previous_process_is_ignored() {
+    let (mut owner, actions) = Owner::with_run();
+    let hold = first_hold(&actions);
+    let HoldReply::Listed(listing) = owner.upstream.hold(&hold) else { return };
+    let run = listing.running[0].run.clone();
+    let ended = vec![Ended { how: EndKind::Failed, number: 57, run }];
+    let late = HoldReply::Listed(Listing { ended, ..listing });
+    owner.upstream.restart();
+    owner.handle(Event::Upstreams(vec![record("up-1", 2)]));
+    owner.answer_all();
+    assert_eq!(owner.outcomes(1), [Outcome::Interrupted]);
+    owner.assign(2, "job.1");
+    owner.answer_all();
+    owner.handle(Event::HoldEnded { hold, reply: late });
+    owner.answer_all();
+    owner.advance(150);
+    let listing = owner.listing();
+    owner.handle(listing);
+    owner.answer_all();
+    assert_eq!(owner.outcomes(2), [Outcome::Done]);
+}
+
+/// Guards against a new process whose start time is before that of its predecessor, because the clock of its machine was set
+/// back: it must be recognised as new all the same.
+#[test]
+fn a_new_process_with_an_earlier_start_time_is_taken_over() {
+    let (mut owner, actions) = Owner::with_run();
+    let token = owner.upstream.fence;
+    owner.upstream.restart();
+    owner.upstream.incarnation = 0;
+    let hold = first_hold(&actions);
+    let reply = owner.upstream.hold(&hold);
+    owner.handle(Event::HoldEnded { hold, reply });
+    owner.answer_all();
+    assert!(owner.upstream.fence > token, "the new process has seen no token");
+    assert_eq!(owner.outcomes(1), [Outcome::Interrupted]);
+}
