Runs: keep an upstream that is released during a takeover until its runs are settled

Since runs of a restarted upstream end only under the raised token, an upstream that is being taken over can have runs. When the division of upstreams changed in that moment, its owner gave it up at once, asked it for no further listing and reported nothing: callers waited for their whole time, and the owner kept the runs for ever.

--- a/crates/runs/src/orders.rs
+++ b/crates/runs/src/orders.rs
@@ -62,11 +62,12 @@
                 upstream.ownership = Ownership::Releasing;
                 self.notice_ownership(id, "releasing");
             }
-            Ownership::Taking => {
+            Ownership::Taking if upstream.runs.is_empty() => {
                 upstream.ownership = Ownership::None;
                 self.notice_ownership(id, "released");
             }
-            Ownership::None | Ownership::Releasing => {}
+            // After a restart only the takeover shows which runs have ended; the release is repeated until then.
+            Ownership::None | Ownership::Releasing | Ownership::Taking => {}
         }
     }
 
