Runs: stop no run on an upstream of another owner

Since runs that were given up are stopped when they turn up, an owner that has been fenced off also sent a stop order when the answer to its last start order arrived after that. Its token had been raised by 2^20, about 1 s of the clock, and so could be above that of the new owner, whose orders the upstream would then reject: its runs are reported as uncertain and their callers get 502. The new owner lists and stops such runs itself.

--- a/crates/runs/src/listing.rs
+++ b/crates/runs/src/listing.rs
@@ -168,14 +168,14 @@
         }
     }
 
-    /// Stops a run that was started although this entry no longer tracks it.
+    /// Stops a run that was started although this entry no longer tracks it. On an upstream of another owner it is that
+    /// owner who stops it: an order from here could carry a token above the owner's.
     pub(crate) fn stop_unknown_run(&mut self, id: &UpstreamId, run_id: &RunId) {
-        if self.recent_ends.is_proven(run_id) {
+        let Some(upstream) = self.upstreams.get_mut(id) else { return };
+        if upstream.ownership == Ownership::None || self.recent_ends.is_proven(run_id) {
             return;
         }
-        if let Some(upstream) = self.upstreams.get_mut(id) {
-            upstream.unknown_runs.insert(run_id.clone());
-        }
+        upstream.unknown_runs.insert(run_id.clone());
         self.actions.push(Action::Notice(Notice::Unknown { run: run_id.clone(), upstream: id.clone() }));
         self.order_stop(id, run_id);
     }
