Runs: ignore late answers of the previous process of an upstream

An answer to a hold that the previous process of an upstream had given, and that arrived after the takeover of the next one, counted as one of the next: its end numbers were acknowledged there and the clock was taken from it. The ends of the new process below these numbers were then forgotten, and done tasks reported as interrupted and run again.

Such an answer shows an earlier start time and belongs to a hold with a token below the present one.

a_late_answer_of_the_previous_process_is_ignored failed before: Interrupted instead of Done.

--- a/crates/runs/src/listing.rs
+++ b/crates/runs/src/listing.rs
@@ -51,6 +51,11 @@
     fn handle_listing(&mut self, now: Instant, hold: &Hold, listing: &Listing) {
         let id = &hold.upstream;
         let Some(upstream) = self.upstreams.get_mut(id) else { return };
+        let is_earlier = listing.incarnation.is_some() && listing.incarnation < upstream.record.incarnation;
+        if is_earlier && hold.fence < upstream.fence {
+            // The process before has answered late: its clock and end numbers do not hold for the present one.
+            return;
+        }
         if let Some(incarnation) = listing.incarnation {
             let known = upstream
                 .record
