Runs: simulate orders that are late by 0.1 to 2.5 s; one seed breaks the invariant

The simulation delayed late orders by 2 to 12 s only, longer than every lease. With 0.1 to 2.5 s, and a lease that counts from the arrival of a late renewal, seed 789 of the seeds 0 to 1255 shows two runs: a process is killed right after it has sent a renewal, which arrives 685 ms later, within the lease, and keeps the run alive for 1.4 s after the kill.

--- a/crates/runs/tests/interleavings.rs
+++ b/crates/runs/tests/interleavings.rs
@@ -10,6 +10,7 @@
 mod support;
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 
 use hinge_runs::{
     Action, Event, Fence, HoldReply, HomeId, Outcome, RunId, Runner, StartReply, UpstreamRecord,
@@ -31,6 +32,9 @@
 const TASKS: u64 = 12;
 /// Share of orders that are executed late and not answered.
 const LATE_SHARE: f64 = 0.06;
+/// Delays of late orders: beyond all leases, and from within a lease to beyond it.
+const LONG_DELAYS_MS: Range<u64> = 2_000..12_000;
+const SHORT_DELAYS_MS: Range<u64> = 100..2_500;
 const RUN_TIME_MS: u64 = 900;
 /// Run times on upstreams of normal and low speed; some are longer than a resubmission takes.
 const LONG_RUN_TIMES_MS: [u64; 3] = [900, 1_800, 5_000];
@@ -50,6 +54,8 @@
     long_runs: bool,
     /// Upstreams crash and start again without state.
     restarts: bool,
+    /// Late orders are late by [`SHORT_DELAYS_MS`] instead of [`LONG_DELAYS_MS`].
+    short_delays: bool,
     /// Late orders for a crashed process of an upstream reach its next one; otherwise they are lost with it.
     stale_orders: bool,
 }
@@ -61,6 +67,7 @@
     long_runs: true,
     many_late_orders: false,
     restarts: false,
+    short_delays: false,
     stale_orders: false,
 };
 
@@ -208,7 +215,8 @@
             Action::Notice(_) => {}
             action => {
                 let late_share = if self.faults.many_late_orders { 0.5 } else { LATE_SHARE };
-                let late_ms = self.rng.random_bool(late_share).then(|| self.rng.random_range(2_000..12_000));
+                let delays_ms = if self.faults.short_delays { SHORT_DELAYS_MS } else { LONG_DELAYS_MS };
+                let late_ms = self.rng.random_bool(late_share).then(|| self.rng.random_range(delays_ms));
                 let delay_ms = late_ms.unwrap_or_else(|| self.rng.random_range(0..3));
                 if late_ms.is_some() {
                     self.drop_answer(owner, epoch, &action, 200);
@@ -552,6 +560,12 @@
         simulate(seed, Faults { late_renewals: true, ..LONG_RUNS });
     }
 
+    /// Guards against a renewal that is executed late but within the lease, and keeps runs alive beyond it.
+    #[test]
+    fn no_task_runs_twice_when_renewals_arrive_within_the_lease(seed in any::<u64>()) {
+        simulate(seed, Faults { late_renewals: true, short_delays: true, ..LONG_RUNS });
+    }
+
     /// Guards against a start order for an earlier process of an upstream that its next process executes, after the task
     /// was started elsewhere.
     #[test]
@@ -614,3 +628,10 @@
         }
     }
 }
+
+/// Guards against a renewal that was sent in the last moment of its owner, is executed within the lease and counts from its
+/// arrival: the run outlives owner and home by two leases, and so the resubmission.
+#[test]
+fn a_renewal_in_the_last_moment_of_its_owner_extends_no_lease() {
+    simulate(789, Faults { late_renewals: true, short_delays: true, ..LONG_RUNS });
+}
