Node: do not begin jobs whose caller has left before they were handled

A job that had waited in the queue of inputs until its caller left was begun all the same, and stopped by the abandonment behind it in the queue.

a_job_abandoned_before_it_was_handled_starts_nothing failed before: one start order.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -264,6 +264,8 @@
             }
             Command::Input(input) => self.engine.handle(now, input),
             Command::Pending { queue, reply } => drop(reply.send(self.engine.pending(&queue))),
+            // The caller has left while the job was queued, and may send it again.
+            Command::Submit { reply, .. } if reply.is_closed() => {}
             Command::Submit { reply, request, submission } => {
                 self.answers.insert(submission, reply);
                 self.engine.handle(now, Input::Submit { request, submission });
--- /dev/null
+++ b/crates/node/tests/abandoned.rs
@@ -0,0 +1,109 @@
+//! Jobs whose caller has disconnected before the node has handled them.
+
+#![allow(clippy::panic, clippy::unwrap_used, reason = "tests")]
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use hinge_jobs::{JobRequest, QueuePolicy};
+use hinge_mesh::Hello;
+use hinge_node::{Input, Node, NodeHandle, NodeMetrics, NodeSettings, SuspendClock, UpstreamPort};
+use hinge_runs::{Hold, HoldReply, Listing, Resources, StartOrder, StartReply, StopOrder, UpstreamRecord};
+use tokio::net::TcpListener;
+use tokio::time::{Instant, sleep};
+
+/// Time in which the upstream is taken over.
+const TAKEOVER: Duration = Duration::from_secs(1);
+
+/// An upstream without runs that counts start orders.
+#[derive(Clone, Default)]
+struct CountingPort {
+    starts: Arc<AtomicU64>,
+}
+
+impl UpstreamPort for CountingPort {
+    async fn hold(&self, hold: &Hold) -> HoldReply {
+        sleep(hold.wait).await;
+        HoldReply::Listed(Listing { clock_ms: 1, ..Listing::default() })
+    }
+
+    async fn start(&self, _: &StartOrder) -> StartReply {
+        self.starts.fetch_add(1, Ordering::SeqCst);
+        StartReply::Started { clock_ms: 1 }
+    }
+
+    async fn stop(&self, _: &StopOrder) {}
+}
+
+struct Clock(Instant);
+
+impl SuspendClock for Clock {
+    fn elapsed(&self) -> Duration {
+        self.0.elapsed()
+    }
+}
+
+fn upstream() -> UpstreamRecord {
+    UpstreamRecord {
+        address: "10.0.0.1:80".into(),
+        capacity: Resources { cpu_millis: 16_000, gpus: 0, memory_mb: 32_768 },
+        data_centre: "dc1".into(),
+        draining: false,
+        id: "up-1".into(),
+        incarnation: None,
+        rack: "r1".into(),
+        sequence: 1,
+        service: "deicing".into(),
+    }
+}
+
+fn request() -> JobRequest {
+    JobRequest {
+        budget: Duration::from_secs(2),
+        estimate: Duration::from_millis(60),
+        id: "job".into(),
+        need: Resources { cpu_millis: 7_000, gpus: 0, memory_mb: 64 },
+        queue: QueuePolicy {
+            max_attempts: 2,
+            name: "queue".into(),
+            priority: 0,
+            service: "deicing".into(),
+            stretch: 60.0,
+            target: Duration::from_millis(60),
+            timeout: Duration::from_millis(1_500),
+        },
+        run: 1,
+        spec: "spec".into(),
+        task_prefix: "job.0.0".into(),
+        tasks: 1,
+    }
+}
+
+async fn start_node(port: CountingPort) -> NodeHandle {
+    let local =
+        Hello { data_centre: "dc1".into(), incarnation: 1, instance: "entry-1".into(), resumable: true };
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let settings = NodeSettings { local, seed: 1, started_unix_ms: 1_767_000_000_000 };
+    let metrics = NodeMetrics::new().unwrap();
+    let (node, handle) = Node::new(settings, listener, port, Clock(Instant::now()), metrics);
+    tokio::spawn(node.run());
+    handle.send_input(Input::Entries(Vec::new())).await;
+    handle.send_input(Input::Upstreams(vec![upstream()])).await;
+    sleep(TAKEOVER).await;
+    handle
+}
+
+/// Guards against a start of a job that has waited in the queue of inputs until its caller left: the caller may have sent it
+/// again, and the task would run there and here at the same time until it is stopped.
+#[tokio::test(start_paused = true)]
+async fn a_job_abandoned_before_it_was_handled_starts_nothing() {
+    let port = CountingPort::default();
+    let handle = start_node(port.clone()).await;
+    drop(handle.submit(request()));
+    sleep(TAKEOVER).await;
+    assert_eq!(port.starts.load(Ordering::SeqCst), 0);
+    let _waiting = handle.submit(request());
+    sleep(TAKEOVER).await;
+    assert!(port.starts.load(Ordering::SeqCst) > 0, "a job with a caller starts");
+}
