Node: abandon the job of a caller that leaves while the queue of inputs is full

The input that tells the node of a caller's departure was dropped while the queue of 16,384 inputs was full, and the job went on until its time was used up.

The node already looked for closed answers after each batch; it now abandons their jobs.

a_job_is_abandoned_although_the_queue_of_inputs_is_full failed before: no stop order.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -79,7 +79,7 @@
 impl Drop for AbandonGuard {
     fn drop(&mut self) {
         if let Some(submission) = self.submission.take() {
-            // If the queue is full, the job continues until its time budget is used up.
+            // Wakes the node. If the queue is full, the node is awake, and finds the closed answer by itself.
             let _ = self.commands.try_send(Command::Input(Input::Abandon(submission)));
         }
     }
@@ -220,6 +220,7 @@
             for command in batch.drain(..) {
                 self.handle_command(now, command);
             }
+            self.abandon_jobs(now);
             self.check_unresponsive_peers(now);
             self.engine.handle(now, Input::Tick);
             self.engine.flush(now);
@@ -237,6 +238,14 @@
         (now, elapsed)
     }
 
+    /// Abandons the jobs whose callers have disconnected. Inputs that say so are lost while the queue is full.
+    fn abandon_jobs(&mut self, now: Instant) {
+        let closed = self.answers.extract_if(|_, reply| reply.is_closed());
+        for (submission, _) in closed {
+            self.engine.handle(now, Input::Abandon(submission));
+        }
+    }
+
     fn check_unresponsive_peers(&mut self, now: Instant) {
         let unresponsive = self.mesh.unresponsive_peers(now, UNRESPONSIVE_AFTER);
         if unresponsive != self.unresponsive {
@@ -301,7 +310,6 @@
                 }
             }
         }
-        self.answers.retain(|_, reply| !reply.is_closed());
         self.metrics.set_state(self.engine.in_progress(), self.engine.owned().count());
     }
 
--- a/crates/node/tests/abandoned.rs
+++ b/crates/node/tests/abandoned.rs
@@ -16,10 +16,11 @@
 /// Time in which the upstream is taken over.
 const TAKEOVER: Duration = Duration::from_secs(1);
 
-/// An upstream without runs that counts start orders.
+/// An upstream that counts start and stop orders and lists no runs.
 #[derive(Clone, Default)]
 struct CountingPort {
     starts: Arc<AtomicU64>,
+    stops: Arc<AtomicU64>,
 }
 
 impl UpstreamPort for CountingPort {
@@ -33,7 +34,9 @@
         StartReply::Started { clock_ms: 1 }
     }
 
-    async fn stop(&self, _: &StopOrder) {}
+    async fn stop(&self, _: &StopOrder) {
+        self.stops.fetch_add(1, Ordering::SeqCst);
+    }
 }
 
 struct Clock(Instant);
@@ -107,3 +110,19 @@
     sleep(TAKEOVER).await;
     assert!(port.starts.load(Ordering::SeqCst) > 0, "a job with a caller starts");
 }
+
+/// Guards against a run that goes on after its caller has left while the queue of inputs was full: the caller sends the job
+/// again 1.3 s later.
+#[tokio::test(start_paused = true)]
+async fn a_job_is_abandoned_although_the_queue_of_inputs_is_full() {
+    let port = CountingPort::default();
+    let handle = start_node(port.clone()).await;
+    let abandoned = handle.submit(request());
+    sleep(Duration::from_millis(5)).await;
+    assert_eq!(port.starts.load(Ordering::SeqCst), 1);
+    let others: Vec<_> = std::iter::from_fn(|| handle.submit(request())).collect();
+    drop(abandoned);
+    drop(others);
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(port.stops.load(Ordering::SeqCst), 1);
+}
