Runs: a test that fails while the clock of an upstream's last owner was ahead

A token contains the time of day at the start of its process. After the loss of an owner whose clock was ahead by 60 s, no entry can take its upstreams over for 60 s: each rejected takeover raises the next token by 1 s, and the attempts are 3 s apart.

--- a/crates/runs/tests/lost_ownership.rs
+++ b/crates/runs/tests/lost_ownership.rs
@@ -94,3 +94,24 @@
     assert!(owner.upstream.fence > token, "the new process has seen no token");
     assert_eq!(owner.outcomes(1), [Outcome::Interrupted]);
 }
+
+/// Guards against an upstream without an owner for as long as the clock of its last owner was ahead: tokens contain the time
+/// of day, which may jump.
+#[test]
+fn an_upstream_whose_last_owner_had_a_clock_that_was_ahead_is_taken_over() {
+    const AHEAD_MS: u64 = 60_000;
+    const RECOVERY_MS: u64 = 12_000;
+    const TAKEOVER_PAUSE_MS: u64 = 3_000;
+    let token = |time_ms: u64| 10 + (time_ms << 10);
+    let mut owner = Owner::new();
+    owner.upstream.fence = token(AHEAD_MS);
+    owner.assign(1, "job.0");
+    owner.answer_all();
+    assert_eq!(owner.runner.owned().count(), 0, "the token of the last owner is higher");
+    for time_ms in (TAKEOVER_PAUSE_MS..=RECOVERY_MS).step_by(3_000) {
+        owner.advance(TAKEOVER_PAUSE_MS);
+        owner.handle(Event::Own { fence: token(time_ms), upstream: "up-1".into() });
+        owner.answer_all();
+    }
+    assert_eq!(owner.runner.owned().count(), 1);
+}
