--- a/crates/runs/src/listing.rs
+++ b/crates/runs/src/listing.rs
@@ -51,6 +51,11 @@
     fn handle_listing(&mut self, now: Instant, hold: &Hold, listing: &Listing) {
         let id = &hold.upstream;
         let Some(upstream) = self.upstreams.get_mut(id) else { return };
+        let is_earlier = listing.incarnation.is_some() && listing.incarnation < upstream.record.incarnation;
+        if is_earlier && hold.fence < upstream.fence {
+            // The process before has answered late: its clock and end numbers do not hold for the present one.
+            return;
+        }
         if let Some(incarnation) = listing.incarnation {
             let known = upstream
                 .record
@@ -174,14 +179,14 @@
         }
     }
 
-    /// Stops a run that was started although this entry no longer tracks it.
+    /// Stops a run that was started although this entry no longer tracks it. On an upstream of another owner it is that
+    /// owner who stops it: an order from here could carry a token above the owner's.
     pub(crate) fn stop_unknown_run(&mut self, id: &UpstreamId, run_id: &RunId) {
-        if self.recent_ends.is_proven(run_id) {
+        let Some(upstream) = self.upstreams.get_mut(id) else { return };
+        if upstream.ownership == Ownership::None || self.recent_ends.is_proven(run_id) {
             return;
         }
-        if let Some(upstream) = self.upstreams.get_mut(id) {
-            upstream.unknown_runs.insert(run_id.clone());
-        }
+        upstream.unknown_runs.insert(run_id.clone());
         self.actions.push(Action::Notice(Notice::Unknown { run: run_id.clone(), upstream: id.clone() }));
         self.order_stop(id, run_id);
     }
--- a/crates/runs/tests/interleavings.rs
+++ b/crates/runs/tests/interleavings.rs
@@ -42,6 +42,12 @@
         simulate(seed, Faults { late_renewals: true, ..LONG_RUNS });
     }
 
+    /// Guards against a renewal that is executed late but within the lease, and keeps runs alive beyond it.
+    #[test]
+    fn no_task_runs_twice_when_renewals_arrive_within_the_lease(seed in any::<u64>()) {
+        simulate(seed, Faults { late_renewals: true, short_delays: true, ..LONG_RUNS });
+    }
+
     /// Guards against a start order for an earlier process of an upstream that its next process executes, after the task
     /// was started elsewhere.
     #[test]
@@ -104,3 +110,12 @@
         }
     }
 }
+
+/// Guards against a renewal that was sent in the last moment of its owner, is executed within the lease and counts from its
+/// arrival: the run outlives owner and home by two leases, and so the resubmission.
+#[test]
+fn a_renewal_in_the_last_moment_of_its_owner_extends_no_lease() {
+    for seed in [789, 11_412, 20_582, 22_031] {
+        simulate(seed, Faults { late_renewals: true, short_delays: true, ..LONG_RUNS });
+    }
+}
--- a/crates/runs/tests/simulation/mod.rs
+++ b/crates/runs/tests/simulation/mod.rs
@@ -6,6 +6,7 @@
 mod faults;
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 
 use hinge_runs::{
     Action, Event, Fence, HoldReply, HomeId, Outcome, RunId, Runner, StartReply, UpstreamRecord,
@@ -27,6 +28,9 @@
 const TASKS: u64 = 12;
 /// Share of orders that are executed late and not answered.
 const LATE_SHARE: f64 = 0.06;
+/// Delays of late orders: beyond all leases, and from within a lease to beyond it.
+const LONG_DELAYS_MS: Range<u64> = 2_000..12_000;
+const SHORT_DELAYS_MS: Range<u64> = 100..2_500;
 const RUN_TIME_MS: u64 = 900;
 /// Run times on upstreams of normal and low speed; some are longer than a resubmission takes.
 const LONG_RUN_TIMES_MS: [u64; 3] = [900, 1_800, 5_000];
@@ -46,6 +50,8 @@
     pub(crate) long_runs: bool,
     /// Upstreams crash and start again without state.
     pub(crate) restarts: bool,
+    /// Late orders are late by [`SHORT_DELAYS_MS`] instead of [`LONG_DELAYS_MS`].
+    pub(crate) short_delays: bool,
     /// Late orders for a crashed process of an upstream reach its next one; otherwise they are lost with it.
     pub(crate) stale_orders: bool,
 }
@@ -57,6 +63,7 @@
     long_runs: true,
     many_late_orders: false,
     restarts: false,
+    short_delays: false,
     stale_orders: false,
 };
 
@@ -205,7 +212,8 @@
             Action::Notice(_) => {}
             action => {
                 let late_share = if self.faults.many_late_orders { 0.5 } else { LATE_SHARE };
-                let late_ms = self.rng.random_bool(late_share).then(|| self.rng.random_range(2_000..12_000));
+                let delays_ms = if self.faults.short_delays { SHORT_DELAYS_MS } else { LONG_DELAYS_MS };
+                let late_ms = self.rng.random_bool(late_share).then(|| self.rng.random_range(delays_ms));
                 let delay_ms = late_ms.unwrap_or_else(|| self.rng.random_range(0..3));
                 if late_ms.is_some() {
                     self.drop_answer(owner, epoch, &action, 200);
