Node: a cancellation takes back an assignment that has not been sent

The messages of a batch go out as reports, recalls, cancellations, assignments. A job that is abandoned or fails in the batch in which a task of it is assigned or repeated was cancelled before its assignment arrived; the owner ignored the cancellation, started the task and was told of nothing more. The task ran on to its end, or waited in the queue, while the caller sent the job again after 1.3 s.

An assignment that still waits to be sent is now taken back, and counts as not started.

Ruled out: the order of sending alone would start the task and stop it at once, and a recall has the same fault.

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use hinge_jobs::{JobNumber, JobTable};
 use hinge_mesh::{Hello, OwnedUpstream};
-use hinge_runs::{Event, Fence, HomeId, LostRun, Runner, UpstreamRecord};
+use hinge_runs::{AssignmentId, Event, Fence, HomeId, LostRun, Outcome, Runner, TaskReport, UpstreamRecord};
 use hinge_wire::{FastMap, FastSet, ServiceId, UpstreamId};
 use tokio::time::Instant;
 
@@ -232,18 +232,32 @@
                 self.runner.handle(now, Event::Cancelled { assignment, home: self.own_id });
             }
             hinge_jobs::Action::Cancel { assignment, owner } => {
-                self.outboxes.entry(owner).or_default().cancel.push(assignment);
+                if !self.withdraw_unsent(now, owner, assignment) {
+                    self.outboxes.entry(owner).or_default().cancel.push(assignment);
+                }
             }
             hinge_jobs::Action::Notice(notice) => self.outputs.push(Output::Log(LogLine::Job(notice))),
             hinge_jobs::Action::Recall { assignment, owner } if owner == self.own_id => {
                 self.runner.handle(now, Event::Recalled { assignment, home: self.own_id });
             }
             hinge_jobs::Action::Recall { assignment, owner } => {
-                self.outboxes.entry(owner).or_default().recall.push(assignment);
+                if !self.withdraw_unsent(now, owner, assignment) {
+                    self.outboxes.entry(owner).or_default().recall.push(assignment);
+                }
             }
         }
     }
 
+    /// Takes an assignment back that waits to be sent to its owner, which would ignore a cancellation that overtakes it.
+    /// Returns false if it has been sent.
+    fn withdraw_unsent(&mut self, now: Instant, owner: HomeId, id: AssignmentId) -> bool {
+        let Some(unsent) = self.outboxes.get_mut(&owner).and_then(|outbox| outbox.take_unsent(id)) else {
+            return false;
+        };
+        self.jobs.report(now, owner, &TaskReport::new(id, Outcome::NotStarted, unsent.run));
+        true
+    }
+
     fn handle_run_action(&mut self, now: Instant, action: hinge_runs::Action) {
         match action {
             hinge_runs::Action::Hold(hold) => self.outputs.push(Output::Hold(hold)),
--- a/crates/node/src/outbox.rs
+++ b/crates/node/src/outbox.rs
@@ -29,6 +29,14 @@
     pub(crate) report: Vec<TaskReport>,
 }
 
+impl Outbox {
+    /// Removes and returns an assignment that has not been sent yet.
+    pub(crate) fn take_unsent(&mut self, id: AssignmentId) -> Option<Assignment> {
+        let position = self.assign.iter().position(|assignment| assignment.id == id)?;
+        Some(self.assign.remove(position))
+    }
+}
+
 /// Decides when loads are sent to a group of peers: after a change, and at most once per interval.
 #[derive(Debug)]
 pub(crate) struct StatusTimer {
