--- a/crates/node/tests/abandoned.rs
+++ b/crates/node/tests/abandoned.rs
@@ -2,14 +2,17 @@
 
 #![allow(clippy::panic, clippy::unwrap_used, reason = "tests")]
 
+mod support;
+
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use hinge_jobs::{JobRequest, QueuePolicy};
 use hinge_mesh::Hello;
-use hinge_node::{Input, Node, NodeHandle, NodeMetrics, NodeSettings, SuspendClock, UpstreamPort};
-use hinge_runs::{Hold, HoldReply, Listing, Resources, StartOrder, StartReply, StopOrder, UpstreamRecord};
+use hinge_node::{Input, Node, NodeHandle, NodeMetrics, NodeSettings, UpstreamPort};
+use hinge_runs::{Hold, HoldReply, Listing, Resources, StartOrder, StartReply, StopOrder};
+use support::{Clock, upstream};
 use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep};
 
@@ -39,28 +42,6 @@
     }
 }
 
-struct Clock(Instant);
-
-impl SuspendClock for Clock {
-    fn elapsed(&self) -> Duration {
-        self.0.elapsed()
-    }
-}
-
-fn upstream() -> UpstreamRecord {
-    UpstreamRecord {
-        address: "10.0.0.1:80".into(),
-        capacity: Resources { cpu_millis: 16_000, gpus: 0, memory_mb: 32_768 },
-        data_centre: "dc1".into(),
-        draining: false,
-        id: "up-1".into(),
-        incarnation: None,
-        rack: "r1".into(),
-        sequence: 1,
-        service: "deicing".into(),
-    }
-}
-
 fn request() -> JobRequest {
     JobRequest {
         budget: Duration::from_secs(2),
--- a/crates/node/tests/cancellation.rs
+++ b/crates/node/tests/cancellation.rs
@@ -1,38 +1,18 @@
 //! Cancellation of tasks that are on their way to another entry.
 
+mod support;
+
 use std::time::Duration;
 
 use hinge_jobs::{JobRequest, QueuePolicy};
-use hinge_mesh::{Hello, MeshEvent, Message};
+use hinge_mesh::{MeshEvent, Message};
 use hinge_node::{Engine, Input, Output};
-use hinge_runs::{HoldReply, Listing, Resources, StartReply, UpstreamRecord};
+use hinge_runs::{HoldReply, Listing, Resources, StartReply};
+use support::{hello, upstream};
 use tokio::time::Instant;
 
 const SUBMISSION: u64 = 1;
 
-fn hello(number: u64) -> Hello {
-    Hello {
-        data_centre: "dc1".into(),
-        incarnation: number,
-        instance: format!("entry-{number}").into(),
-        resumable: true,
-    }
-}
-
-fn upstream() -> UpstreamRecord {
-    UpstreamRecord {
-        address: "10.0.0.1:80".into(),
-        capacity: Resources { cpu_millis: 16_000, gpus: 0, memory_mb: 32_768 },
-        data_centre: "dc1".into(),
-        draining: false,
-        id: "up-1".into(),
-        incarnation: None,
-        rack: "r1".into(),
-        sequence: 1,
-        service: "deicing".into(),
-    }
-}
-
 fn job() -> JobRequest {
     JobRequest {
         budget: Duration::from_secs(5),
--- a/crates/node/tests/config.rs
+++ b/crates/node/tests/config.rs
@@ -2,22 +2,16 @@
 
 #![allow(clippy::expect_used, reason = "tests")]
 
+mod support;
+
 use std::time::Duration;
 
 use bytes::Bytes;
-use hinge_mesh::{Hello, MeshEvent, Message, Status};
+use hinge_mesh::{MeshEvent, Message, Status};
 use hinge_node::{Engine, Input, Output};
+use support::hello;
 use tokio::time::Instant;
 
-fn hello(number: u64) -> Hello {
-    Hello {
-        data_centre: "dc1".into(),
-        incarnation: number,
-        instance: format!("entry-{number}").into(),
-        resumable: true,
-    }
-}
-
 struct Entry {
     engine: Engine,
     now: Instant,
--- a/crates/node/tests/crashing_tasks.rs
+++ b/crates/node/tests/crashing_tasks.rs
@@ -2,16 +2,19 @@
 
 #![allow(clippy::expect_used, clippy::unwrap_used, reason = "tests")]
 
+mod support;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use hinge_jobs::{Answer, FailCause, JobRequest, QueuePolicy};
-use hinge_mesh::{Hello, MeshEvent, Message};
+use hinge_mesh::{MeshEvent, Message};
 use hinge_node::{Engine, EntryRecord, Input, Output};
 use hinge_runs::{
     EndKind, Ended, Hold, HoldReply, Listing, Resources, RunId, RunProgress, StartOrder, StartReply,
     UpstreamRecord,
 };
+use support::hello;
 use tokio::time::Instant;
 
 const SERVICE: &str = "deicing";
@@ -27,15 +30,6 @@
     Duration::from_millis(time_ms)
 }
 
-fn hello(number: u64) -> Hello {
-    Hello {
-        data_centre: "dc1".into(),
-        incarnation: number,
-        instance: format!("entry-{number}").into(),
-        resumable: true,
-    }
-}
-
 fn entry(number: u64) -> EntryRecord {
     EntryRecord {
         address: ([127, 0, 0, 1], 7_000).into(),
--- a/crates/node/tests/malformed.rs
+++ b/crates/node/tests/malformed.rs
@@ -3,11 +3,13 @@
 //! Each input is well formed, so that its decoder accepts it, but its numbers are as large or as contradictory as their
 //! types allow. `PROPTEST_CASES` sets the number of cases.
 
+mod support;
+
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use hinge_jobs::{JobRequest, QueuePolicy};
-use hinge_mesh::{Hello, MeshEvent, Message, OwnedUpstream, ServiceLoad, Status};
+use hinge_mesh::{MeshEvent, Message, OwnedUpstream, ServiceLoad, Status};
 use hinge_node::{Engine, Input, Output};
 use hinge_runs::{
     Assignment, EndKind, Ended, Hold, HoldReply, Listing, Load, LostRun, Outcome, Rejection, Resources,
@@ -16,6 +18,7 @@
 use hinge_wire::UpstreamId;
 use proptest::collection::vec;
 use proptest::prelude::*;
+use support::hello;
 use tokio::time::Instant;
 
 const SERVICE: &str = "deicing";
@@ -235,15 +238,6 @@
     ]
 }
 
-fn hello(number: u64) -> Hello {
-    Hello {
-        data_centre: "dc1".into(),
-        incarnation: number,
-        instance: format!("entry-{number}").into(),
-        resumable: true,
-    }
-}
-
 /// An engine whose calls to upstreams are answered by the steps.
 struct Entry {
     engine: Engine,
--- a/crates/node/tests/ownership.rs
+++ b/crates/node/tests/ownership.rs
@@ -1,24 +1,18 @@
 //! Ownership of upstreams when entries start, stop, and lose their links or their registration.
 
+mod support;
+
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use hinge_mesh::{Hello, MeshEvent, Message, OwnedUpstream};
+use hinge_mesh::{MeshEvent, Message, OwnedUpstream};
 use hinge_node::{Engine, EntryRecord, Input, Output};
 use hinge_runs::{Hold, HoldReply, Listing, Resources, UpstreamRecord};
+use support::hello;
 use tokio::time::Instant;
 
 const UPSTREAMS: usize = 12;
 
-fn hello(number: u64) -> Hello {
-    Hello {
-        data_centre: "dc1".into(),
-        incarnation: number,
-        instance: format!("entry-{number}").into(),
-        resumable: true,
-    }
-}
-
 fn entry(number: u64) -> EntryRecord {
     EntryRecord {
         address: ([127, 0, 0, 1], 7_000).into(),
--- a/crates/node/tests/panics.rs
+++ b/crates/node/tests/panics.rs
@@ -2,13 +2,16 @@
 
 #![allow(clippy::panic, clippy::unwrap_used, reason = "tests")]
 
+mod support;
+
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use hinge_mesh::Hello;
-use hinge_node::{Input, Node, NodeMetrics, NodeSettings, SuspendClock, UpstreamPort};
-use hinge_runs::{Hold, HoldReply, Listing, Resources, StartOrder, StartReply, StopOrder, UpstreamRecord};
+use hinge_node::{Input, Node, NodeMetrics, NodeSettings, UpstreamPort};
+use hinge_runs::{Hold, HoldReply, Listing, StartOrder, StartReply, StopOrder};
+use support::{Clock, upstream};
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 
@@ -31,28 +34,6 @@
     async fn stop(&self, _: &StopOrder) {}
 }
 
-struct Clock(Instant);
-
-impl SuspendClock for Clock {
-    fn elapsed(&self) -> Duration {
-        self.0.elapsed()
-    }
-}
-
-fn upstream() -> UpstreamRecord {
-    UpstreamRecord {
-        address: "10.0.0.1:80".into(),
-        capacity: Resources { cpu_millis: 16_000, gpus: 0, memory_mb: 32_768 },
-        data_centre: "dc1".into(),
-        draining: false,
-        id: "up-1".into(),
-        incarnation: None,
-        rack: "r1".into(),
-        sequence: 1,
-        service: "deicing".into(),
-    }
-}
-
 /// Guards against an upstream that is never used again because the task that waited for its answer has panicked.
 #[tokio::test(start_paused = true)]
 async fn an_upstream_is_asked_again_after_a_panic() {
--- /dev/null
+++ b/crates/node/tests/support/mod.rs
@@ -0,0 +1,42 @@
+//! Entries and an upstream for the tests of the node.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::time::Duration;
+
+use hinge_mesh::Hello;
+use hinge_node::SuspendClock;
+use hinge_runs::{Resources, UpstreamRecord};
+use tokio::time::Instant;
+
+/// A clock that advances with the runtime's clock.
+pub(crate) struct Clock(pub(crate) Instant);
+
+impl SuspendClock for Clock {
+    fn elapsed(&self) -> Duration {
+        self.0.elapsed()
+    }
+}
+
+pub(crate) fn hello(number: u64) -> Hello {
+    Hello {
+        data_centre: "dc1".into(),
+        incarnation: number,
+        instance: format!("entry-{number}").into(),
+        resumable: true,
+    }
+}
+
+pub(crate) fn upstream() -> UpstreamRecord {
+    UpstreamRecord {
+        address: "10.0.0.1:80".into(),
+        capacity: Resources { cpu_millis: 16_000, gpus: 0, memory_mb: 32_768 },
+        data_centre: "dc1".into(),
+        draining: false,
+        id: "up-1".into(),
+        incarnation: None,
+        rack: "r1".into(),
+        sequence: 1,
+        service: "deicing".into(),
+    }
+}
