--- a/crates/runs/tests/concurrent_runs.rs
+++ b/crates/runs/tests/concurrent_runs.rs
@@ -63,6 +63,28 @@
     assert_eq!(owner.upstream.next_end, 2, "one run in all");
 }
 
+/// Guards against a run that is repeated elsewhere because the restart before it is noticed late: its order was sent to the
+/// earlier process and answered by the next one, which has the same id.
+#[test]
+fn a_run_of_a_new_process_goes_on_when_the_restart_is_noticed() {
+    let mut owner = Owner::new();
+    owner.upstream.restart();
+    owner.assign(1, "job.0");
+    let start = first_start(&owner.actions());
+    let reply = owner.upstream.start(&start);
+    assert!(matches!(reply, StartReply::Started { .. }), "{reply:?}");
+    owner.handle(Event::StartEnded { reply, start });
+    owner.handle(Event::Upstreams(vec![record("up-1", 2)]));
+    owner.answer_all();
+    assert!(owner.outcomes(1).is_empty(), "the run goes on");
+    owner.advance(150);
+    let listing = owner.listing();
+    owner.handle(listing);
+    owner.actions();
+    assert_eq!(owner.outcomes(1), [Outcome::Done]);
+    assert_eq!(owner.upstream.next_end, 2, "one run in all");
+}
+
 /// Guards against a start order for an earlier process that is executed after the next process has listed its runs.
 #[test]
 fn a_late_start_is_fenced_by_a_restarted_upstream() {
