--- a/crates/runs/tests/concurrent_runs.rs
+++ b/crates/runs/tests/concurrent_runs.rs
@@ -8,6 +8,16 @@
 use hinge_runs::{Action, Event, HoldReply, Outcome, Rejection, StartReply};
 use support::{FakeUpstream, HOME, Owner, first_hold, first_start, ms, record};
 
+/// Lets the first assignment's run end and checks that its task was done in a single run.
+fn assert_done_in_one_run(owner: &mut Owner) {
+    owner.advance(150);
+    let listing = owner.listing();
+    owner.handle(listing);
+    owner.actions();
+    assert_eq!(owner.outcomes(1), [Outcome::Done]);
+    assert_eq!(owner.upstream.next_end, 2, "one run in all");
+}
+
 /// Guards against a run that was given up during a suspension of the process and goes on unnoticed: its lease is still
 /// valid, and later runs beside it renew it.
 #[test]
@@ -55,12 +65,7 @@
     }
     owner.answer_all();
     assert!(owner.outcomes(1).is_empty(), "the new process runs the task");
-    owner.advance(150);
-    let listing = owner.listing();
-    owner.handle(listing);
-    owner.actions();
-    assert_eq!(owner.outcomes(1), [Outcome::Done]);
-    assert_eq!(owner.upstream.next_end, 2, "one run in all");
+    assert_done_in_one_run(&mut owner);
 }
 
 /// Guards against a run that is repeated elsewhere because the restart before it is noticed late: its order was sent to the
@@ -77,12 +82,7 @@
     owner.handle(Event::Upstreams(vec![record("up-1", 2)]));
     owner.answer_all();
     assert!(owner.outcomes(1).is_empty(), "the run goes on");
-    owner.advance(150);
-    let listing = owner.listing();
-    owner.handle(listing);
-    owner.actions();
-    assert_eq!(owner.outcomes(1), [Outcome::Done]);
-    assert_eq!(owner.upstream.next_end, 2, "one run in all");
+    assert_done_in_one_run(&mut owner);
 }
 
 /// Guards against a start order for an earlier process that is executed after the next process has listed its runs.
