--- a/crates/node/tests/crashing_tasks.rs
+++ b/crates/node/tests/crashing_tasks.rs
@@ -9,12 +9,12 @@
 
 use hinge_jobs::{Answer, FailCause, JobRequest, QueuePolicy};
 use hinge_mesh::{MeshEvent, Message};
-use hinge_node::{Engine, EntryRecord, Input, Output};
+use hinge_node::{Engine, Input, Output};
 use hinge_runs::{
     EndKind, Ended, Hold, HoldReply, Listing, Resources, RunId, RunProgress, StartOrder, StartReply,
     UpstreamRecord,
 };
-use support::hello;
+use support::{entry, hello};
 use tokio::time::Instant;
 
 const SERVICE: &str = "deicing";
@@ -30,15 +30,6 @@
     Duration::from_millis(time_ms)
 }
 
-fn entry(number: u64) -> EntryRecord {
-    EntryRecord {
-        address: ([127, 0, 0, 1], 7_000).into(),
-        data_centre: "dc1".into(),
-        incarnation: number,
-        instance: format!("entry-{number}").into(),
-    }
-}
-
 fn job(id: &str, tasks: u32, budget_ms: u64, run: u64) -> JobRequest {
     JobRequest {
         budget: ms(budget_ms),
--- a/crates/node/tests/ownership.rs
+++ b/crates/node/tests/ownership.rs
@@ -6,22 +6,13 @@
 use std::time::Duration;
 
 use hinge_mesh::{MeshEvent, Message, OwnedUpstream};
-use hinge_node::{Engine, EntryRecord, Input, Output};
+use hinge_node::{Engine, Input, Output};
 use hinge_runs::{Hold, HoldReply, Listing, Resources, UpstreamRecord};
-use support::hello;
+use support::{entry, hello};
 use tokio::time::Instant;
 
 const UPSTREAMS: usize = 12;
 
-fn entry(number: u64) -> EntryRecord {
-    EntryRecord {
-        address: ([127, 0, 0, 1], 7_000).into(),
-        data_centre: "dc1".into(),
-        incarnation: number,
-        instance: format!("entry-{number}").into(),
-    }
-}
-
 fn upstream(data_centre: &str, number: usize, sequence: u64) -> UpstreamRecord {
     UpstreamRecord {
         address: format!("{data_centre}-{number}:80").into(),
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hinge_mesh::Hello;
-use hinge_node::SuspendClock;
+use hinge_node::{EntryRecord, SuspendClock};
 use hinge_runs::{Resources, UpstreamRecord};
 use tokio::time::Instant;
 
@@ -27,6 +27,16 @@
     }
 }
 
+/// The registration of the entry that [`hello`] names.
+pub(crate) fn entry(number: u64) -> EntryRecord {
+    EntryRecord {
+        address: ([127, 0, 0, 1], 7_000).into(),
+        data_centre: "dc1".into(),
+        incarnation: number,
+        instance: format!("entry-{number}").into(),
+    }
+}
+
 pub(crate) fn upstream() -> UpstreamRecord {
     UpstreamRecord {
         address: "10.0.0.1:80".into(),
--- a/crates/runs/tests/concurrent_runs.rs
+++ b/crates/runs/tests/concurrent_runs.rs
@@ -55,8 +55,7 @@
     let mut owner = Owner::new();
     owner.assign(1, "job.0");
     let late = first_start(&owner.actions());
-    owner.upstream.restart();
-    owner.handle(Event::Upstreams(vec![record("up-1", 2)]));
+    owner.restart_upstream();
     let takeover = owner.actions();
     assert!(owner.outcomes(1).is_empty(), "the order may still be executed");
     assert!(matches!(owner.upstream.start(&late), StartReply::Started { .. }));
@@ -91,8 +90,7 @@
     let mut owner = Owner::new();
     owner.assign(1, "job.0");
     let late = first_start(&owner.actions());
-    owner.upstream.restart();
-    owner.handle(Event::Upstreams(vec![record("up-1", 2)]));
+    owner.restart_upstream();
     owner.answer_all();
     let reply = owner.upstream.start(&late);
     assert!(matches!(reply, StartReply::Rejected { reason: Rejection::Fenced, .. }), "{reply:?}");
--- a/crates/runs/tests/lost_ownership.rs
+++ b/crates/runs/tests/lost_ownership.rs
@@ -1,13 +1,13 @@
 //! Runs, tokens and end numbers of an upstream whose owner changes, or whose process restarts, at an inconvenient moment.
 
-#![allow(clippy::expect_used, reason = "tests")]
+#![allow(clippy::expect_used, clippy::panic, reason = "tests")]
 
 mod support;
 
 use hinge_runs::{
     Action, EndKind, Ended, Event, HoldReply, Listing, Outcome, Rejection, StartOrder, StartReply,
 };
-use support::{Owner, first_hold, record};
+use support::{Owner, first_hold};
 
 fn as_start(action: &Action) -> Option<&StartOrder> {
     match action {
@@ -21,8 +21,7 @@
 #[test]
 fn an_upstream_released_after_a_restart_still_reports_its_runs() {
     let (mut owner, _) = Owner::with_run();
-    owner.upstream.restart();
-    owner.handle(Event::Upstreams(vec![record("up-1", 2)]));
+    owner.restart_upstream();
     let takeover = owner.actions();
     owner.handle(Event::Release("up-1".into()));
     for action in takeover {
@@ -60,12 +59,11 @@
 fn a_late_answer_of_the_previous_process_is_ignored() {
     let (mut owner, actions) = Owner::with_run();
     let hold = first_hold(&actions);
-    let HoldReply::Listed(listing) = owner.upstream.hold(&hold) else { return };
+    let HoldReply::Listed(listing) = owner.upstream.hold(&hold) else { panic!("no listing") };
     let run = listing.running[0].run.clone();
     let ended = vec![Ended { how: EndKind::Failed, number: 57, run }];
     let late = HoldReply::Listed(Listing { ended, ..listing });
-    owner.upstream.restart();
-    owner.handle(Event::Upstreams(vec![record("up-1", 2)]));
+    owner.restart_upstream();
     owner.answer_all();
     assert_eq!(owner.outcomes(1), [Outcome::Interrupted]);
     owner.assign(2, "job.1");
--- a/crates/runs/tests/lost_upstreams.rs
+++ b/crates/runs/tests/lost_upstreams.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use hinge_runs::{Event, HoldReply, LostRun, Outcome, RunId};
-use support::{Owner, first_hold, ms, record};
+use support::{Owner, first_hold, ms};
 
 /// Lets the lease of the upstream's runs expire without an answer.
 fn let_lease_expire(owner: &mut Owner) {
@@ -43,8 +43,7 @@
     let mut owner = Owner::new();
     owner.assign(1, "job.0");
     owner.answer_all();
-    owner.upstream.restart();
-    owner.handle(Event::Upstreams(vec![record("up-1", 2)]));
+    owner.restart_upstream();
     owner.answer_all();
     assert_eq!(owner.outcomes(1), [Outcome::Interrupted]);
     assert_eq!(lost_runs(&mut owner), [loss_of("job.0")]);
--- a/crates/runs/tests/settlement.rs
+++ b/crates/runs/tests/settlement.rs
@@ -144,8 +144,7 @@
     let mut owner = Owner::new();
     owner.assign(1, "job.0");
     owner.answer_all();
-    owner.upstream.restart();
-    owner.handle(Event::Upstreams(vec![record("up-1", 2)]));
+    owner.restart_upstream();
     owner.answer_all();
     assert_eq!(owner.outcomes(1), [Outcome::Interrupted]);
     owner.assign(2, "job.1");
--- a/crates/runs/tests/support/mod.rs
+++ b/crates/runs/tests/support/mod.rs
@@ -281,6 +281,12 @@
         }
     }
 
+    /// Restarts the upstream under its id, and lets the owner notice it by the new record.
+    pub(crate) fn restart_upstream(&mut self) {
+        self.upstream.restart();
+        self.handle(Event::Upstreams(vec![record("up-1", self.upstream.incarnation)]));
+    }
+
     pub(crate) fn advance(&mut self, by_ms: u64) {
         self.now += ms(by_ms);
         self.upstream.advance(by_ms);
