--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -131,7 +131,7 @@
 
     pub fn add_worker(&mut self, zone: &str, cpu: u64, swallows: Swallows) -> std::io::Result<()> {
         self.workers_made += 1;
-        let address = free_port(ip(self.net, 100 + self.workers_made))?;
+        let [address] = free_ports(ip(self.net, 100 + self.workers_made))?;
         let id = format!("i-{:08x}", 0x7f3a_0000 + u32::from(self.workers_made));
         let spec = Spec { id, address, backend: BACKEND.to_owned(), cpu, zone: zone.to_owned() };
         let worker = Worker::new(spec, self.store.clone(), self.record.clone(), swallows);
@@ -146,11 +146,12 @@
         let own = ip(self.net, number);
         let name =
             format!("front-{zone}-{}", self.entries.iter().filter(|entry| entry.zone == zone).count() + 1);
+        let [front, peers, ready] = free_ports(own)?;
         let entry = Entry {
             child: None,
-            front: free_port(own)?,
-            peers: free_port(own)?,
-            ready: free_port(own)?,
+            front,
+            peers,
+            ready,
             settings: self.folder.join(format!("{name}.conf")),
             name,
             zone: zone.to_owned(),
@@ -219,7 +220,10 @@
                     break;
                 }
                 if Instant::now() > until {
-                    return Err(format!("{} does not get ready", entry.name));
+                    let log =
+                        std::fs::read_to_string(entry.settings.with_extension("log")).unwrap_or_default();
+                    let last = log.lines().last().unwrap_or_default();
+                    return Err(format!("{} does not get ready; last line of its log: {last}", entry.name));
                 }
                 thread::sleep(Duration::from_millis(50));
             }
@@ -258,7 +262,13 @@
     IpAddr::V4(Ipv4Addr::new(127, net.0, net.1, last))
 }
 
-/// A free port of an address.
-pub fn free_port(ip: IpAddr) -> std::io::Result<SocketAddr> {
-    TcpListener::bind(SocketAddr::new(ip, 0))?.local_addr()
+/// Free ports of an address, all different.
+fn free_ports<const N: usize>(ip: IpAddr) -> std::io::Result<[SocketAddr; N]> {
+    let listeners: Vec<_> =
+        (0..N).map(|_| TcpListener::bind(SocketAddr::new(ip, 0))).collect::<Result<_, _>>()?;
+    let mut addresses = [SocketAddr::new(ip, 0); N];
+    for (address, listener) in addresses.iter_mut().zip(&listeners) {
+        *address = listener.local_addr()?;
+    }
+    Ok(addresses)
 }
