--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -31,9 +31,17 @@
     thread::spawn(|| {
         thread::sleep(LIMIT);
         eprintln!("the case takes too long");
-        platform::end_children();
+        platform::clean_up();
         exit(2);
     });
+    if std::env::var_os("END_WITH_STDIN").is_some() {
+        // The script that started the play has ended, whichever way.
+        thread::spawn(|| {
+            let _ = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
+            platform::clean_up();
+            exit(2);
+        });
+    }
     record.line(&format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
     let result = match case.as_str() {
         "late-assignment" => cases::late_assignment(command, &record, trouble),
--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -1,6 +1,5 @@
 //! A small deployment: the store, the workers, and the entries as processes of their own.
 
-use std::io::Write;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -17,13 +16,18 @@
 pub const HOST: &str = "desk.example";
 pub const BACKEND: &str = "deice-queue";
 
-/// Processes that were started. Kept so that all of them can be ended.
-static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+/// Processes that were started, and the folder of the play. Kept here so that a play that is given up can end them.
+static CHILDREN: Mutex<Vec<Child>> = Mutex::new(Vec::new());
+static FOLDER: Mutex<Option<PathBuf>> = Mutex::new(None);
 
-/// Ends all processes that were started, when the play is given up.
-pub fn end_children() {
-    for id in CHILDREN.lock().unwrap().iter() {
-        let _ = Command::new("kill").args(["-KILL", &id.to_string()]).stderr(Stdio::null()).status();
+/// Ends all processes that were started, and removes the folder of the play.
+pub fn clean_up() {
+    for child in CHILDREN.lock().unwrap().iter_mut() {
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+    if let Some(folder) = FOLDER.lock().unwrap().take() {
+        let _ = std::fs::remove_dir_all(folder);
     }
 }
 
@@ -35,7 +39,8 @@
 }
 
 pub struct Entry {
-    child: Option<Child>,
+    /// Index among all processes that were started; none if it is not up.
+    child: Option<usize>,
     pub front: SocketAddr,
     pub name: String,
     pub peers: SocketAddr,
@@ -65,6 +70,7 @@
         let pid = std::process::id();
         let folder = std::env::temp_dir().join(format!("hinge-review-{pid}"));
         std::fs::create_dir_all(&folder)?;
+        *FOLDER.lock().unwrap() = Some(folder.clone());
         // Addresses of their own for each play, so that the fixed port of the metrics page is free.
         let net = (u8::try_from(1 + pid / 250 % 250).unwrap_or(1), u8::try_from(1 + pid % 250).unwrap_or(1));
         let store = Store::new();
@@ -196,14 +202,10 @@
             .stderr(log.try_clone()?)
             .stdout(log)
             .spawn()?;
-        CHILDREN.lock().unwrap().push(child.id());
-        // The script that starts the play ends what is listed there, should the play itself be ended.
-        if let Some(path) = std::env::var_os("PIDS") {
-            let file = std::fs::OpenOptions::new().create(true).append(true).open(path);
-            let _ = file.and_then(|mut file| writeln!(file, "{}", child.id()));
-        }
         self.record.line(&format!("{}: starts", entry.name));
-        self.entries[index].child = Some(child);
+        let mut children = CHILDREN.lock().unwrap();
+        self.entries[index].child = Some(children.len());
+        children.push(child);
         Ok(())
     }
 
@@ -236,7 +238,8 @@
     /// Kills the process of an entry with SIGKILL.
     pub fn kill_entry(&mut self, index: usize) {
         let entry = &mut self.entries[index];
-        if let Some(mut child) = entry.child.take() {
+        if let Some(index) = entry.child.take() {
+            let child = &mut CHILDREN.lock().unwrap()[index];
             let _ = child.kill();
             let _ = child.wait();
             self.record.line(&format!("{}: is killed", entry.name));
@@ -246,15 +249,7 @@
 
 impl Drop for Platform {
     fn drop(&mut self) {
-        for entry in &mut self.entries {
-            if let Some(child) = entry.child.as_mut() {
-                let _ = child.kill();
-                let _ = child.wait();
-            }
-        }
-        if std::env::var_os("KEEP").is_none() {
-            let _ = std::fs::remove_dir_all(&self.folder);
-        }
+        clean_up();
     }
 }
 
