Mesh: both sides of a link exchange time stamps; logs give the age of assignments

Each side sends readings of its own clock and returns the newest that it has received, so that a receiver bounds with its own clock alone when a message was sent. RUN_STARTED gives age_ms, PEER_LOST unproven_ms. No decision uses them yet. Processes of older versions are not sent any; their messages count as sent when they arrive.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -14,10 +14,12 @@
 //! [`Mesh`] owns the links. It reports [`MeshEvent`]s, and [`Mesh::send`] sends messages.
 
 mod link;
+mod liveness;
 mod mesh;
 mod message;
 mod session;
 
 pub use link::{HEARTBEAT_INTERVAL, SILENCE_LIMIT};
+pub use liveness::{Liveness, TimestampAhead, Timestamps};
 pub use mesh::{Mesh, MeshEvent, PeerAddress};
 pub use message::{Hello, LinkId, Message, OwnedUpstream, Resume, ServiceLoad, Status};
--- a/crates/mesh/src/link.rs
+++ b/crates/mesh/src/link.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
+use hinge_runs::whole_ms;
 use hinge_wire::{CodecError, from_msgpack, to_msgpack};
 use thiserror::Error;
 use tokio::net::TcpStream;
@@ -11,8 +12,8 @@
 use tokio::time::{Instant, error::Elapsed, timeout};
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
-use crate::session::{Outgoing, Session};
-use crate::{Hello, Message};
+use crate::session::{Outgoing, Queued, Session};
+use crate::{Hello, Message, TimestampAhead};
 
 /// Longest time between two messages on a link that is not idle.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
@@ -28,6 +29,8 @@
 const IDLE_HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 /// Replaces [`SILENCE_LIMIT`] on an idle link.
 const IDLE_SILENCE_LIMIT: Duration = Duration::from_millis(2_500);
+/// Smallest age of the time stamps that were sent last at which newer ones precede the next message.
+const TIMESTAMP_INTERVAL: Duration = Duration::from_millis(50);
 /// Maximum size of a message. The largest messages contain a configuration of at most 1 MB.
 const MAX_FRAME_BYTES: usize = 2 * 1024 * 1024;
 /// Maximum number of messages between two flushes.
@@ -54,6 +57,8 @@
     ResumeFailed,
     #[error("no message for a while")]
     Stalled,
+    #[error(transparent)]
+    TimestampAhead(#[from] TimestampAhead),
 }
 
 pub(crate) struct Reader {
@@ -64,7 +69,11 @@
     dialled: bool,
 }
 
-pub(crate) struct Writer(FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>);
+pub(crate) struct Writer {
+    frames: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
+    /// Time stamp of the peer that was returned last, and when.
+    echoed: Option<(u64, Instant)>,
+}
 
 fn codec() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
@@ -79,7 +88,7 @@
     stream.set_nodelay(true)?;
     let (read, write) = stream.into_split();
     let mut reader = Reader { frames: FramedRead::new(read, codec()), silence_limit: SILENCE_LIMIT, dialled };
-    let mut writer = Writer(FramedWrite::new(write, codec()));
+    let mut writer = Writer { frames: FramedWrite::new(write, codec()), echoed: None };
     writer.write(&Message::Hello(local.clone())).await?;
     match reader.next().await? {
         Message::Hello(hello) => Ok((hello, reader, writer)),
@@ -112,12 +121,38 @@
         frames: impl IntoIterator<Item = Bytes>,
     ) -> Result<(), LinkError> {
         for frame in frames {
-            self.0.feed(frame).await?;
+            self.frames.feed(frame).await?;
         }
-        timeout(SILENCE_LIMIT, SinkExt::<Bytes>::flush(&mut self.0)).await??;
+        timeout(SILENCE_LIMIT, SinkExt::<Bytes>::flush(&mut self.frames)).await??;
         Ok(())
     }
 
+    /// The time stamps to send before messages the oldest of which was queued with `echo_ms`, or as a heartbeat. None if
+    /// those sent last are new enough, or the peer does not use them.
+    fn due_timestamps(
+        &mut self,
+        session: &Session,
+        echo_ms: Option<u64>,
+    ) -> Result<Option<Bytes>, LinkError> {
+        if !session.peer.timestamps {
+            return Ok(None);
+        }
+        let now = Instant::now();
+        let interval_ms = whole_ms(TIMESTAMP_INTERVAL);
+        let (timestamps, is_heartbeat) = {
+            let liveness = session.liveness();
+            (liveness.timestamps(now, echo_ms.unwrap_or(liveness.peer_ms())), echo_ms.is_none())
+        };
+        let is_recent = self.echoed.is_some_and(|(echoed_ms, at)| {
+            now.duration_since(at) < TIMESTAMP_INTERVAL && timestamps.echo_ms < echoed_ms + interval_ms
+        });
+        if is_recent && !is_heartbeat {
+            return Ok(None);
+        }
+        self.echoed = Some((timestamps.echo_ms, now));
+        Ok(Some(to_msgpack(&Message::Timestamps(timestamps))?.into()))
+    }
+
     /// Writes queued messages, and heartbeats when there are none, until the queue is closed or a write fails. If
     /// `may_idle` is set, heartbeats become less frequent after a while without other messages.
     pub(crate) async fn run(
@@ -140,9 +175,12 @@
                 }
                 Err(_) => true,
             };
-            let encoded: Result<Vec<_>, _> =
-                batch.iter().map(|message| outgoing.encode(session, message)).collect();
-            let mut frames = encoded?;
+            let mut frames: Vec<Bytes> = Vec::with_capacity(batch.len() + 1);
+            let oldest_echo_ms = batch.first().map(|queued: &Queued| queued.echo_ms);
+            frames.extend(self.due_timestamps(session, oldest_echo_ms)?);
+            for queued in &batch {
+                frames.push(outgoing.encode(session, &queued.message)?);
+            }
             if let Some(acknowledgement) = outgoing.acknowledgement(session, idle) {
                 frames.push(to_msgpack(&acknowledgement)?.into());
             }
--- a/crates/mesh/src/mesh.rs
+++ b/crates/mesh/src/mesh.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use crate::link::{self, LinkError, Reader, SILENCE_LIMIT, Writer};
-use crate::session::Session;
+use crate::session::{Queued, Session};
 use crate::{Hello, LinkId, Message, Resume};
 
 /// Time that a link lasts without a connection, so that a reset voids nothing.
@@ -47,6 +47,8 @@
         error: String,
         /// Incarnation of the peer.
         peer: HomeId,
+        /// Time since which the peer has not been shown to be alive.
+        sent_after: Instant,
         /// Whether a read or write timed out; otherwise the connection was closed or failed.
         silent: bool,
         /// When the last connection ended.
@@ -54,10 +56,12 @@
     },
     /// A peer sent a message other than a heartbeat.
     Received {
-        /// Never [`Message::Heartbeat`] or [`Message::Idle`].
+        /// Never [`Message::Heartbeat`], [`Message::Idle`] or [`Message::Timestamps`].
         message: Message,
         /// Incarnation of the peer.
         peer: HomeId,
+        /// A time before which the peer has not sent the message; its arrival if the peer sends no time stamps.
+        sent_after: Instant,
     },
     /// A connection to a peer was refused: no process listens at its address.
     Refused {
@@ -70,7 +74,7 @@
 
 /// A link that is up.
 struct Link {
-    queue: mpsc::Sender<Message>,
+    queue: mpsc::Sender<Queued>,
     session: Arc<Session>,
     /// When its connection ended, if it waits for another one.
     suspended_at: Option<Instant>,
@@ -100,9 +104,9 @@
     }
 
     /// Creates the link to a process, in place of an earlier one.
-    fn create(&self, id: LinkId, peer: Hello) -> Claim {
+    fn create(&self, id: LinkId, peer: Hello, epoch: Instant) -> Claim {
         let (queue, messages) = mpsc::channel(MAX_QUEUED_MESSAGES);
-        let session = Arc::new(Session::new(id, peer, messages));
+        let session = Arc::new(Session::new(id, peer, epoch, messages));
         let link = Link { queue, session: session.clone(), suspended_at: None };
         if let Some(old) = self.links().insert(session.peer.incarnation, link) {
             old.session.connection.send_modify(|number| *number += 1);
@@ -123,7 +127,7 @@
         };
         if !replaced {
             let silent = matches!(error, LinkError::Stalled | LinkError::Timeout(_));
-            self.report_down(peer, error.to_string(), silent, since).await;
+            self.report_down(&claim.session, error.to_string(), silent, since).await;
         }
     }
 
@@ -134,19 +138,17 @@
             let suspended = links.iter().find_map(|(peer, link)| {
                 link.suspended_at.filter(|_| link.session.peer.instance == *instance).map(|at| (*peer, at))
             });
-            if let Some((peer, _)) = suspended {
-                links.remove(&peer);
-            }
-            suspended
+            suspended.and_then(|(peer, since)| links.remove(&peer).map(|link| (link.session, since)))
         };
-        if let Some((peer, since)) = ended {
-            self.report_down(peer, "refused".to_owned(), false, since).await;
+        if let Some((session, since)) = ended {
+            self.report_down(&session, "refused".to_owned(), false, since).await;
         }
     }
 
-    async fn report_down(&self, peer: HomeId, error: String, silent: bool, since: Instant) {
+    async fn report_down(&self, session: &Session, error: String, silent: bool, since: Instant) {
+        let down = down_event(session, error, silent, since);
         // Fails only when the node has stopped.
-        let _ = self.events.send(MeshEvent::Down { error, peer, silent, since }).await;
+        let _ = self.events.send(down).await;
     }
 
     /// Whether the link now waits for another connection.
@@ -176,6 +178,11 @@
     }
 }
 
+fn down_event(session: &Session, error: String, silent: bool, since: Instant) -> MeshEvent {
+    let sent_after = session.liveness().sent_after();
+    MeshEvent::Down { error, peer: session.peer.incarnation, sent_after, silent, since }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -230,7 +237,8 @@
     pub fn send(&self, peer: HomeId, message: Message) -> bool {
         let mut links = self.shared.links();
         let Some(link) = links.get(&peer) else { return false };
-        if link.queue.try_send(message).is_ok() {
+        let echo_ms = link.session.liveness().peer_ms();
+        if link.queue.try_send(Queued { echo_ms, message }).is_ok() {
             return true;
         }
         links.remove(&peer);
@@ -241,10 +249,10 @@
     pub fn reset(&self) {
         let now = Instant::now();
         let ended: Vec<_> = self.shared.links().drain().collect();
-        for (peer, link) in ended {
+        for (_, link) in ended {
             link.session.connection.send_modify(|number| *number += 1);
             let error = "this process was suspended".to_owned();
-            let down = MeshEvent::Down { error, peer, silent: true, since: now };
+            let down = down_event(&link.session, error, true, now);
             if let Err(TrySendError::Full(down)) = self.shared.events.try_send(down) {
                 let events = self.shared.events.clone();
                 tokio::spawn(async move { events.send(down).await });
@@ -304,10 +312,14 @@
 
 /// Runs a connection until it ends. Returns true if its link now waits for another connection.
 async fn run_connection(stream: TcpStream, shared: &Arc<Shared>, dialled: bool) -> bool {
+    let opened_at = Instant::now();
     let opened = timeout(SILENCE_LIMIT, link::open(stream, &shared.local, dialled)).await;
     let Ok(Ok((mut hello, mut reader, mut writer))) = opened else { return false };
     hello.resumable &= shared.local.resumable;
-    let Some(claim) = claim_link(hello, shared, &mut reader, &mut writer).await else { return false };
+    hello.timestamps &= shared.local.timestamps;
+    let Some(claim) = claim_link(hello, opened_at, shared, &mut reader, &mut writer).await else {
+        return false;
+    };
     // A panic while a message is handled ends the link and nothing else.
     let carried = AssertUnwindSafe(carry(&claim, shared, reader, writer)).catch_unwind().await;
     let (error, resumable) = carried.unwrap_or((LinkError::Panicked, false));
@@ -331,6 +343,7 @@
 /// connection fails before that is agreed.
 async fn claim_link(
     hello: Hello,
+    opened_at: Instant,
     shared: &Shared,
     reader: &mut Reader,
     writer: &mut Writer,
@@ -351,7 +364,7 @@
             (Err(_), None) => return None,
         }
     }
-    let claim = shared.create(id, hello.clone());
+    let claim = shared.create(id, hello.clone(), opened_at);
     let _ = shared.events.send(MeshEvent::Up(hello)).await;
     Some(claim)
 }
@@ -430,12 +443,16 @@
     let peer = session.peer.incarnation;
     loop {
         let message = reader.next().await?;
-        *session.last_received_at() = (message != Message::Idle).then(Instant::now);
+        let now = Instant::now();
+        *session.last_received_at() = (message != Message::Idle).then_some(now);
+        session.liveness().record_arrival(now);
         match message {
             Message::Acknowledge(received) => session.acknowledge(received),
             Message::Heartbeat | Message::Idle => {}
+            Message::Timestamps(timestamps) => session.liveness().record_timestamps(now, timestamps)?,
             message => {
-                if events.send(MeshEvent::Received { message, peer }).await.is_err() {
+                let sent_after = session.liveness().sent_after();
+                if events.send(MeshEvent::Received { message, peer, sent_after }).await.is_err() {
                     return Err(LinkError::Closed);
                 }
                 session.count_received();
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -5,6 +5,8 @@
 use hinge_wire::{DataCentreId, InstanceId, ServiceId, UpstreamId};
 use serde::{Deserialize, Serialize};
 
+use crate::Timestamps;
+
 /// Identifies a link between two processes; the same on both sides.
 pub type LinkId = u64;
 
@@ -20,6 +22,9 @@
     /// Whether the process acknowledges messages, so that a link to it can outlive a connection.
     #[serde(default)]
     pub resumable: bool,
+    /// Whether the process sends time stamps, so that its peers can tell late messages from prompt ones.
+    #[serde(default)]
+    pub timestamps: bool,
 }
 
 /// Load of an owner's upstreams of one service.
@@ -102,4 +107,6 @@
     Resume(Resume),
     /// Load and state of the sender.
     Status(Status),
+    /// Time stamps that hold for the messages behind them; only between processes that both send them.
+    Timestamps(Timestamps),
 }
--- a/crates/mesh/src/session.rs
+++ b/crates/mesh/src/session.rs
@@ -13,7 +13,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
-use crate::{Hello, LinkId, Message};
+use crate::{Hello, LinkId, Liveness, Message};
 
 /// Number of received messages after which they are acknowledged even if no heartbeat is due.
 const ACKNOWLEDGE_EVERY: u64 = 64;
@@ -29,6 +29,8 @@
     pub(crate) id: LinkId,
     /// When the last message arrived; none while the peer lets the link idle.
     pub(crate) last_received_at: Mutex<Option<Instant>>,
+    /// What the time stamps of the peer show.
+    liveness: Mutex<Liveness>,
     /// Locked by the connection that carries the link.
     pub(crate) outgoing: tokio::sync::Mutex<Outgoing>,
     /// Identity of the peer; resumable only if both sides are.
@@ -40,12 +42,13 @@
 }
 
 impl Session {
-    pub(crate) fn new(id: LinkId, peer: Hello, queue: mpsc::Receiver<Message>) -> Self {
+    pub(crate) fn new(id: LinkId, peer: Hello, epoch: Instant, queue: mpsc::Receiver<Queued>) -> Self {
         let outgoing = Outgoing { first: 0, queue, reported: 0, unacknowledged: VecDeque::new() };
         Self {
             connection: watch::Sender::new(1),
             id,
             last_received_at: Mutex::new(Some(Instant::now())),
+            liveness: Mutex::new(Liveness::new(epoch, peer.timestamps)),
             outgoing: tokio::sync::Mutex::new(outgoing),
             peer,
             acknowledged: AtomicU64::new(0),
@@ -57,6 +60,10 @@
         self.last_received_at.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn liveness(&self) -> MutexGuard<'_, Liveness> {
+        self.liveness.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Counts a message that was passed on.
     pub(crate) fn count_received(&self) {
         self.received.fetch_add(1, Ordering::AcqRel);
@@ -73,9 +80,16 @@
     }
 }
 
+/// A message that waits to be sent.
+pub(crate) struct Queued {
+    /// Newest time stamp of the peer when the message was queued.
+    pub(crate) echo_ms: u64,
+    pub(crate) message: Message,
+}
+
 /// Messages on their way to the peer.
 pub(crate) struct Outgoing {
-    pub(crate) queue: mpsc::Receiver<Message>,
+    pub(crate) queue: mpsc::Receiver<Queued>,
     /// Number of messages sent before the first one in `unacknowledged`.
     first: u64,
     /// Number of received messages that the peer was last told about.
--- a/crates/mesh/tests/links.rs
+++ b/crates/mesh/tests/links.rs
@@ -16,12 +16,13 @@
         incarnation: number,
         instance: format!("entry-{number}").into(),
         resumable: true,
+        timestamps: true,
     }
 }
 
 /// Identity of a process that does not resume links.
 fn plain_hello(number: u64) -> Hello {
-    Hello { resumable: false, ..hello(number) }
+    Hello { resumable: false, timestamps: false, ..hello(number) }
 }
 
 async fn entry(number: u64) -> (Mesh, mpsc::Receiver<MeshEvent>, PeerAddress) {
@@ -46,11 +47,11 @@
         assert!(second.send(1, Message::Recall(vec![number])));
     }
     for number in 0..20 {
-        let Some(MeshEvent::Received { message, peer: 1 }) = second_events.recv().await else {
+        let Some(MeshEvent::Received { message, peer: 1, .. }) = second_events.recv().await else {
             panic!("a message")
         };
         assert_eq!(message, Message::Cancel(vec![number]));
-        let Some(MeshEvent::Received { message, peer: 2 }) = first_events.recv().await else {
+        let Some(MeshEvent::Received { message, peer: 2, .. }) = first_events.recv().await else {
             panic!("a message")
         };
         assert_eq!(message, Message::Recall(vec![number]));
@@ -159,5 +160,5 @@
     assert!(near.unresponsive_peers(Instant::now(), Duration::from_millis(220)).is_empty());
     assert!(near.send(2, Message::ConfigRequest));
     let received = far_events.recv().await;
-    assert!(matches!(received, Some(MeshEvent::Received { message: Message::ConfigRequest, peer: 1 })));
+    assert!(matches!(received, Some(MeshEvent::Received { message: Message::ConfigRequest, peer: 1, .. })));
 }
--- a/crates/mesh/tests/malformed.rs
+++ b/crates/mesh/tests/malformed.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "tests")]
 
-use hinge_mesh::{Hello, Message, Resume, Status};
+use hinge_mesh::{Hello, Message, Resume, Status, Timestamps};
 use hinge_runs::{LostRun, Outcome, RunId, TaskReport};
 use hinge_wire::{from_msgpack, to_msgpack};
 use proptest::collection::vec;
@@ -10,8 +10,13 @@
 use proptest::sample::Index;
 
 fn valid_frames() -> Vec<Vec<u8>> {
-    let hello =
-        Hello { data_centre: "dc1".into(), incarnation: 1, instance: "entry-1".into(), resumable: true };
+    let hello = Hello {
+        data_centre: "dc1".into(),
+        incarnation: 1,
+        instance: "entry-1".into(),
+        resumable: true,
+        timestamps: true,
+    };
     let lost =
         LostRun { alone: true, run: RunId { task: "job.0.0.1".into(), run: 5 }, upstream: "up-1".into() };
     let messages = [
@@ -21,6 +26,7 @@
         Message::Status(Status { lost_runs: vec![lost], ..Status::default() }),
         Message::Report(vec![TaskReport::new(1, Outcome::Done, 2)]),
         Message::Cancel(vec![1, 2, 3]),
+        Message::Timestamps(Timestamps { echo_ms: 1, value_ms: 2 }),
         Message::Config { body: "{}".into(), version: 4 },
     ];
     messages.iter().map(|message| to_msgpack(message).unwrap()).collect()
@@ -50,13 +56,13 @@
 
 /// Guards against a link that ends because a process of an older version says less about itself.
 #[test]
-fn hello_of_an_older_version_is_not_resumable() {
+fn hello_of_an_older_version_is_neither_resumable_nor_timed() {
     let frame = to_msgpack(&serde_json::json!({
         "Hello": { "data_centre": "dc1", "incarnation": 7, "instance": "entry-7" }
     }))
     .unwrap();
     let Message::Hello(hello) = from_msgpack(&frame).unwrap() else { unreachable!() };
-    assert!(!hello.resumable);
+    assert!(!hello.resumable && !hello.timestamps);
 }
 
 /// Guards against links that end, again and again, because the peer has an older version, which knows nothing of lost runs,
--- a/crates/mesh/tests/resume.rs
+++ b/crates/mesh/tests/resume.rs
@@ -55,6 +55,7 @@
         incarnation,
         instance: format!("entry-{number}").into(),
         resumable: true,
+        timestamps: true,
     }
 }
 
--- a/crates/mesh/tests/resume_limit.rs
+++ b/crates/mesh/tests/resume_limit.rs
@@ -16,6 +16,7 @@
         incarnation: number,
         instance: format!("entry-{number}").into(),
         resumable: true,
+        timestamps: false,
     }
 }
 
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -228,7 +228,8 @@
                 }
             }
             hinge_jobs::Action::Assign { assignment, owner } if owner == self.own_id => {
-                self.runner.handle(now, Event::Assigned { assignment, home: self.own_id });
+                let assigned = Event::Assigned { assignment, home: self.own_id, sent_after: now };
+                self.runner.handle(now, assigned);
             }
             hinge_jobs::Action::Assign { assignment, owner } => {
                 self.outboxes.entry(owner).or_default().assign.push(assignment);
--- a/crates/node/src/journal.rs
+++ b/crates/node/src/journal.rs
@@ -28,6 +28,8 @@
         peer: HomeId,
         /// Whether the link timed out; otherwise the connection was closed or reset.
         silent: bool,
+        /// Time since which the peer has not been shown to be alive.
+        unproven: Duration,
     },
     /// A linked peer has become unresponsive, or responds again.
     PeerUnresponsive {
@@ -49,9 +51,12 @@
             Self::PeerLinked { instance, peer } => {
                 emit(LogEvent::PeerLinked, &json!({ "instance": instance, "peer": peer }));
             }
-            Self::PeerLost { error, peer, silent } => {
-                emit(LogEvent::PeerLost, &json!({ "error": error, "peer": peer, "silent": silent }));
-            }
+            Self::PeerLost { error, peer, silent, unproven } => emit(
+                LogEvent::PeerLost,
+                &json!({
+                    "error": error, "peer": peer, "silent": silent, "unproven_ms": whole_ms(*unproven),
+                }),
+            ),
             Self::PeerUnresponsive { peer, unresponsive } => {
                 emit(LogEvent::PeerQuiet, &json!({ "peer": peer, "quiet": unresponsive }));
             }
@@ -149,10 +154,10 @@
             LogEvent::StartRejected,
             &json!({ "reason": reason, "run": run.run, "task": run.task, "upstream": upstream }),
         ),
-        RunNotice::Started { free, home, queued, run, upstream } => emit(
+        RunNotice::Started { age, free, home, queued, run, upstream } => emit(
             LogEvent::RunStarted,
             &json!({
-                "free_cpu_millis": free.cpu_millis, "home": home, "queued_ms": whole_ms(*queued),
+                "age_ms": whole_ms(*age), "free_cpu_millis": free.cpu_millis, "home": home, "queued_ms": whole_ms(*queued),
                 "run": run.run, "task": run.task, "upstream": upstream,
             }),
         ),
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -24,12 +24,15 @@
 impl Engine {
     pub(crate) fn handle_mesh_event(&mut self, now: Instant, event: MeshEvent) {
         match event {
-            MeshEvent::Down { error, peer, silent, since } => {
-                self.outputs.push(Output::Log(LogLine::PeerLost { error, peer, silent }));
+            MeshEvent::Down { error, peer, sent_after, silent, since } => {
+                let unproven = now.duration_since(sent_after);
+                self.outputs.push(Output::Log(LogLine::PeerLost { error, peer, silent, unproven }));
                 self.peers.mark_unlinked(since, peer, silent);
                 self.link_lost(now, peer);
             }
-            MeshEvent::Received { message, peer } => self.handle_message(now, peer, message),
+            MeshEvent::Received { message, peer, sent_after } => {
+                self.handle_message(now, peer, message, sent_after);
+            }
             MeshEvent::Refused { instance } => self.peers.mark_refused(now, &instance),
             MeshEvent::Up(hello) => self.link_up(now, &hello),
         }
@@ -76,13 +79,13 @@
     }
 
     /// Handles a message of a linked peer; what arrives over a link that was given up is void.
-    pub(crate) fn handle_message(&mut self, now: Instant, id: HomeId, message: Message) {
+    pub(crate) fn handle_message(&mut self, now: Instant, id: HomeId, message: Message, sent_after: Instant) {
         let Some(peer) = self.peers.get_mut(id).filter(|peer| peer.linked) else { return };
         match message {
             Message::Assign(assignments) => {
                 for assignment in assignments {
                     peer.last_assignment = peer.last_assignment.max(assignment.id);
-                    self.runner.handle(now, Event::Assigned { assignment, home: id });
+                    self.runner.handle(now, Event::Assigned { assignment, home: id, sent_after });
                 }
             }
             Message::Cancel(assignments) => {
@@ -101,7 +104,8 @@
             | Message::Heartbeat
             | Message::Hello(_)
             | Message::Idle
-            | Message::Resume(_) => {}
+            | Message::Resume(_)
+            | Message::Timestamps(_) => {}
             Message::Owned(owned) => peer.claims = owned.into_iter().map(|claim| claim.upstream).collect(),
             Message::Recall(assignments) => {
                 for assignment in assignments {
--- a/crates/node/tests/abandoned.rs
+++ b/crates/node/tests/abandoned.rs
@@ -65,8 +65,13 @@
 }
 
 async fn start_node(port: CountingPort) -> NodeHandle {
-    let local =
-        Hello { data_centre: "dc1".into(), incarnation: 1, instance: "entry-1".into(), resumable: true };
+    let local = Hello {
+        data_centre: "dc1".into(),
+        incarnation: 1,
+        instance: "entry-1".into(),
+        resumable: true,
+        timestamps: true,
+    };
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let settings = NodeSettings { local, seed: 1, started_unix_ms: 1_767_000_000_000 };
     let metrics = NodeMetrics::new().unwrap();
--- a/crates/node/tests/cancellation.rs
+++ b/crates/node/tests/cancellation.rs
@@ -48,7 +48,7 @@
 
 fn receive(engine: &mut Engine, now: Instant, from: u64, messages: Vec<Message>) {
     for message in messages {
-        engine.handle(now, Input::Mesh(MeshEvent::Received { message, peer: from }));
+        engine.handle(now, Input::Mesh(MeshEvent::Received { message, peer: from, sent_after: now }));
     }
 }
 
--- a/crates/node/tests/config.rs
+++ b/crates/node/tests/config.rs
@@ -35,7 +35,8 @@
     }
 
     fn receive(&mut self, peer: u64, message: Message) {
-        self.engine.handle(self.now, Input::Mesh(MeshEvent::Received { message, peer }));
+        self.engine
+            .handle(self.now, Input::Mesh(MeshEvent::Received { message, peer, sent_after: self.now }));
     }
 
     fn peer_reports_version(&mut self, peer: u64, config_version: u64) {
--- a/crates/node/tests/crashing_tasks.rs
+++ b/crates/node/tests/crashing_tasks.rs
@@ -152,7 +152,8 @@
     fn unlink(&mut self) {
         self.linked = false;
         for (position, peer) in [(0, 2), (1, 1)] {
-            let down = MeshEvent::Down { error: "test".to_owned(), peer, silent: true, since: self.now };
+            let since = self.now;
+            let down = MeshEvent::Down { error: "test".into(), peer, sent_after: since, silent: true, since };
             self.inputs.push_back((position, Input::Mesh(down)));
         }
     }
@@ -234,7 +235,8 @@
     fn send(&mut self, from: usize, peer: u64, message: Message) {
         if self.linked {
             let to = usize::try_from(peer).unwrap() - 1;
-            let received = MeshEvent::Received { message, peer: u64::try_from(from).unwrap() + 1 };
+            let peer = u64::try_from(from).unwrap() + 1;
+            let received = MeshEvent::Received { message, peer, sent_after: self.now };
             self.inputs.push_back((to, Input::Mesh(received)));
         }
     }
--- a/crates/node/tests/malformed.rs
+++ b/crates/node/tests/malformed.rs
@@ -276,7 +276,9 @@
                     self.input(Input::HoldEnded { hold, reply });
                 }
             }
-            Step::Message(message) => self.input(Input::Mesh(MeshEvent::Received { message, peer: PEER })),
+            Step::Message(message) => {
+                self.input(Input::Mesh(MeshEvent::Received { message, peer: PEER, sent_after: self.now }))
+            }
             Step::StartEnded(reply) => {
                 if let Some(start) = self.starts.pop_front() {
                     self.input(Input::StartEnded { reply, start });
--- a/crates/node/tests/ownership.rs
+++ b/crates/node/tests/ownership.rs
@@ -78,13 +78,24 @@
     }
 
     fn unlink(&mut self, peer: u64, silent: bool) {
-        self.input(Input::Mesh(MeshEvent::Down { error: "test".to_owned(), peer, silent, since: self.now }));
+        let since = self.now;
+        self.input(Input::Mesh(MeshEvent::Down {
+            error: "test".into(),
+            peer,
+            sent_after: since,
+            silent,
+            since,
+        }));
     }
 
     fn peer_owns(&mut self, peer: u64, upstreams: &[UpstreamRecord]) {
         let owned =
             upstreams.iter().map(|owned| OwnedUpstream { fence: 1, upstream: owned.id.clone() }).collect();
-        self.input(Input::Mesh(MeshEvent::Received { message: Message::Owned(owned), peer }));
+        self.input(Input::Mesh(MeshEvent::Received {
+            message: Message::Owned(owned),
+            peer,
+            sent_after: self.now,
+        }));
     }
 }
 
--- a/crates/node/tests/panics.rs
+++ b/crates/node/tests/panics.rs
@@ -37,8 +37,13 @@
 /// Guards against an upstream that is never used again because the task that waited for its answer has panicked.
 #[tokio::test(start_paused = true)]
 async fn an_upstream_is_asked_again_after_a_panic() {
-    let local =
-        Hello { data_centre: "dc1".into(), incarnation: 1, instance: "entry-1".into(), resumable: true };
+    let local = Hello {
+        data_centre: "dc1".into(),
+        incarnation: 1,
+        instance: "entry-1".into(),
+        resumable: true,
+        timestamps: true,
+    };
     let port = FailingPort::default();
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let settings = NodeSettings { local, seed: 1, started_unix_ms: 1_767_000_000_000 };
--- a/crates/node/tests/recipients.rs
+++ b/crates/node/tests/recipients.rs
@@ -17,6 +17,7 @@
         instance: format!("{data_centre}-entry-{number:03}").into(),
         data_centre: data_centre.into(),
         resumable: true,
+        timestamps: true,
     }
 }
 
--- a/crates/node/tests/simulation/links.rs
+++ b/crates/node/tests/simulation/links.rs
@@ -90,7 +90,8 @@
             Frame::Heartbeat => side.last_received_us = now_us,
             Frame::Message(message) => {
                 side.last_received_us = now_us;
-                self.push_input(to, Input::Mesh(MeshEvent::Received { message, peer }));
+                let sent_after = self.now();
+                self.push_input(to, Input::Mesh(MeshEvent::Received { message, peer, sent_after }));
             }
             Frame::Up => {}
         }
@@ -115,7 +116,8 @@
     }
 
     fn down_event(&self, peer: u64, silent: bool) -> MeshEvent {
-        MeshEvent::Down { error: "lost".to_owned(), peer, silent, since: self.now() }
+        let since = self.now();
+        MeshEvent::Down { error: "lost".to_owned(), peer, sent_after: since, silent, since }
     }
 
     /// Voids a link at one side, which closes the connection.
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -25,6 +25,7 @@
         incarnation: number,
         instance: format!("entry-{number}").into(),
         resumable: true,
+        timestamps: true,
     }
 }
 
--- a/crates/node/tests/void_assignments.rs
+++ b/crates/node/tests/void_assignments.rs
@@ -129,7 +129,7 @@
 
     fn deliver(engine: &mut Engine, now: Instant, from: u64, messages: Vec<Message>) {
         for message in messages {
-            engine.handle(now, Input::Mesh(MeshEvent::Received { message, peer: from }));
+            engine.handle(now, Input::Mesh(MeshEvent::Received { message, peer: from, sent_after: now }));
         }
     }
 
@@ -149,7 +149,8 @@
 
     fn lose_owner(&mut self) {
         let since = self.now;
-        let down = MeshEvent::Down { error: "no message in time".into(), peer: OWNER, silent: true, since };
+        let error = "no message in time".into();
+        let down = MeshEvent::Down { error, peer: OWNER, sent_after: since, silent: true, since };
         self.home.handle(self.now, Input::Mesh(down));
     }
 }
--- a/crates/runs/src/event.rs
+++ b/crates/runs/src/event.rs
@@ -19,6 +19,8 @@
         assignment: Assignment,
         /// Receives the reports about the task.
         home: HomeId,
+        /// A time before which the home has not sent the assignment.
+        sent_after: Instant,
     },
     /// A home no longer needs a task; a queued one is dropped, a running one is stopped.
     Cancelled {
@@ -317,6 +319,8 @@
     },
     /// A start order is sent.
     Started {
+        /// Time since the assignment was sent, at most.
+        age: Duration,
         /// Free resources of the upstream before the start.
         free: Resources,
         /// Home of the task.
--- a/crates/runs/src/lib.rs
+++ b/crates/runs/src/lib.rs
@@ -56,7 +56,7 @@
 //!     task: "job.0.0.0".into(),
 //!     waits: true,
 //! };
-//! runner.handle(now, Event::Assigned { assignment, home: 7 });
+//! runner.handle(now, Event::Assigned { assignment, home: 7, sent_after: now });
 //! assert!(runner.drain_actions().any(|action| matches!(action, Action::Start(_))));
 //! # Ok::<(), &'static str>(())
 //! ```
--- a/crates/runs/src/queue.rs
+++ b/crates/runs/src/queue.rs
@@ -28,6 +28,8 @@
     pub(crate) assignment: Assignment,
     pub(crate) home: HomeId,
     pub(crate) queued_at: Instant,
+    /// A time before which the home has not sent the assignment.
+    pub(crate) sent_after: Instant,
     pub(crate) start_by: Instant,
 }
 
--- a/crates/runs/src/runner.rs
+++ b/crates/runs/src/runner.rs
@@ -56,7 +56,9 @@
     /// Handles an event, then starts queued tasks and sends the holds that are due.
     pub fn handle(&mut self, now: Instant, event: Event) {
         match event {
-            Event::Assigned { assignment, home } => self.enqueue(now, home, assignment),
+            Event::Assigned { assignment, home, sent_after } => {
+                self.enqueue(now, home, assignment, sent_after);
+            }
             Event::Cancelled { assignment, home } => self.cancel(now, home, assignment),
             Event::HoldEnded { hold, reply } => self.hold_ended(now, &hold, reply),
             Event::HomeLost(home) => self.home_lost(now, home),
@@ -111,10 +113,10 @@
         self.placed.len() + self.queue.iter().count()
     }
 
-    fn enqueue(&mut self, now: Instant, home: HomeId, assignment: Assignment) {
+    fn enqueue(&mut self, now: Instant, home: HomeId, assignment: Assignment, sent_after: Instant) {
         self.learn_task_size(assignment.need.cpu_millis);
         let start_by = now + bounded_ms(assignment.start_within_ms);
-        self.queue.push(Queued { assignment, home, queued_at: now, start_by });
+        self.queue.push(Queued { assignment, home, queued_at: now, sent_after, start_by });
     }
 
     /// Returns the tasks that could not be started at once and must not wait here.
@@ -274,7 +276,8 @@
         }
         let start_by = run.ordered_at + bounded_ms(run.assignment.start_within_ms);
         let assignment = Assignment { run: run_number, waits: true, ..run.assignment };
-        let task = Queued { assignment, home: run.home, queued_at: now, start_by };
+        let task =
+            Queued { assignment, home: run.home, queued_at: now, sent_after: run.assigned_after, start_by };
         if now >= start_by {
             self.report_not_run(now, &task, "late");
         } else {
@@ -319,9 +322,14 @@
             return;
         }
         let queued = now.duration_since(task.queued_at);
-        let free = upstream.free();
-        let started =
-            Notice::Started { free, home: task.home, queued, run: run_id.clone(), upstream: id.clone() };
+        let started = Notice::Started {
+            age: now.duration_since(task.sent_after),
+            free: upstream.free(),
+            home: task.home,
+            queued,
+            run: run_id.clone(),
+            upstream: id.clone(),
+        };
         self.placed.insert((task.home, task.assignment.id), (id.clone(), run_id.clone()));
         self.actions.push(Action::Notice(started));
         let report = TaskReport::new(task.assignment.id, Outcome::Started, run_id.run);
@@ -338,6 +346,7 @@
         upstream.add_run(
             run_id,
             Run {
+                assigned_after: task.sent_after,
                 assignment: task.assignment,
                 confirmed_at: None,
                 end_by: None,
--- a/crates/runs/src/upstream.rs
+++ b/crates/runs/src/upstream.rs
@@ -66,6 +66,8 @@
 /// A run that this entry started.
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
+    /// A time before which the home has not sent the assignment.
+    pub(crate) assigned_after: Instant,
     pub(crate) assignment: Assignment,
     /// When the upstream first confirmed that the run exists.
     pub(crate) confirmed_at: Option<Instant>,
--- a/crates/runs/tests/capacity.rs
+++ b/crates/runs/tests/capacity.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use hinge_runs::{Action, Event, Resources, UpstreamRecord};
-use support::{HOME, Owner, assignment, record};
+use support::{HOME, Owner, record};
 
 fn sized(cpu_millis: u64) -> UpstreamRecord {
     let capacity = Resources { cpu_millis, gpus: 0, memory_mb: 32_768 };
@@ -73,7 +73,7 @@
     owner.handle(Event::Cancelled { assignment: 2, home: HOME });
     // The stop orders are on their way: the upstream still has both runs.
     owner.actions();
-    owner.handle(Event::Assigned { assignment: assignment(3, "job.3", 1), home: HOME });
+    owner.assign(3, "job.3");
     assert!(!owner.actions().iter().any(|action| matches!(action, Action::Start(_))));
     let listing = owner.listing();
     owner.handle(listing);
--- a/crates/runs/tests/overload.rs
+++ b/crates/runs/tests/overload.rs
@@ -73,7 +73,7 @@
     }
 
     fn assign(&mut self, assignment: Assignment) {
-        self.handle(Event::Assigned { assignment, home: HOME });
+        self.handle(Event::Assigned { assignment, home: HOME, sent_after: self.now });
     }
 
     /// Ends the run of a task on its upstream after `after_ms`.
--- a/crates/runs/tests/simulation/mod.rs
+++ b/crates/runs/tests/simulation/mod.rs
@@ -341,7 +341,8 @@
             let after_ms = self.rng.random_range(10..1_000);
             self.messages.push((self.now_ms + after_ms, Message::Disconnect { assignment: id }));
         }
-        self.handle(owner, Event::Assigned { assignment, home: home_id });
+        let sent_after = self.now();
+        self.handle(owner, Event::Assigned { assignment, home: home_id, sent_after });
     }
 
     fn step(&mut self) {
--- a/crates/runs/tests/support/mod.rs
+++ b/crates/runs/tests/support/mod.rs
@@ -294,7 +294,11 @@
     }
 
     pub(crate) fn assign(&mut self, id: u64, task: &str) {
-        self.handle(Event::Assigned { assignment: assignment(id, task, 1), home: HOME });
+        self.handle(Event::Assigned {
+            assignment: assignment(id, task, 1),
+            home: HOME,
+            sent_after: self.now,
+        });
     }
 
     /// Outcomes reported for an assignment so far, without `Started`.
