Mesh, runs: an owner knows by its own clock whether a home is alive

An assignment that a cut held back on an idle link was started 1.5 s later, beside the resubmission of its job; its home had been killed meanwhile.

Cause: liveness was measured by the gaps between arrivals, and assignments had no age. Whatever waits behind a cut, a full link or a slow receiver counted as new.

Change: a link is up while the peer has returned a time stamp of the last 0.6 s (0.5 s of silence before; the exchange takes up to 0.1 s longer than an arrival), and an owner returns an assignment that is older. The time stamps before a message are those from when it was queued. Home dead to runs expired: 0.6 + 0.62 s, below the 1.3 s of a resubmission.

--- a/crates/jobs/src/ending.rs
+++ b/crates/jobs/src/ending.rs
@@ -13,11 +13,13 @@
 use crate::table::Placement;
 use crate::{Action, Answer, JobNumber, JobTable, Notice};
 
-/// Time after its cancellation in which a run has ended for certain: a lost link is noticed on both sides within 1 s, a run
-/// that is not stopped is renewed for 0.2 s at most, and its lease lasts for less than 0.62 s.
+/// Time after its cancellation in which a run has ended for certain: within 0.6 s its owner gets the cancellation or loses the
+/// link, or up to 0.1 s later after a freeze; a run that is not stopped is renewed for 0.2 s at most, and its lease lasts for
+/// less than 0.62 s.
 const CANCELLED_RUN_LIMIT: Duration = Duration::from_millis(2_000);
-/// Time after the loss of the link to its owner in which a run has ended for certain: the owner notices the loss within
-/// 0.6 s, or up to 0.1 s later after a freeze, and stops the run, whose lease lasts for less than 0.62 s.
+/// Time after the loss of the link to its owner in which a run has ended for certain: the owner gets no time stamps any more
+/// and notices the loss within 0.6 s, or up to 0.1 s later after a freeze, and stops the run, whose lease lasts for less
+/// than 0.62 s.
 const LOST_OWNER_LIMIT: Duration = Duration::from_millis(1_500);
 
 /// The decided answer of a job.
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -1,9 +1,11 @@
 //! Links between entries: one TCP connection per pair, with failure detection by heartbeats.
 //!
 //! Of two entries the one with the smaller instance id dials. Both sides send [`Message`]s in MessagePack with a length
-//! prefix, and a heartbeat if there was no other message for [`HEARTBEAT_INTERVAL`]. A side that receives nothing for
-//! [`SILENCE_LIMIT`] closes the connection, so that both sides detect that the link is down. A link to another data
-//! centre may become idle; then both times are longer.
+//! prefix, and a heartbeat if there was no other message for [`HEARTBEAT_INTERVAL`]. They exchange time stamps, by which a
+//! side knows when its peer was alive ([`Liveness`]): what arrives may have been sent long before. A side whose peer was not
+//! alive within [`LIVENESS_TIMEOUT`](hinge_runs::LIVENESS_TIMEOUT) closes the connection, so that both sides detect that the
+//! link is down. A link to another data centre may become idle; then both times are longer, and time stamps are exchanged
+//! before the next message.
 //!
 //! A link outlives its connection for a short time: when a connection is reset or stalls, the dialling side opens another
 //! one, on which the link continues without the loss of a message.
--- a/crates/mesh/src/link.rs
+++ b/crates/mesh/src/link.rs
@@ -9,26 +9,22 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::time::{Instant, error::Elapsed, timeout};
+use tokio::time::{Instant, error::Elapsed, timeout, timeout_at};
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
 use crate::session::{Outgoing, Queued, Session};
-use crate::{Hello, Message, TimestampAhead};
+use crate::{Hello, Message, TimestampAhead, Timestamps};
 
 /// Longest time between two messages on a link that is not idle.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
-/// Time without a message after which a link is down. Together with the lease of runs (0.6 s) it is shorter than the
-/// 1.3 s after which callers resubmit a job.
+/// Longest time that opening a connection and each write may take, and time without a message after which the link to a
+/// process that sends no time stamps is down.
 pub const SILENCE_LIMIT: Duration = Duration::from_millis(500);
 /// Time without a message after which the side that dials replaces the connection. A connection can go silent for good
 /// while new ones work; the link then continues on a new one.
 const STALLED_AFTER: Duration = Duration::from_millis(350);
-/// Time without messages other than heartbeats after which a side lets a link to another data centre become idle.
-const IDLE_AFTER: Duration = Duration::from_secs(2);
 /// Replaces [`HEARTBEAT_INTERVAL`] on an idle link.
 const IDLE_HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
-/// Replaces [`SILENCE_LIMIT`] on an idle link.
-const IDLE_SILENCE_LIMIT: Duration = Duration::from_millis(2_500);
 /// Smallest age of the time stamps that were sent last at which newer ones precede the next message.
 const TIMESTAMP_INTERVAL: Duration = Duration::from_millis(50);
 /// Maximum size of a message. The largest messages contain a configuration of at most 1 MB.
@@ -49,6 +45,8 @@
     Timeout(#[from] Elapsed),
     #[error("the first message is not Hello")]
     NoHello,
+    #[error("the peer was not alive lately")]
+    NotAlive,
     #[error("a task of the connection has panicked")]
     Panicked,
     #[error("replaced by another connection")]
@@ -63,8 +61,6 @@
 
 pub(crate) struct Reader {
     frames: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
-    /// Time without a message after which the link is down.
-    silence_limit: Duration,
     /// Whether this side has dialled, and replaces a connection that has stalled.
     dialled: bool,
 }
@@ -87,7 +83,7 @@
 ) -> Result<(Hello, Reader, Writer), LinkError> {
     stream.set_nodelay(true)?;
     let (read, write) = stream.into_split();
-    let mut reader = Reader { frames: FramedRead::new(read, codec()), silence_limit: SILENCE_LIMIT, dialled };
+    let mut reader = Reader { frames: FramedRead::new(read, codec()), dialled };
     let mut writer = Writer { frames: FramedWrite::new(write, codec()), echoed: None };
     writer.write(&Message::Hello(local.clone())).await?;
     match reader.next().await? {
@@ -97,16 +93,31 @@
 }
 
 impl Reader {
-    /// Returns the next message; fails if there is none in time. [`Message::Idle`] extends the time until the next one.
+    /// Returns the next message.
     pub(crate) async fn next(&mut self) -> Result<Message, LinkError> {
-        let may_stall = self.dialled && self.silence_limit == SILENCE_LIMIT;
-        let limit = if may_stall { STALLED_AFTER } else { self.silence_limit };
-        let frame = match timeout(limit, self.frames.next()).await {
-            Err(_) if may_stall => return Err(LinkError::Stalled),
-            frame => frame?.ok_or(LinkError::Closed)??,
+        let frame = self.frames.next().await.ok_or(LinkError::Closed)??;
+        Ok(from_msgpack(&frame)?)
+    }
+
+    /// Returns the next message of a link; fails when the peer does not count as alive any more.
+    pub(crate) async fn next_of(&mut self, session: &Session) -> Result<Message, LinkError> {
+        let (stalled_at, alive_until) = {
+            let liveness = session.liveness();
+            let last_arrival = liveness.last_arrival().filter(|_| self.dialled);
+            (last_arrival.map(|at| at + STALLED_AFTER), liveness.alive_until())
         };
-        let message = from_msgpack(&frame)?;
-        self.silence_limit = if message == Message::Idle { IDLE_SILENCE_LIMIT } else { SILENCE_LIMIT };
+        let until = stalled_at.map_or(alive_until, |stalled_at| stalled_at.min(alive_until));
+        let Ok(message) = timeout_at(until, self.next()).await else {
+            return Err(if until == alive_until { LinkError::NotAlive } else { LinkError::Stalled });
+        };
+        let (message, now) = (message?, Instant::now());
+        let mut liveness = session.liveness();
+        if liveness.record_arrival(now, &message)? {
+            session.timestamps_due.notify_one();
+        }
+        if now >= liveness.alive_until() {
+            return Err(LinkError::NotAlive);
+        }
         Ok(message)
     }
 }
@@ -127,30 +138,50 @@
         Ok(())
     }
 
-    /// The time stamps to send before messages the oldest of which was queued with `echo_ms`, or as a heartbeat. None if
-    /// those sent last are new enough, or the peer does not use them.
-    fn due_timestamps(
-        &mut self,
-        session: &Session,
-        echo_ms: Option<u64>,
-    ) -> Result<Option<Bytes>, LinkError> {
-        if !session.peer.timestamps {
-            return Ok(None);
-        }
+    /// Returns the time stamps that are sent before messages the oldest of which was queued with `echo_ms`; none if those
+    /// sent last are new enough.
+    fn due_timestamps(&mut self, session: &Session, echo_ms: u64) -> Result<Option<Bytes>, LinkError> {
         let now = Instant::now();
         let interval_ms = whole_ms(TIMESTAMP_INTERVAL);
-        let (timestamps, is_heartbeat) = {
-            let liveness = session.liveness();
-            (liveness.timestamps(now, echo_ms.unwrap_or(liveness.peer_ms())), echo_ms.is_none())
-        };
         let is_recent = self.echoed.is_some_and(|(echoed_ms, at)| {
-            now.duration_since(at) < TIMESTAMP_INTERVAL && timestamps.echo_ms < echoed_ms + interval_ms
+            now.duration_since(at) < TIMESTAMP_INTERVAL && echo_ms < echoed_ms + interval_ms
         });
-        if is_recent && !is_heartbeat {
+        if is_recent || !session.peer.timestamps {
             return Ok(None);
         }
+        let timestamps = session.liveness().timestamps(now, echo_ms);
+        self.encode_timestamps(now, timestamps).map(Some)
+    }
+
+    fn encode_timestamps(&mut self, now: Instant, timestamps: Timestamps) -> Result<Bytes, LinkError> {
         self.echoed = Some((timestamps.echo_ms, now));
-        Ok(Some(to_msgpack(&Message::Timestamps(timestamps))?.into()))
+        Ok(to_msgpack(&Message::Timestamps(timestamps))?.into())
+    }
+
+    /// Encodes the heartbeat that is sent when there is no other message.
+    fn encode_heartbeat(&mut self, session: &Session, timestamps: Timestamps) -> Result<Bytes, LinkError> {
+        if session.peer.timestamps {
+            return self.encode_timestamps(Instant::now(), timestamps);
+        }
+        let heartbeat = if timestamps.idle { Message::Idle } else { Message::Heartbeat };
+        Ok(to_msgpack(&heartbeat)?.into())
+    }
+
+    /// Asks the peer for time stamps, and waits for them.
+    async fn wake(&mut self, session: &Session) -> Result<(), LinkError> {
+        let now = Instant::now();
+        let request = {
+            let liveness = session.liveness();
+            Timestamps { reply: true, ..liveness.timestamps(now, liveness.peer_ms()) }
+        };
+        let request = self.encode_timestamps(now, request)?;
+        self.write_frames([request]).await?;
+        while session.liveness().is_waking() {
+            let until = session.liveness().alive_until();
+            let answered = timeout_at(until, session.timestamps_due.notified()).await;
+            answered.map_err(|_| LinkError::NotAlive)?;
+        }
+        Ok(())
     }
 
     /// Writes queued messages, and heartbeats when there are none, until the queue is closed or a write fails. If
@@ -162,35 +193,69 @@
         may_idle: bool,
     ) -> Result<(), LinkError> {
         let mut batch = Vec::with_capacity(WRITE_BATCH);
-        let mut last_write_at = Instant::now();
-        let mut interval = HEARTBEAT_INTERVAL;
+        // The first time stamps are sent at once.
+        let mut interval = Duration::ZERO;
         loop {
             batch.clear();
-            let idle = match timeout(interval, outgoing.queue.recv_many(&mut batch, WRITE_BATCH)).await {
-                Ok(0) => return Err(LinkError::Closed),
-                Ok(_) => {
-                    last_write_at = Instant::now();
-                    interval = HEARTBEAT_INTERVAL;
-                    false
-                }
-                Err(_) => true,
+            let received = tokio::select! {
+                received = timeout(interval, outgoing.queue.recv_many(&mut batch, WRITE_BATCH)) => received.ok(),
+                () = session.timestamps_due.notified() => None,
             };
-            let mut frames: Vec<Bytes> = Vec::with_capacity(batch.len() + 1);
-            let oldest_echo_ms = batch.first().map(|queued: &Queued| queued.echo_ms);
-            frames.extend(self.due_timestamps(session, oldest_echo_ms)?);
-            for queued in &batch {
-                frames.push(outgoing.encode(session, &queued.message)?);
+            if received == Some(0) {
+                return Err(LinkError::Closed);
             }
-            if let Some(acknowledgement) = outgoing.acknowledgement(session, idle) {
-                frames.push(to_msgpack(&acknowledgement)?.into());
-            }
-            if idle && may_idle && last_write_at.elapsed() >= IDLE_AFTER {
-                interval = IDLE_HEARTBEAT_INTERVAL;
-                frames.push(to_msgpack(&Message::Idle)?.into());
-            } else if frames.is_empty() {
-                frames.push(to_msgpack(&Message::Heartbeat)?.into());
+            if Instant::now() >= session.liveness().alive_until() {
+                return Err(LinkError::NotAlive);
             }
+            let frames = if batch.is_empty() {
+                let timestamps = session.liveness().heartbeat(Instant::now(), may_idle);
+                interval = if timestamps.idle { IDLE_HEARTBEAT_INTERVAL } else { HEARTBEAT_INTERVAL };
+                self.heartbeat_frames(session, outgoing, timestamps)?
+            } else {
+                interval = HEARTBEAT_INTERVAL;
+                self.message_frames(session, outgoing, &batch).await?
+            };
             self.write_frames(frames).await?;
         }
     }
+
+    fn heartbeat_frames(
+        &mut self,
+        session: &Session,
+        outgoing: &mut Outgoing,
+        timestamps: Timestamps,
+    ) -> Result<Vec<Bytes>, LinkError> {
+        let mut frames = Vec::with_capacity(2);
+        if let Some(acknowledgement) = outgoing.acknowledgement(session, true) {
+            frames.push(to_msgpack(&acknowledgement)?.into());
+        }
+        frames.push(self.encode_heartbeat(session, timestamps)?);
+        Ok(frames)
+    }
+
+    /// Encodes queued messages behind the time stamps that hold for them. On an idle link time stamps are exchanged first.
+    async fn message_frames(
+        &mut self,
+        session: &Session,
+        outgoing: &mut Outgoing,
+        batch: &[Queued],
+    ) -> Result<Vec<Bytes>, LinkError> {
+        let mut frames = Vec::with_capacity(batch.len() + 2);
+        // Before anything else, so that no message is lost if the connection ends meanwhile.
+        for queued in batch {
+            frames.push(outgoing.encode(session, &queued.message)?);
+        }
+        let mut echo_ms = batch.first().map_or(0, |queued| queued.echo_ms);
+        if session.liveness().record_sending(Instant::now()) {
+            self.wake(session).await?;
+            echo_ms = session.liveness().peer_ms();
+        }
+        if let Some(timestamps) = self.due_timestamps(session, echo_ms)? {
+            frames.insert(0, timestamps);
+        }
+        if let Some(acknowledgement) = outgoing.acknowledgement(session, false) {
+            frames.push(to_msgpack(&acknowledgement)?.into());
+        }
+        Ok(frames)
+    }
 }
--- a/crates/mesh/src/mesh.rs
+++ b/crates/mesh/src/mesh.rs
@@ -126,7 +126,7 @@
             replaced
         };
         if !replaced {
-            let silent = matches!(error, LinkError::Stalled | LinkError::Timeout(_));
+            let silent = matches!(error, LinkError::NotAlive | LinkError::Stalled | LinkError::Timeout(_));
             self.report_down(&claim.session, error.to_string(), silent, since).await;
         }
     }
@@ -266,8 +266,8 @@
     pub fn unresponsive_peers(&self, now: Instant, limit: Duration) -> FastSet<HomeId> {
         let links = self.shared.links();
         let unresponsive = links.iter().filter(|(_, link)| {
-            let last_received_at = *link.session.last_received_at();
-            let silent = last_received_at.is_some_and(|at| now.duration_since(at) > limit);
+            let last_arrival = link.session.liveness().last_arrival();
+            let silent = last_arrival.is_some_and(|at| now.duration_since(at) > limit);
             silent || link.suspended_at.is_some()
         });
         unresponsive.map(|(peer, _)| *peer).collect()
@@ -352,10 +352,16 @@
     if hello.resumable {
         let claim = shared.claim(hello.incarnation);
         let latest = Instant::now() + SILENCE_LIMIT;
-        let until = claim.as_ref().map_or(latest, |claim| silent_at(&claim.session, latest));
+        let alive_until = claim.as_ref().map(|claim| claim.session.liveness().alive_until());
+        let until = alive_until.map_or(latest, |alive_until| latest.min(alive_until));
         let agreed = timeout_at(until, resume(claim.as_ref(), reader, writer)).await;
         match (agreed.map_err(LinkError::from).flatten(), claim) {
-            (Ok(Agreed::Continue), claim) => return claim,
+            (Ok(Agreed::Continue), claim) => {
+                if let Some(claim) = &claim {
+                    claim.session.liveness().record_resumption(Instant::now(), opened_at);
+                }
+                return claim;
+            }
             (Ok(Agreed::New(new)), _) => id = new,
             (Err(error), Some(claim)) => {
                 shared.end(&claim, &error, Instant::now()).await;
@@ -369,19 +375,11 @@
     Some(claim)
 }
 
-/// When a link without further messages is down; at `latest` if the peer lets it idle.
-fn silent_at(session: &Session, latest: Instant) -> Instant {
-    session.last_received_at().map_or(latest, |at| latest.min(at + SILENCE_LIMIT))
-}
-
-/// Until when another connection may continue a link. Never later than a silent link would have ended, because the
-/// bounds for runs of lost homes and owners rely on that.
+/// Until when another connection may continue a link. Never later than the link would have ended without a new connection,
+/// because the bounds for runs of lost homes and owners rely on that.
 fn resume_until(session: &Session, error: &LinkError, ended_at: Instant) -> Instant {
-    let silent_at = silent_at(session, ended_at + SILENCE_LIMIT);
-    match error {
-        LinkError::Stalled => silent_at,
-        _ => silent_at.min(ended_at + RESUME_WINDOW),
-    }
+    let window = if matches!(error, LinkError::Stalled) { SILENCE_LIMIT } else { RESUME_WINDOW };
+    session.liveness().alive_until().min(ended_at + window)
 }
 
 /// What both sides have agreed about a connection.
@@ -442,14 +440,9 @@
 ) -> Result<(), LinkError> {
     let peer = session.peer.incarnation;
     loop {
-        let message = reader.next().await?;
-        let now = Instant::now();
-        *session.last_received_at() = (message != Message::Idle).then_some(now);
-        session.liveness().record_arrival(now);
-        match message {
+        match reader.next_of(session).await? {
             Message::Acknowledge(received) => session.acknowledge(received),
-            Message::Heartbeat | Message::Idle => {}
-            Message::Timestamps(timestamps) => session.liveness().record_timestamps(now, timestamps)?,
+            Message::Heartbeat | Message::Idle | Message::Timestamps(_) => {}
             message => {
                 let sent_after = session.liveness().sent_after();
                 if events.send(MeshEvent::Received { message, peer, sent_after }).await.is_err() {
--- a/crates/mesh/src/session.rs
+++ b/crates/mesh/src/session.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use hinge_wire::{CodecError, to_msgpack};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::Instant;
 
 use crate::{Hello, LinkId, Liveness, Message};
@@ -27,10 +27,9 @@
     pub(crate) connection: watch::Sender<u64>,
     /// Agreed by both sides.
     pub(crate) id: LinkId,
-    /// When the last message arrived; none while the peer lets the link idle.
-    pub(crate) last_received_at: Mutex<Option<Instant>>,
-    /// What the time stamps of the peer show.
     liveness: Mutex<Liveness>,
+    /// Signals time stamps of the peer that its own sending side must know.
+    pub(crate) timestamps_due: Notify,
     /// Locked by the connection that carries the link.
     pub(crate) outgoing: tokio::sync::Mutex<Outgoing>,
     /// Identity of the peer; resumable only if both sides are.
@@ -47,8 +46,8 @@
         Self {
             connection: watch::Sender::new(1),
             id,
-            last_received_at: Mutex::new(Some(Instant::now())),
-            liveness: Mutex::new(Liveness::new(epoch, peer.timestamps)),
+            liveness: Mutex::new(Liveness::new(Instant::now(), epoch, peer.timestamps)),
+            timestamps_due: Notify::new(),
             outgoing: tokio::sync::Mutex::new(outgoing),
             peer,
             acknowledged: AtomicU64::new(0),
@@ -56,10 +55,6 @@
         }
     }
 
-    pub(crate) fn last_received_at(&self) -> MutexGuard<'_, Option<Instant>> {
-        self.last_received_at.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     pub(crate) fn liveness(&self) -> MutexGuard<'_, Liveness> {
         self.liveness.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/runs/src/lib.rs
+++ b/crates/runs/src/lib.rs
@@ -80,6 +80,7 @@
 };
 pub use runner::Runner;
 pub use types::{
-    Assignment, AssignmentId, Fence, HomeId, Incarnation, Load, LostRun, MAX_TIME, Outcome, PRIORITY_LEVELS,
-    Resources, RunId, RunNumber, TaskName, TaskReport, UpstreamRecord, bounded_ms, priority_index, whole_ms,
+    Assignment, AssignmentId, Fence, HomeId, Incarnation, LIVENESS_TIMEOUT, Load, LostRun, MAX_TIME, Outcome,
+    PRIORITY_LEVELS, Resources, RunId, RunNumber, TaskName, TaskReport, UpstreamRecord, bounded_ms,
+    priority_index, whole_ms,
 };
--- a/crates/runs/src/runner.rs
+++ b/crates/runs/src/runner.rs
@@ -7,8 +7,8 @@
 use crate::queue::{Queue, Queued};
 use crate::upstream::{Ownership, Run, STOP_TIME, Upstream};
 use crate::{
-    Action, Assignment, AssignmentId, Event, Fence, HomeId, LostRun, Notice, Outcome, RunId, RunNumber,
-    StartOrder, TaskReport, UpstreamRecord, bounded_ms, whole_ms,
+    Action, Assignment, AssignmentId, Event, Fence, HomeId, LIVENESS_TIMEOUT, LostRun, Notice, Outcome,
+    RunId, RunNumber, StartOrder, TaskReport, UpstreamRecord, bounded_ms, whole_ms,
 };
 
 /// Weight of a new value in the exponential moving averages of task sizes and run times.
@@ -113,10 +113,16 @@
         self.placed.len() + self.queue.iter().count()
     }
 
+    /// Queues a task, unless its assignment is so old that its home may have died long before.
     fn enqueue(&mut self, now: Instant, home: HomeId, assignment: Assignment, sent_after: Instant) {
-        self.learn_task_size(assignment.need.cpu_millis);
         let start_by = now + bounded_ms(assignment.start_within_ms);
-        self.queue.push(Queued { assignment, home, queued_at: now, sent_after, start_by });
+        let task = Queued { assignment, home, queued_at: now, sent_after, start_by };
+        if now.duration_since(sent_after) > LIVENESS_TIMEOUT {
+            self.report_not_run(now, &task, "stale");
+            return;
+        }
+        self.learn_task_size(task.assignment.need.cpu_millis);
+        self.queue.push(task);
     }
 
     /// Returns the tasks that could not be started at once and must not wait here.
--- a/crates/runs/src/types.rs
+++ b/crates/runs/src/types.rs
@@ -214,6 +214,10 @@
     pub slots: u32,
 }
 
+/// Time since a home was last known to be alive after which its assignments are returned and its runs stopped. Together with
+/// the lease of runs (0.6 s) it is shorter than the 1.3 s after which callers resubmit a job.
+pub const LIVENESS_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// Longest time that is taken from a message; longer ones count as this long. Keeps sums and products of times from other
 /// processes within what the clock can represent.
 pub const MAX_TIME: Duration = Duration::from_secs(24 * 60 * 60);
--- a/crates/runs/src/upstream.rs
+++ b/crates/runs/src/upstream.rs
@@ -11,8 +11,8 @@
 
 /// Duration of the lease that each order requests. A renewal that an owner sends in its last moment may arrive at the end
 /// of the lease before it, and then counts from its arrival. So a run can outlive its owner by two leases on a clock that
-/// is 2% slow, 1,225 ms. Callers resubmit a job after 1.3 s. One lease together with the 0.5 s in which the loss of a home
-/// is detected is shorter than that too, so that a run also ends in time if its home and then its owner are lost.
+/// is 2% slow, 1,225 ms. Callers resubmit a job after 1.3 s. One lease together with the [`LIVENESS_TIMEOUT`](crate::LIVENESS_TIMEOUT)
+/// of a home is shorter than that too, so that a run also ends in time if its home and then its owner are lost.
 const LEASE: Duration = Duration::from_millis(600);
 /// Upper bound, on this entry's clock, for the time that runs survive after the last order. It is longer than [`LEASE`]
 /// because the upstream's clock may be 2% slow, and because the lease may have been computed from a clock reading as
