Node: time that the steady clock does not count makes links old

What callers would see: two runs of a task. An owner that is suspended for less than 0.6 s, which its steady clock does not count, took the time stamps of its peers for newer than they were: a home that died at the beginning was noticed up to 0.6 s later, and its runs outlived the 1.3 s of a resubmission.

Cause: the suspension was noticed only from 0.6 s on, by whichever clock shows a gap; the age of what peers have sent is measured by the clock that stands still.

Change: when the clock of the time since boot has advanced by 50 ms more than the steady one, the process counts as suspended: links end, and upstreams are taken over anew. The steady clock is read last, so that a pause between the two readings does not count.

Test: node/late_messages::a_suspension_counts_towards_the_time_since_a_home_was_alive failed before (0.9 s after the death of the home instead of 0.62 s at most), and passes.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -33,6 +33,17 @@
 /// unnoticed.
 const MIN_SUSPENSION: Duration = Duration::from_millis(600);
 
+/// Minimum time that the steady clock does not count and that counts as a suspension: the time stamps of peers, which that
+/// clock measures, are older by as much.
+const MIN_UNCOUNTED: Duration = Duration::from_millis(50);
+
+/// Readings of both clocks, the steady one first.
+#[derive(Clone, Copy)]
+struct Clocks {
+    steady: Instant,
+    since_boot: Duration,
+}
+
 /// Sends orders to upstreams.
 pub trait UpstreamPort: Clone + Send + Sync + 'static {
     /// Renews the lease of an upstream's runs and reads which of them run or have ended.
@@ -208,7 +219,7 @@
     pub async fn run(mut self) {
         let mut ticks = interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut last = (Instant::now(), self.clock.elapsed());
+        let mut last = Clocks { steady: Instant::now(), since_boot: self.clock.elapsed() };
         let mut batch = Vec::with_capacity(INPUT_BATCH);
         loop {
             tokio::select! {
@@ -228,14 +239,18 @@
         }
     }
 
-    /// Informs the engine of a suspension if either clock shows a gap since the last iteration.
-    fn check_suspension(&mut self, now: Instant, last: (Instant, Duration)) -> (Instant, Duration) {
-        let elapsed = self.clock.elapsed();
-        let gap = now.duration_since(last.0).max(elapsed.saturating_sub(last.1));
-        if gap > MIN_SUSPENSION {
+    /// Informs the engine of a suspension if either clock shows a gap since the last iteration, or if the steady clock has
+    /// stood still.
+    fn check_suspension(&mut self, now: Instant, last: Clocks) -> Clocks {
+        let since_boot = self.clock.elapsed();
+        let gap_since_boot = since_boot.saturating_sub(last.since_boot);
+        let gap = gap_since_boot.max(now.duration_since(last.steady));
+        // Read after the other clock, so that time between the two readings does not count as a suspension.
+        let uncounted = gap_since_boot.saturating_sub(last.steady.elapsed());
+        if gap > MIN_SUSPENSION || uncounted > MIN_UNCOUNTED {
             self.engine.handle(now, Input::Suspended(gap));
         }
-        (now, elapsed)
+        Clocks { steady: now, since_boot }
     }
 
     /// Abandons the jobs whose callers have disconnected. Inputs that say so are lost while the queue is full.
--- a/crates/node/tests/abandoned.rs
+++ b/crates/node/tests/abandoned.rs
@@ -14,7 +14,7 @@
 use hinge_runs::{Hold, HoldReply, Listing, Resources, StartOrder, StartReply, StopOrder};
 use support::{Clock, upstream};
 use tokio::net::TcpListener;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 /// Time in which the upstream is taken over.
 const TAKEOVER: Duration = Duration::from_secs(1);
@@ -75,7 +75,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let settings = NodeSettings { local, seed: 1, started_unix_ms: 1_767_000_000_000 };
     let metrics = NodeMetrics::new().unwrap();
-    let (node, handle) = Node::new(settings, listener, port, Clock(Instant::now()), metrics);
+    let (node, handle) = Node::new(settings, listener, port, Clock::new(), metrics);
     tokio::spawn(node.run());
     handle.send_input(Input::Entries(Vec::new())).await;
     handle.send_input(Input::Upstreams(vec![upstream()])).await;
--- a/crates/node/tests/late_messages.rs
+++ b/crates/node/tests/late_messages.rs
@@ -95,12 +95,11 @@
     }
 }
 
-async fn start_node(local: Hello, runs: &Runs) -> (NodeHandle, std::net::SocketAddr) {
+async fn start_node(local: Hello, runs: &Runs, clock: Clock) -> (NodeHandle, std::net::SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let seed = local.incarnation;
     let settings = NodeSettings { local, seed, started_unix_ms: 1_767_000_000_000 };
-    let clock = Clock(Instant::now());
     let (node, handle) = Node::new(settings, listener, runs.clone(), clock, NodeMetrics::new().unwrap());
     tokio::spawn(node.run());
     (handle, address)
@@ -109,6 +108,7 @@
 struct Pair {
     home: NodeHandle,
     _owner: NodeHandle,
+    owner_clock: Clock,
     path: Path,
     runs: Runs,
 }
@@ -118,8 +118,9 @@
     async fn new() -> Self {
         let runs = Runs::new();
         let far = Hello { data_centre: "dc2".into(), ..hello(HOME) };
-        let (home, _) = start_node(far.clone(), &runs).await;
-        let (owner, address) = start_node(hello(OWNER), &runs).await;
+        let owner_clock = Clock::new();
+        let (home, _) = start_node(far.clone(), &runs, Clock::new()).await;
+        let (owner, address) = start_node(hello(OWNER), &runs, owner_clock.clone()).await;
         let path = Path::new(address).await;
         let records = vec![
             EntryRecord { data_centre: far.data_centre, ..entry(HOME) },
@@ -130,7 +131,7 @@
             node.send_input(Input::Upstreams(vec![upstream()])).await;
         }
         sleep(Duration::from_secs(1)).await;
-        Self { home, _owner: owner, path, runs }
+        Self { home, _owner: owner, owner_clock, path, runs }
     }
 
     /// Sends a job of one long task to the home.
@@ -218,3 +219,20 @@
     let stopped_at = pair.runs.stopped.lock().unwrap()[0];
     assert!(stopped_at < left_at + RESUBMIT_AFTER, "{:?}", stopped_at.duration_since(left_at));
 }
+
+/// Guards against a run that goes on for too long after the death of its home: its owner is suspended for less time than
+/// leases last, which its steady clock does not count, and finds the time stamps of its peers newer than they are.
+#[tokio::test(start_paused = true)]
+async fn a_suspension_counts_towards_the_time_since_a_home_was_alive() {
+    let pair = Pair::new().await;
+    let _job = pair.submit();
+    sleep(Duration::from_millis(200)).await;
+    assert_eq!(pair.runs.starts(), 1);
+    let suspended = Duration::from_millis(500);
+    pair.path.kill_sender();
+    pair.owner_clock.suspend(suspended);
+    let resumed_at = Instant::now();
+    sleep(Duration::from_secs(5)).await;
+    let since_death = pair.runs.stopped.lock().unwrap()[0].duration_since(resumed_at) + suspended;
+    assert!(since_death <= LIVENESS_TIMEOUT + Duration::from_millis(20), "{since_death:?}");
+}
--- a/crates/node/tests/panics.rs
+++ b/crates/node/tests/panics.rs
@@ -13,7 +13,6 @@
 use hinge_runs::{Hold, HoldReply, Listing, StartOrder, StartReply, StopOrder};
 use support::{Clock, upstream};
 use tokio::net::TcpListener;
-use tokio::time::Instant;
 
 /// Panics in the first holds.
 #[derive(Clone, Default)]
@@ -48,7 +47,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let settings = NodeSettings { local, seed: 1, started_unix_ms: 1_767_000_000_000 };
     let metrics = NodeMetrics::new().unwrap();
-    let (node, handle) = Node::new(settings, listener, port.clone(), Clock(Instant::now()), metrics);
+    let (node, handle) = Node::new(settings, listener, port.clone(), Clock::new(), metrics);
     tokio::spawn(node.run());
     handle.send_input(Input::Entries(Vec::new())).await;
     handle.send_input(Input::Upstreams(vec![upstream()])).await;
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -2,20 +2,37 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use hinge_jobs::{JobRequest, QueuePolicy};
 use hinge_mesh::Hello;
 use hinge_node::{EntryRecord, SuspendClock};
-use hinge_runs::{Resources, UpstreamRecord};
+use hinge_runs::{Resources, UpstreamRecord, whole_ms};
 use tokio::time::Instant;
 
-/// A clock that advances with the runtime's clock.
-pub(crate) struct Clock(pub(crate) Instant);
+/// A clock that advances with the runtime's clock, and counts suspensions, which that clock does not.
+#[derive(Clone)]
+pub(crate) struct Clock {
+    started_at: Instant,
+    suspended_ms: Arc<AtomicU64>,
+}
+
+impl Clock {
+    pub(crate) fn new() -> Self {
+        Self { started_at: Instant::now(), suspended_ms: Arc::default() }
+    }
+
+    /// Suspends the process for a time, as its other clocks do not show.
+    pub(crate) fn suspend(&self, time: Duration) {
+        self.suspended_ms.fetch_add(whole_ms(time), Ordering::SeqCst);
+    }
+}
 
 impl SuspendClock for Clock {
     fn elapsed(&self) -> Duration {
-        self.0.elapsed()
+        self.started_at.elapsed() + Duration::from_millis(self.suspended_ms.load(Ordering::SeqCst))
     }
 }
 
