--- a/crates/runs/src/orders.rs
+++ b/crates/runs/src/orders.rs
@@ -104,6 +104,7 @@
         upstream.reset_incarnation();
         upstream.restarted = true;
         if upstream.ownership != Ownership::None {
+            self.notice_ownership(id, "restarted");
             self.start_takeover(now, id);
         }
     }
--- a/crates/runs/tests/lost_ownership.rs
+++ b/crates/runs/tests/lost_ownership.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use hinge_runs::{
-    Action, EndKind, Ended, Event, HoldReply, Listing, Outcome, Rejection, StartOrder, StartReply,
+    Action, EndKind, Ended, Event, HoldReply, Listing, Notice, Outcome, Rejection, StartOrder, StartReply,
     UpstreamRecord,
 };
 use support::{Owner, first_hold, first_start, record};
@@ -34,6 +34,18 @@
     assert_eq!(owner.runner.owned().count(), 0, "the idle upstream is released");
 }
 
+/// Guards against a restart under the same id that the log does not show.
+#[test]
+fn a_restart_of_an_upstream_is_logged() {
+    let (mut owner, _) = Owner::with_run();
+    owner.handle(Event::Upstreams(vec![record("up-1", 2)]));
+    let states = owner.runner.drain_actions().filter_map(|action| match action {
+        Action::Notice(Notice::Owner { state, .. }) => Some(state),
+        _ => None,
+    });
+    assert_eq!(states.collect::<Vec<_>>(), ["restarted", "taking"]);
+}
+
 /// Guards against a former owner that fences its successor: the answer to a start order arrives after the loss of ownership,
 /// and the stop order for the run carries a raised token.
 #[test]
