Runs, node: an upstream whose last owner had a clock that was ahead is taken over

What callers would see: an upstream without an owner, so less room, for as long as the clock of its last owner was ahead.

Cause: a new owner raised its token by 1 s of time each 3 s, while the upstream obeys only tokens above the highest it has seen.

Change: the increment grows eightfold with each takeover in a row that fails, to over an hour, and begins anew after a takeover.

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -40,6 +40,8 @@
     /// Fencing token at the start of the process.
     pub(crate) fence_base: Fence,
     pub(crate) jobs: JobTable,
+    /// Highest fencing tokens that peers have named with the upstreams that they own.
+    pub(crate) known_fences: FastMap<UpstreamId, Fence>,
     /// Upstreams that another owner fenced off, with the time until which they are not taken over.
     pub(crate) takeover_paused: FastMap<UpstreamId, Instant>,
     pub(crate) outboxes: FastMap<HomeId, Outbox>,
@@ -82,6 +84,7 @@
             config_request_at: None,
             fence_base,
             jobs,
+            known_fences: FastMap::default(),
             takeover_paused: FastMap::default(),
             outboxes: FastMap::default(),
             outputs: Vec::new(),
@@ -144,6 +147,8 @@
             }
             Input::Upstreams(records) => {
                 self.ownership.observe(now, &records);
+                let registered: FastSet<_> = records.iter().map(|record| &record.id).collect();
+                self.known_fences.retain(|id, _| registered.contains(id));
                 self.upstreams.clone_from(&records);
                 self.services = records.iter().map(|upstream| upstream.service.clone()).collect();
                 self.services.sort_unstable();
@@ -297,7 +302,7 @@
             let owned = self.runner.owns(&id);
             let free = !isolated && !claimed.contains(&id) && !self.takeover_paused.contains_key(&id);
             if desired.contains(&id) && (owned || free) {
-                let fence = self.next_fence(now);
+                let fence = self.next_fence(now, &id);
                 self.runner.handle(now, Event::Own { fence, upstream: id });
             } else if owned && !desired.contains(&id) {
                 self.runner.handle(now, Event::Release(id));
@@ -305,12 +310,20 @@
         }
     }
 
-    /// A fencing token above those of earlier owners. Tokens grow with the wall clock in all processes.
-    fn next_fence(&self, now: Instant) -> Fence {
-        self.fence_base + (hinge_runs::whole_ms(now.duration_since(self.started_at)) << FENCE_TIME_SHIFT)
+    /// A fencing token above those of earlier owners. Tokens grow with the wall clock in all processes; the clock of an earlier
+    /// owner that is known may have been ahead.
+    fn next_fence(&self, now: Instant, upstream: &UpstreamId) -> Fence {
+        let since_start_ms = hinge_runs::whole_ms(now.duration_since(self.started_at));
+        let own = self.fence_base + (since_start_ms << FENCE_TIME_SHIFT);
+        let known = self.known_fences.get(upstream).copied().unwrap_or_default();
+        if known > own + MAX_FENCE_AHEAD { own } else { own.max(known + FENCE_MARGIN) }
     }
 }
 
+/// Minimum distance from a fencing token that a peer has named, since the peer may have raised it; 1 s of its time.
+const FENCE_MARGIN: Fence = 1_000 << FENCE_TIME_SHIFT;
+/// Maximum distance of a fencing token that a peer has named and that is not taken for an error; a day of its time.
+const MAX_FENCE_AHEAD: Fence = (24 * 60 * 60 * 1_000) << FENCE_TIME_SHIFT;
 /// Number of low bits of a fencing token that are taken from the process's seed, so that processes which issue a token
 /// in the same millisecond differ. The bits above hold the Unix time in milliseconds.
 pub(crate) const FENCE_TIME_SHIFT: u32 = 10;
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -106,7 +106,13 @@
             | Message::Idle
             | Message::Resume(_)
             | Message::Timestamps(_) => {}
-            Message::Owned(owned) => peer.claims = owned.into_iter().map(|claim| claim.upstream).collect(),
+            Message::Owned(owned) => {
+                for claim in &owned {
+                    let known = self.known_fences.entry(claim.upstream.clone()).or_default();
+                    *known = claim.fence.max(*known);
+                }
+                peer.claims = owned.into_iter().map(|claim| claim.upstream).collect();
+            }
             Message::Recall(assignments) => {
                 for assignment in assignments {
                     self.runner.handle(now, Event::Recalled { assignment, home: id });
--- a/crates/node/tests/ownership.rs
+++ b/crates/node/tests/ownership.rs
@@ -30,6 +30,8 @@
 /// An engine whose upstreams answer every hold immediately.
 struct Entry {
     engine: Engine,
+    /// Highest fencing token of the holds so far.
+    fence: u64,
     now: Instant,
 }
 
@@ -37,7 +39,7 @@
     fn new(number: u64) -> Self {
         let now = Instant::now();
         let engine = Engine::new(now, hello(number), 1_000, number);
-        Self { engine, now }
+        Self { engine, fence: 0, now }
     }
 
     fn input(&mut self, input: Input) {
@@ -58,6 +60,7 @@
     }
 
     fn answer(&mut self, hold: Hold) {
+        self.fence = self.fence.max(hold.fence);
         let reply = HoldReply::Listed(Listing::default());
         self.engine.handle(self.now, Input::HoldEnded { hold, reply });
     }
@@ -89,8 +92,12 @@
     }
 
     fn peer_owns(&mut self, peer: u64, upstreams: &[UpstreamRecord]) {
+        self.peer_owns_with(1, peer, upstreams);
+    }
+
+    fn peer_owns_with(&mut self, fence: u64, peer: u64, upstreams: &[UpstreamRecord]) {
         let owned =
-            upstreams.iter().map(|owned| OwnedUpstream { fence: 1, upstream: owned.id.clone() }).collect();
+            upstreams.iter().map(|owned| OwnedUpstream { fence, upstream: owned.id.clone() }).collect();
         self.input(Input::Mesh(MeshEvent::Received {
             message: Message::Owned(owned),
             peer,
@@ -118,6 +125,19 @@
     upstreams().into_iter().filter(|upstream| !entry.owned().contains(&*upstream.id)).collect()
 }
 
+/// Guards against upstreams without an owner for as long as the clock of their dead owner was ahead, although it was known.
+#[test]
+fn the_token_of_a_dead_owner_whose_clock_was_ahead_is_exceeded_at_once() {
+    const AHEAD: u64 = 60_000 << 10;
+    let mut entry = linked_pair();
+    let others = not_owned(&entry);
+    entry.peer_owns_with(AHEAD, 2, &others);
+    entry.unlink(2, false);
+    entry.wait(1_000);
+    assert_eq!(entry.owned().len(), UPSTREAMS);
+    assert!(entry.fence > AHEAD, "{}", entry.fence);
+}
+
 /// Guards against an uneven division, in which an entry owns all upstreams or none.
 #[test]
 fn two_entries_own_half_each() {
--- a/crates/runs/src/listing.rs
+++ b/crates/runs/src/listing.rs
@@ -71,6 +71,7 @@
                 return;
             }
             upstream.ownership = Ownership::Owned;
+            upstream.failed_takeovers = 0;
             self.notice_ownership(id, "owned");
         }
         for end in &listing.ended {
--- a/crates/runs/src/orders.rs
+++ b/crates/runs/src/orders.rs
@@ -21,8 +21,13 @@
 const MAX_LOST_HOLDS: u32 = 2;
 /// Delay before the next attempt to take over an upstream that does not answer.
 const TAKEOVER_RETRY: Duration = Duration::from_millis(300);
-/// Added to the fencing token after another owner had a higher one.
+/// Added to the fencing token after another owner had a higher one; about 1 s of the time in a token.
 const FENCE_INCREMENT: Fence = 1 << 20;
+/// Bits by which [`FENCE_INCREMENT`] grows with each takeover in a row that fails because of a higher token: the clock of the
+/// last owner may have been far ahead.
+const FENCE_GROWTH_BITS: u32 = 3;
+/// Maximum number of times that the increment grows; it is then over an hour.
+const MAX_FENCE_GROWTH: u32 = 4;
 /// Added to the run number after the upstream had seen a higher one, from a home whose clock is ahead.
 const RUN_INCREMENT: RunNumber = 16;
 /// Time without new tasks after an upstream rejected one for lack of free resources.
@@ -92,7 +97,9 @@
         self.end_all_runs(now, id, Outcome::Uncertain, "fenced");
         if let Some(upstream) = self.upstreams.get_mut(id) {
             upstream.ownership = Ownership::None;
-            upstream.fence += FENCE_INCREMENT;
+            let growth = upstream.failed_takeovers.min(MAX_FENCE_GROWTH) * FENCE_GROWTH_BITS;
+            upstream.fence = upstream.fence.saturating_add(FENCE_INCREMENT << growth);
+            upstream.failed_takeovers += 1;
         }
         self.notice_ownership(id, "lost");
     }
--- a/crates/runs/src/upstream.rs
+++ b/crates/runs/src/upstream.rs
@@ -101,6 +101,8 @@
     /// When the last lease has expired for certain, unless another order renews it.
     pub(crate) runs_expire_at: Instant,
     clock: Option<ClockReading>,
+    /// Number of times in a row that a higher token has ended the ownership, without a takeover in between.
+    pub(crate) failed_takeovers: u32,
     pub(crate) fence: Fence,
     /// Processes before the present one, oldest first.
     former: VecDeque<Incarnation>,
@@ -142,6 +144,7 @@
         Self {
             runs_expire_at: now,
             clock: None,
+            failed_takeovers: 0,
             fence: 0,
             former: VecDeque::new(),
             has_answered: false,
