--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -15,6 +15,7 @@
 //!
 //! [`Mesh`] owns the links. It reports [`MeshEvent`]s, and [`Mesh::send`] sends messages.
 
+mod connection;
 mod link;
 mod liveness;
 mod mesh;
--- a/crates/mesh/src/mesh.rs
+++ b/crates/mesh/src/mesh.rs
@@ -1,25 +1,22 @@
 //! The links of one entry: accepting and dialling connections, sending and receiving messages.
 
 use std::net::SocketAddr;
-use std::panic::AssertUnwindSafe;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use futures_util::FutureExt;
 use hinge_runs::HomeId;
 use hinge_wire::{FastMap, FastSet, InstanceId};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::error::TrySendError;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout};
 
-use crate::link::{self, LinkError, Reader, SILENCE_LIMIT, Writer};
+use crate::connection::run_connection;
+use crate::link::{LinkError, SILENCE_LIMIT};
 use crate::session::{Queued, Session};
-use crate::{Hello, LinkId, Message, Resume};
+use crate::{Hello, LinkId, Message};
 
-/// Time that a link lasts without a connection, so that a reset voids nothing.
-const RESUME_WINDOW: Duration = Duration::from_millis(150);
 /// Delay before a peer without a link is dialled again.
 const RECONNECT_DELAY: Duration = Duration::from_millis(100);
 /// Time after which a peer that is no longer registered and has no link is no longer dialled.
@@ -83,10 +80,10 @@
 type Links = FastMap<HomeId, Link>;
 
 /// Shared by the tasks of all links.
-struct Shared {
-    events: mpsc::Sender<MeshEvent>,
+pub(crate) struct Shared {
+    pub(crate) events: mpsc::Sender<MeshEvent>,
     links: Mutex<Links>,
-    local: Hello,
+    pub(crate) local: Hello,
 }
 
 impl Shared {
@@ -95,7 +92,7 @@
     }
 
     /// The link to a process, if it can continue on another connection. The connection that carries it ends.
-    fn claim(&self, peer: HomeId) -> Option<Claim> {
+    pub(crate) fn claim(&self, peer: HomeId) -> Option<Claim> {
         let mut links = self.links();
         let link = links.get_mut(&peer).filter(|link| link.session.peer.resumable)?;
         link.suspended_at = None;
@@ -104,7 +101,7 @@
     }
 
     /// Creates the link to a process, in place of an earlier one.
-    fn create(&self, id: LinkId, peer: Hello, epoch: Instant) -> Claim {
+    pub(crate) fn create(&self, id: LinkId, peer: Hello, epoch: Instant) -> Claim {
         let (queue, messages) = mpsc::channel(MAX_QUEUED_MESSAGES);
         let session = Arc::new(Session::new(id, peer, epoch, messages));
         let link = Link { queue, session: session.clone(), suspended_at: None };
@@ -115,7 +112,7 @@
     }
 
     /// Ends a link whose connection is gone, unless another connection carries it or another link has replaced it.
-    async fn end(&self, claim: &Claim, error: &LinkError, since: Instant) {
+    pub(crate) async fn end(&self, claim: &Claim, error: &LinkError, since: Instant) {
         let peer = claim.session.peer.incarnation;
         let replaced = {
             let mut links = self.links();
@@ -152,7 +149,7 @@
     }
 
     /// Whether the link now waits for another connection.
-    fn suspend(&self, claim: &Claim, now: Instant) -> bool {
+    pub(crate) fn suspend(&self, claim: &Claim, now: Instant) -> bool {
         let mut links = self.links();
         let link = links.get_mut(&claim.session.peer.incarnation).filter(|link| claim.carries(link));
         link.map(|link| link.suspended_at = Some(now)).is_some()
@@ -160,9 +157,9 @@
 }
 
 /// A connection's hold on a link; void once another connection has claimed the link.
-struct Claim {
+pub(crate) struct Claim {
     number: u64,
-    session: Arc<Session>,
+    pub(crate) session: Arc<Session>,
 }
 
 impl Claim {
@@ -171,7 +168,7 @@
     }
 
     /// Waits until another connection has claimed the link.
-    async fn replaced(&self) {
+    pub(crate) async fn replaced(&self) {
         let mut connection = self.session.connection.subscribe();
         // Fails only when the session is gone.
         let _ = connection.wait_for(|number| *number != self.number).await;
@@ -309,147 +306,3 @@
         sleep(RECONNECT_DELAY).await;
     }
 }
-
-/// Runs a connection until it ends. Returns true if its link now waits for another connection.
-async fn run_connection(stream: TcpStream, shared: &Arc<Shared>, dialled: bool) -> bool {
-    let opened_at = Instant::now();
-    let opened = timeout(SILENCE_LIMIT, link::open(stream, &shared.local, dialled)).await;
-    let Ok(Ok((mut hello, mut reader, mut writer))) = opened else { return false };
-    hello.resumable &= shared.local.resumable;
-    hello.timestamps &= shared.local.timestamps;
-    let Some(claim) = claim_link(hello, opened_at, shared, &mut reader, &mut writer).await else {
-        return false;
-    };
-    // A panic while a message is handled ends the link and nothing else.
-    let carried = AssertUnwindSafe(carry(&claim, shared, reader, writer)).catch_unwind().await;
-    let (error, resumable) = carried.unwrap_or((LinkError::Panicked, false));
-    let ended_at = Instant::now();
-    if matches!(error, LinkError::Replaced) {
-        return false;
-    }
-    if !resumable || !shared.suspend(&claim, ended_at) {
-        shared.end(&claim, &error, ended_at).await;
-        return false;
-    }
-    let shared = shared.clone();
-    tokio::spawn(async move {
-        sleep_until(resume_until(&claim.session, &error, ended_at)).await;
-        shared.end(&claim, &error, ended_at).await;
-    });
-    true
-}
-
-/// The link that a new connection carries: an earlier one if both sides can continue it, else a new one. None if the
-/// connection fails before that is agreed.
-async fn claim_link(
-    hello: Hello,
-    opened_at: Instant,
-    shared: &Shared,
-    reader: &mut Reader,
-    writer: &mut Writer,
-) -> Option<Claim> {
-    let mut id = 0;
-    if hello.resumable {
-        let claim = shared.claim(hello.incarnation);
-        let latest = Instant::now() + SILENCE_LIMIT;
-        let alive_until = claim.as_ref().map(|claim| claim.session.liveness().alive_until());
-        let until = alive_until.map_or(latest, |alive_until| latest.min(alive_until));
-        let agreed = timeout_at(until, resume(claim.as_ref(), reader, writer)).await;
-        match (agreed.map_err(LinkError::from).flatten(), claim) {
-            (Ok(Agreed::Continue), claim) => {
-                if let Some(claim) = &claim {
-                    claim.session.liveness().record_resumption(Instant::now(), opened_at);
-                }
-                return claim;
-            }
-            (Ok(Agreed::New(new)), _) => id = new,
-            (Err(error), Some(claim)) => {
-                shared.end(&claim, &error, Instant::now()).await;
-                return None;
-            }
-            (Err(_), None) => return None,
-        }
-    }
-    let claim = shared.create(id, hello.clone(), opened_at);
-    let _ = shared.events.send(MeshEvent::Up(hello)).await;
-    Some(claim)
-}
-
-/// Until when another connection may continue a link. Never later than the link would have ended without a new connection,
-/// because the bounds for runs of lost homes and owners rely on that.
-fn resume_until(session: &Session, error: &LinkError, ended_at: Instant) -> Instant {
-    let window = if matches!(error, LinkError::Stalled) { SILENCE_LIMIT } else { RESUME_WINDOW };
-    session.liveness().alive_until().min(ended_at + window)
-}
-
-/// What both sides have agreed about a connection.
-enum Agreed {
-    Continue,
-    New(LinkId),
-}
-
-/// Agrees with the peer whether the claimed link continues. If so, sends again what the peer has not received.
-async fn resume(
-    claim: Option<&Claim>,
-    reader: &mut Reader,
-    writer: &mut Writer,
-) -> Result<Agreed, LinkError> {
-    // The lock is free once the earlier connection has ended; only then is the number of received messages final.
-    let mut link = match claim {
-        Some(claim) => Some((claim.session.outgoing.lock().await, &claim.session)),
-        None => None,
-    };
-    let nonce = rand::random();
-    let own = Resume {
-        link: link.as_ref().map(|(_, session)| session.id),
-        nonce,
-        received: link.as_ref().map_or(0, |(_, session)| session.received()),
-    };
-    writer.write(&Message::Resume(own)).await?;
-    let Message::Resume(theirs) = reader.next().await? else { return Err(LinkError::ResumeFailed) };
-    match &mut link {
-        Some((outgoing, _)) if own.link == theirs.link => {
-            let frames = outgoing.resend(theirs.received).ok_or(LinkError::ResumeFailed)?;
-            writer.write_frames(frames).await?;
-            Ok(Agreed::Continue)
-        }
-        _ => Ok(Agreed::New(nonce ^ theirs.nonce)),
-    }
-}
-
-/// Carries a link over a connection until the connection ends. Returns why it ended, and whether another connection may
-/// continue the link.
-async fn carry(claim: &Claim, shared: &Shared, reader: Reader, writer: Writer) -> (LinkError, bool) {
-    let session = &claim.session;
-    let may_idle = session.peer.data_centre != shared.local.data_centre;
-    let mut outgoing = session.outgoing.lock().await;
-    let ended = tokio::select! {
-        ended = read_messages(session, reader, &shared.events) => ended,
-        ended = writer.run(session, &mut outgoing, may_idle) => ended,
-        () = claim.replaced() => Err(LinkError::Replaced),
-    };
-    let error = ended.err().unwrap_or(LinkError::Closed);
-    let resumable = matches!(error, LinkError::Closed | LinkError::Io(_) | LinkError::Stalled);
-    (error, resumable && outgoing.is_resumable(session))
-}
-
-async fn read_messages(
-    session: &Session,
-    mut reader: Reader,
-    events: &mpsc::Sender<MeshEvent>,
-) -> Result<(), LinkError> {
-    let peer = session.peer.incarnation;
-    loop {
-        match reader.next_of(session).await? {
-            Message::Acknowledge(received) => session.acknowledge(received),
-            Message::Heartbeat | Message::Idle | Message::Timestamps(_) => {}
-            message => {
-                let sent_after = session.liveness().sent_after();
-                if events.send(MeshEvent::Received { message, peer, sent_after }).await.is_err() {
-                    return Err(LinkError::Closed);
-                }
-                session.count_received();
-            }
-        }
-    }
-}
