--- a/crates/mesh/tests/blocked_writes.rs
+++ b/crates/mesh/tests/blocked_writes.rs
@@ -2,31 +2,18 @@
 
 #![allow(clippy::panic, clippy::unwrap_used, reason = "tests")]
 
+mod support;
+
 use std::time::Duration;
 
-use hinge_mesh::{Hello, Mesh, MeshEvent, Message, Resume, Timestamps};
-use hinge_wire::{from_msgpack, to_msgpack};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use hinge_mesh::{Mesh, MeshEvent, Message, Resume, Timestamps};
+use hinge_wire::from_msgpack;
+use support::{hello, write};
+use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
-fn hello(number: u64) -> Hello {
-    Hello {
-        data_centre: "dc1".into(),
-        incarnation: number,
-        instance: format!("entry-{number}").into(),
-        resumable: true,
-        timestamps: true,
-    }
-}
-
-async fn write(stream: &mut TcpStream, message: &Message) {
-    let frame = to_msgpack(message).unwrap();
-    stream.write_u32(u32::try_from(frame.len()).unwrap()).await.unwrap();
-    stream.write_all(&frame).await.unwrap();
-}
-
 async fn read(stream: &mut TcpStream) -> Message {
     let length = stream.read_u32().await.unwrap();
     let mut frame = vec![0; length as usize];
--- a/crates/mesh/tests/links.rs
+++ b/crates/mesh/tests/links.rs
@@ -2,24 +2,17 @@
 
 #![allow(clippy::unwrap_used, reason = "tests")]
 
+mod support;
+
 use std::time::Duration;
 
 use hinge_mesh::{Hello, Mesh, MeshEvent, Message, PeerAddress};
+use support::{hello, write};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
 
-fn hello(number: u64) -> Hello {
-    Hello {
-        data_centre: "dc1".into(),
-        incarnation: number,
-        instance: format!("entry-{number}").into(),
-        resumable: true,
-        timestamps: true,
-    }
-}
-
 /// Identity of a process that does not resume links.
 fn plain_hello(number: u64) -> Hello {
     Hello { resumable: false, timestamps: false, ..hello(number) }
@@ -67,10 +60,8 @@
     first.set_peers(&[PeerAddress { address, instance: "entry-2".into() }]);
     let (stream, _) = listener.accept().await.unwrap();
     drop(listener);
-    let frame = hinge_wire::to_msgpack(&Message::Hello(plain_hello(2))).unwrap();
     let mut stream = stream;
-    stream.write_u32(u32::try_from(frame.len()).unwrap()).await.unwrap();
-    stream.write_all(&frame).await.unwrap();
+    write(&mut stream, &Message::Hello(plain_hello(2))).await;
     assert!(matches!(events.recv().await, Some(MeshEvent::Up(_))));
     drop(stream);
     assert!(matches!(events.recv().await, Some(MeshEvent::Down { peer: 2, silent: false, .. })));
@@ -121,9 +112,7 @@
     let mut stream = TcpStream::connect(address.address).await.unwrap();
     let far = Hello { data_centre: "dc2".into(), ..plain_hello(2) };
     for message in [&[Message::Hello(far)], messages].concat() {
-        let frame = hinge_wire::to_msgpack(&message).unwrap();
-        stream.write_u32(u32::try_from(frame.len()).unwrap()).await.unwrap();
-        stream.write_all(&frame).await.unwrap();
+        write(&mut stream, &message).await;
     }
     assert!(matches!(events.recv().await, Some(MeshEvent::Up(_))));
     let silent_since = Instant::now();
--- a/crates/mesh/tests/resume.rs
+++ b/crates/mesh/tests/resume.rs
@@ -2,11 +2,14 @@
 
 #![allow(clippy::panic, clippy::unwrap_used, reason = "tests")]
 
+mod support;
+
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use hinge_mesh::{Hello, Mesh, MeshEvent, Message, PeerAddress};
+use hinge_mesh::{Mesh, MeshEvent, Message, PeerAddress};
+use support::process;
 use tokio::io::copy_bidirectional;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -49,16 +52,6 @@
     }
 }
 
-fn hello(number: u64, incarnation: u64) -> Hello {
-    Hello {
-        data_centre: "dc1".into(),
-        incarnation,
-        instance: format!("entry-{number}").into(),
-        resumable: true,
-        timestamps: true,
-    }
-}
-
 struct Entry {
     address: SocketAddr,
     events: mpsc::Receiver<MeshEvent>,
@@ -70,7 +63,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let (sender, events) = mpsc::channel(256);
-        let mesh = Mesh::start(listener, hello(number, incarnation), sender);
+        let mesh = Mesh::start(listener, process(number, incarnation), sender);
         Self { address, events, mesh }
     }
 
--- a/crates/mesh/tests/resume_limit.rs
+++ b/crates/mesh/tests/resume_limit.rs
@@ -2,31 +2,17 @@
 
 #![allow(clippy::unwrap_used, reason = "tests")]
 
+mod support;
+
 use std::time::Duration;
 
 use hinge_mesh::{Hello, Mesh, MeshEvent, Message};
 use hinge_runs::LIVENESS_TIMEOUT;
-use tokio::io::AsyncWriteExt;
+use support::{hello, write};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep};
 
-fn hello(number: u64) -> Hello {
-    Hello {
-        data_centre: "dc1".into(),
-        incarnation: number,
-        instance: format!("entry-{number}").into(),
-        resumable: true,
-        timestamps: true,
-    }
-}
-
-async fn write(stream: &mut TcpStream, message: &Message) {
-    let frame = hinge_wire::to_msgpack(message).unwrap();
-    stream.write_u32(u32::try_from(frame.len()).unwrap()).await.unwrap();
-    stream.write_all(&frame).await.unwrap();
-}
-
 /// Time until a link is down whose peer is silent, but for the first message on another connection.
 async fn down_after(peer: Hello) -> Duration {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
