Mesh: a side that is idle sends time stamps as soon as its link is used

What callers would see: 502 for jobs across two data centres, because a link was given up that both sides could use.

Cause: a message that arrived without a request for time stamps (sent again over a new connection, or before its sender knew that the link was idle) ended the idleness of its receiver, which then expected a fresh exchange, but its sending side slept for up to 1 s.

Change: it is woken. The proxies of these tests send small packets at once, as the entries do: delayed acknowledgements take real time while the clock of a test stands ready to advance.

--- a/crates/mesh/src/liveness.rs
+++ b/crates/mesh/src/liveness.rs
@@ -152,8 +152,8 @@
         self.is_waking()
     }
 
-    /// Records the arrival of a message. Returns true if the sending side must know: the peer has asked for time stamps, or
-    /// has sent those that this side has asked for.
+    /// Records the arrival of a message. Returns true if the sending side must know: the peer has asked for time stamps, has
+    /// sent those that this side has asked for, or uses a link that was idle for this side.
     ///
     /// # Errors
     ///
@@ -170,8 +170,8 @@
             Message::Idle => Ok(self.set_idle(now, true)),
             Message::Timestamps(timestamps) => self.record_timestamps(now, *timestamps),
             _ => {
-                self.set_used(now);
-                Ok(self.set_idle(now, false))
+                let was_idle = self.set_used(now);
+                Ok(self.set_idle(now, false) || was_idle)
             }
         }
     }
@@ -197,11 +197,14 @@
         Ok(self.set_idle(now, received.idle) || received.reply)
     }
 
-    fn set_used(&mut self, now: Instant) {
+    /// Ends the idleness of this side; returns true if the link was idle for it, so that its next time stamps are due now.
+    fn set_used(&mut self, now: Instant) -> bool {
         self.used_at = now;
-        if std::mem::take(&mut self.idle) {
+        let was_idle = std::mem::take(&mut self.idle);
+        if was_idle {
             self.woken_at = now;
         }
+        was_idle
     }
 
     /// Sets whether the link is idle for the peer; returns true if this side has waited for the end of that.
--- a/crates/mesh/tests/links.rs
+++ b/crates/mesh/tests/links.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use hinge_mesh::{Hello, Mesh, MeshEvent, Message, PeerAddress};
-use support::{hello, write};
+use support::{hello, send_at_once, write};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -151,3 +151,43 @@
     let received = far_events.recv().await;
     assert!(matches!(received, Some(MeshEvent::Received { message: Message::ConfigRequest, peer: 1, .. })));
 }
+
+/// Guards against a message that is lost because its connection is reset while an idle link is being used again.
+#[tokio::test(start_paused = true)]
+async fn a_message_on_an_idle_link_survives_a_reset_during_the_exchange_of_time_stamps() {
+    let (mut near, mut events, _) = entry(1).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let target = listener.local_addr().unwrap();
+    let (sender, mut far_events) = mpsc::channel(64);
+    let _far = Mesh::start(listener, Hello { data_centre: "dc2".into(), ..hello(2) }, sender);
+    let proxy = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = proxy.local_addr().unwrap();
+    near.set_peers(&[PeerAddress { address, instance: "entry-2".into() }]);
+    let (reset, mut is_reset) = tokio::sync::watch::channel(());
+    tokio::spawn(async move {
+        while let Ok((mut near, _)) = proxy.accept().await {
+            let mut far = TcpStream::connect(target).await.unwrap();
+            send_at_once([&near, &far]);
+            tokio::select! {
+                _ = tokio::io::copy_bidirectional(&mut near, &mut far) => {}
+                _ = is_reset.changed() => {}
+            }
+        }
+    });
+    assert!(matches!(events.recv().await, Some(MeshEvent::Up(_))));
+    assert!(matches!(far_events.recv().await, Some(MeshEvent::Up(_))));
+    for round in 0..5 {
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        assert!(near.send(2, Message::Cancel(vec![round])));
+        for _ in 0..round {
+            tokio::task::yield_now().await;
+        }
+        reset.send_replace(());
+        let received = timeout(Duration::from_secs(2), far_events.recv()).await.unwrap();
+        let expected = Message::Cancel(vec![round]);
+        assert!(
+            matches!(&received, Some(MeshEvent::Received { message, .. }) if *message == expected),
+            "{received:?}"
+        );
+    }
+}
--- a/crates/mesh/tests/liveness.rs
+++ b/crates/mesh/tests/liveness.rs
@@ -121,3 +121,15 @@
     assert_eq!(side.alive_until_ms(), 2_700 + LIVENESS_TIMEOUT.as_millis());
     assert!(!side.liveness.heartbeat(side.epoch + ms(2_710), true).idle);
 }
+
+/// Guards against a link that is lost because a side that is idle goes on to send time stamps rarely: a message has arrived
+/// that the peer sent before it knew.
+#[test]
+fn a_message_on_a_link_that_is_idle_for_this_side_calls_for_time_stamps() {
+    let mut side = Side::new(true);
+    side.receive(1_900, echo(1_800));
+    assert!(side.liveness.heartbeat(side.epoch + ms(2_000), true).idle);
+    let arrived_at = side.epoch + ms(2_001);
+    assert!(side.liveness.record_arrival(arrived_at, &Message::Cancel(vec![1])).unwrap());
+    assert!(!side.liveness.record_arrival(arrived_at, &Message::Cancel(vec![2])).unwrap());
+}
--- a/crates/mesh/tests/resume.rs
+++ b/crates/mesh/tests/resume.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use hinge_mesh::{Mesh, MeshEvent, Message, PeerAddress};
-use support::process;
+use support::{process, send_at_once};
 use tokio::io::copy_bidirectional;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -34,6 +34,7 @@
         tokio::spawn(async move {
             while let Ok((mut near, _)) = listener.accept().await {
                 let Ok(mut far) = TcpStream::connect(target).await else { continue };
+                send_at_once([&near, &far]);
                 let forward = async move {
                     // Ends when either side closes the connection.
                     let _ = copy_bidirectional(&mut near, &mut far).await;
@@ -129,6 +130,7 @@
     first.dial(2, listener.local_addr().unwrap());
     let (mut near, _) = listener.accept().await.unwrap();
     let mut far = TcpStream::connect(second.address).await.unwrap();
+    send_at_once([&near, &far]);
     let forward = tokio::spawn(async move { copy_bidirectional(&mut near, &mut far).await.map(drop) });
     first.up().await;
     second.up().await;
@@ -212,6 +214,7 @@
         for lifetime in [Some(Duration::from_millis(300)), None] {
             let (mut near, _) = listener.accept().await.unwrap();
             let mut far = TcpStream::connect(target).await.unwrap();
+            send_at_once([&near, &far]);
             let forward = copy_bidirectional(&mut near, &mut far);
             match lifetime {
                 // From then on nothing is forwarded, but both connections stay open.
--- a/crates/mesh/tests/support/mod.rs
+++ b/crates/mesh/tests/support/mod.rs
@@ -22,6 +22,13 @@
     process(number, number)
 }
 
+/// Sends small packets at once: delayed acknowledgements would take real time while the clock of a test advances.
+pub(crate) fn send_at_once(streams: [&TcpStream; 2]) {
+    for stream in streams {
+        stream.set_nodelay(true).unwrap();
+    }
+}
+
 /// Sends a message with its length in front.
 pub(crate) async fn write(stream: &mut TcpStream, message: &Message) {
     let frame = hinge_wire::to_msgpack(message).unwrap();
