Mesh: the largest time stamp costs no link

A time stamp of 2^64-1 from another program overflowed the comparison with the one before: a panic, so a lost link, in a debug build. Found by reading. Also the name of a function and two comments.

--- a/crates/mesh/src/connection.rs
+++ b/crates/mesh/src/connection.rs
@@ -148,7 +148,7 @@
 ) -> Result<(), LinkError> {
     let peer = session.peer.incarnation;
     loop {
-        match reader.next_of(session).await? {
+        match reader.next_message(session).await? {
             Message::Acknowledge(received) => session.acknowledge(received),
             Message::Heartbeat | Message::Idle | Message::Timestamps(_) => {}
             message => {
--- a/crates/mesh/src/link.rs
+++ b/crates/mesh/src/link.rs
@@ -93,14 +93,14 @@
 }
 
 impl Reader {
-    /// Returns the next message.
+    /// Returns the next message, whatever it is.
     pub(crate) async fn next(&mut self) -> Result<Message, LinkError> {
         let frame = self.frames.next().await.ok_or(LinkError::Closed)??;
         Ok(from_msgpack(&frame)?)
     }
 
     /// Returns the next message of a link; fails when the peer does not count as alive any more.
-    pub(crate) async fn next_of(&mut self, session: &Session) -> Result<Message, LinkError> {
+    pub(crate) async fn next_message(&mut self, session: &Session) -> Result<Message, LinkError> {
         let (stalled_at, alive_until) = {
             let liveness = session.liveness();
             let last_arrival = liveness.last_arrival().filter(|_| self.dialled);
@@ -144,7 +144,7 @@
         let now = Instant::now();
         let interval_ms = whole_ms(TIMESTAMP_INTERVAL);
         let is_recent = self.echoed.is_some_and(|(echoed_ms, at)| {
-            now.duration_since(at) < TIMESTAMP_INTERVAL && echo_ms < echoed_ms + interval_ms
+            now.duration_since(at) < TIMESTAMP_INTERVAL && echo_ms < echoed_ms.saturating_add(interval_ms)
         });
         if is_recent || !session.peer.timestamps {
             return Ok(None);
--- a/crates/mesh/src/mesh.rs
+++ b/crates/mesh/src/mesh.rs
@@ -44,7 +44,7 @@
         error: String,
         /// Incarnation of the peer.
         peer: HomeId,
-        /// Time since which the peer has not been shown to be alive.
+        /// Newest time stamp that the peer has returned; it was alive then.
         sent_after: Instant,
         /// Whether a read or write timed out; otherwise the connection was closed or failed.
         silent: bool,
--- a/crates/mesh/tests/blocked_writes.rs
+++ b/crates/mesh/tests/blocked_writes.rs
@@ -59,3 +59,27 @@
     }
     assert_eq!(echo_ms, 1_000);
 }
+
+/// Guards against an overflow with the time stamps of another program.
+#[tokio::test(start_paused = true)]
+async fn the_largest_time_stamp_is_returned_like_others() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (sender, mut events) = mpsc::channel(64);
+    let mesh = Mesh::start(listener, hello(1), sender);
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    write(&mut stream, &Message::Hello(hello(2))).await;
+    write(&mut stream, &Message::Resume(Resume { link: None, nonce: 5, received: 0 })).await;
+    assert!(matches!(events.recv().await, Some(MeshEvent::Up(_))));
+    write_time(&mut stream, u64::MAX).await;
+    // Its arrival shows in the next heartbeats.
+    while !matches!(read(&mut stream).await, Message::Timestamps(returned) if returned.echo_ms == u64::MAX) {}
+    for number in 0..2 {
+        assert!(mesh.send(2, Message::Cancel(vec![number])));
+        // The clock does not advance, so that the second message follows the time stamps before the first one.
+        for _ in 0..20 {
+            tokio::task::yield_now().await;
+        }
+    }
+    while read(&mut stream).await != Message::Cancel(vec![1]) {}
+}
--- a/crates/mesh/tests/malformed.rs
+++ b/crates/mesh/tests/malformed.rs
@@ -27,6 +27,7 @@
         Message::Report(vec![TaskReport::new(1, Outcome::Done, 2)]),
         Message::Cancel(vec![1, 2, 3]),
         Message::Timestamps(Timestamps { echo_ms: 1, idle: false, reply: true, value_ms: 2 }),
+        Message::Timestamps(Timestamps { echo_ms: 0, idle: true, reply: false, value_ms: u64::MAX }),
         Message::Config { body: "{}".into(), version: 4 },
     ];
     messages.iter().map(|message| to_msgpack(message).unwrap()).collect()
--- a/crates/node/src/journal.rs
+++ b/crates/node/src/journal.rs
@@ -28,7 +28,7 @@
         peer: HomeId,
         /// Whether the link timed out; otherwise the connection was closed or reset.
         silent: bool,
-        /// Time since which the peer has not been shown to be alive.
+        /// Time since the newest time stamp that the peer has returned.
         unproven: Duration,
     },
     /// A linked peer has become unresponsive, or responds again.
