--- a/crates/mesh/tests/blocked_writes.rs
+++ b/crates/mesh/tests/blocked_writes.rs
@@ -25,10 +25,8 @@
     write(stream, &Message::Timestamps(Timestamps { echo_ms: 0, idle: false, reply: false, value_ms })).await;
 }
 
-/// Guards against a cancellation or an assignment that has waited for a slow peer and counts as new: the time stamps that
-/// precede it must be those from when it was queued.
-#[tokio::test(start_paused = true)]
-async fn a_message_that_has_waited_follows_the_time_stamps_from_when_it_was_queued() {
+/// A mesh with a link to a peer, whose side of the connection the test plays.
+async fn linked() -> (Mesh, mpsc::Receiver<MeshEvent>, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let (sender, mut events) = mpsc::channel(64);
@@ -37,6 +35,14 @@
     write(&mut stream, &Message::Hello(hello(2))).await;
     write(&mut stream, &Message::Resume(Resume { link: None, nonce: 5, received: 0 })).await;
     assert!(matches!(events.recv().await, Some(MeshEvent::Up(_))));
+    (mesh, events, stream)
+}
+
+/// Guards against a cancellation or an assignment that has waited for a slow peer and counts as new: the time stamps that
+/// precede it must be those from when it was queued.
+#[tokio::test(start_paused = true)]
+async fn a_message_that_has_waited_follows_the_time_stamps_from_when_it_was_queued() {
+    let (mesh, _events, mut stream) = linked().await;
     write_time(&mut stream, 1_000).await;
     sleep(Duration::from_millis(10)).await;
     // More than the buffers of a connection hold.
@@ -63,14 +69,7 @@
 /// Guards against an overflow with the time stamps of another program.
 #[tokio::test(start_paused = true)]
 async fn the_largest_time_stamp_is_returned_like_others() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let (sender, mut events) = mpsc::channel(64);
-    let mesh = Mesh::start(listener, hello(1), sender);
-    let mut stream = TcpStream::connect(address).await.unwrap();
-    write(&mut stream, &Message::Hello(hello(2))).await;
-    write(&mut stream, &Message::Resume(Resume { link: None, nonce: 5, received: 0 })).await;
-    assert!(matches!(events.recv().await, Some(MeshEvent::Up(_))));
+    let (mesh, _events, mut stream) = linked().await;
     write_time(&mut stream, u64::MAX).await;
     // Its arrival shows in the next heartbeats.
     while !matches!(read(&mut stream).await, Message::Timestamps(returned) if returned.echo_ms == u64::MAX) {}
--- a/crates/node/tests/abandoned.rs
+++ b/crates/node/tests/abandoned.rs
@@ -9,10 +9,9 @@
 use std::time::Duration;
 
 use hinge_jobs::{JobRequest, QueuePolicy};
-use hinge_mesh::Hello;
 use hinge_node::{Input, Node, NodeHandle, NodeMetrics, NodeSettings, UpstreamPort};
 use hinge_runs::{Hold, HoldReply, Listing, Resources, StartOrder, StartReply, StopOrder};
-use support::{Clock, upstream};
+use support::{Clock, hello, upstream};
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
@@ -65,13 +64,7 @@
 }
 
 async fn start_node(port: CountingPort) -> NodeHandle {
-    let local = Hello {
-        data_centre: "dc1".into(),
-        incarnation: 1,
-        instance: "entry-1".into(),
-        resumable: true,
-        timestamps: true,
-    };
+    let local = hello(1);
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let settings = NodeSettings { local, seed: 1, started_unix_ms: 1_767_000_000_000 };
     let metrics = NodeMetrics::new().unwrap();
--- a/crates/node/tests/panics.rs
+++ b/crates/node/tests/panics.rs
@@ -8,10 +8,9 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use hinge_mesh::Hello;
 use hinge_node::{Input, Node, NodeMetrics, NodeSettings, UpstreamPort};
 use hinge_runs::{Hold, HoldReply, Listing, StartOrder, StartReply, StopOrder};
-use support::{Clock, upstream};
+use support::{Clock, hello, upstream};
 use tokio::net::TcpListener;
 
 /// Panics in the first holds.
@@ -36,13 +35,7 @@
 /// Guards against an upstream that is never used again because the task that waited for its answer has panicked.
 #[tokio::test(start_paused = true)]
 async fn an_upstream_is_asked_again_after_a_panic() {
-    let local = Hello {
-        data_centre: "dc1".into(),
-        incarnation: 1,
-        instance: "entry-1".into(),
-        resumable: true,
-        timestamps: true,
-    };
+    let local = hello(1);
     let port = FailingPort::default();
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let settings = NodeSettings { local, seed: 1, started_unix_ms: 1_767_000_000_000 };
