--- a/review/standin-2/entries.rs
+++ b/review/standin-2/entries.rs
@@ -1,8 +1,9 @@
 //! The entries: processes of the deploy file's program, with settings files in a temporary folder.
 
 use std::fs;
-use std::io;
+use std::io::{self, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Mutex, PoisonError};
@@ -16,14 +17,63 @@
 
 /// All entry processes of the case.
 static PROCESSES: Mutex<Vec<Child>> = Mutex::new(Vec::new());
+/// Ends the entry processes if this process is killed.
+static GUARD: Mutex<Option<Child>> = Mutex::new(None);
 
-/// Ends all entry processes.
+/// Argument with which this program starts as the guard.
+pub const GUARD_ARGUMENT: &str = "guard";
+/// Tells the guard that no entry process is left.
+const ALL_ENDED: &str = "all ended";
+
+/// Starts the guard, in a process group of its own, so that a signal to the group of the case does not end it.
+pub fn start_guard() -> io::Result<()> {
+    let guard = Command::new(std::env::current_exe()?)
+        .arg(GUARD_ARGUMENT)
+        .stdin(Stdio::piped())
+        .process_group(0)
+        .spawn()?;
+    *GUARD.lock().unwrap_or_else(PoisonError::into_inner) = Some(guard);
+    Ok(())
+}
+
+/// Reads process ids until the case ends, and kills them unless the case has done so.
+pub fn guard() {
+    let mut process_ids = Vec::new();
+    for line in io::stdin().lines().map_while(Result::ok) {
+        match line.parse() {
+            Ok(process_id) => process_ids.push(process_id),
+            Err(_) => process_ids.clear(),
+        }
+    }
+    for process_id in process_ids {
+        signal(process_id, SIGKILL);
+    }
+}
+
+fn tell_guard(line: &str) -> io::Result<()> {
+    let mut guard = GUARD.lock().unwrap_or_else(PoisonError::into_inner);
+    let stdin = guard.as_mut().and_then(|guard| guard.stdin.as_mut());
+    stdin.map_or(Err(io::ErrorKind::NotFound.into()), |stdin| writeln!(stdin, "{line}"))
+}
+
+/// Ends all entry processes, and the guard.
 pub fn end_all() {
     let mut processes = PROCESSES.lock().unwrap_or_else(PoisonError::into_inner);
     for mut process in processes.drain(..) {
         let _ = process.kill();
         let _ = process.wait();
     }
+    let _ = tell_guard(ALL_ENDED);
+    if let Some(mut guard) = GUARD.lock().unwrap_or_else(PoisonError::into_inner).take() {
+        drop(guard.stdin.take());
+        let _ = guard.wait();
+    }
+}
+
+fn signal(process_id: u32, signal: i32) {
+    let process_id = i32::try_from(process_id).expect("a process id");
+    // SAFETY: `kill` takes numbers only, and the process is one of this case that has not been waited for.
+    unsafe { kill(process_id, signal) };
 }
 
 /// An entry process.
@@ -36,6 +86,7 @@
 }
 
 /// Signals of Linux, the same on x86-64 and arm64.
+const SIGKILL: i32 = 9;
 const SIGCONT: i32 = 18;
 const SIGSTOP: i32 = 19;
 
@@ -74,23 +125,18 @@
             .spawn()?;
         let process_id = process.id();
         PROCESSES.lock().unwrap_or_else(PoisonError::into_inner).push(process);
+        tell_guard(&process_id.to_string())?;
         Ok(Self { front: SocketAddr::new(ip, front), name, process_id, ready: SocketAddr::new(ip, ready) })
     }
 
     /// Lets the machine stand still.
     pub fn freeze(&self) {
-        self.signal(SIGSTOP);
+        signal(self.process_id, SIGSTOP);
     }
 
     /// Lets the machine go on.
     pub fn thaw(&self) {
-        self.signal(SIGCONT);
-    }
-
-    fn signal(&self, signal: i32) {
-        let process_id = i32::try_from(self.process_id).expect("a process id");
-        // SAFETY: `kill` takes numbers only, and the process is a child of this one that has not been waited for.
-        unsafe { kill(process_id, signal) };
+        signal(self.process_id, SIGCONT);
     }
 
     /// Waits until the entry reports itself ready.
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -34,6 +34,10 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<_> = std::env::args().collect();
+    if arguments.get(1).is_some_and(|argument| argument == entries::GUARD_ARGUMENT) {
+        entries::guard();
+        return ExitCode::SUCCESS;
+    }
     let [_, case, folder] = arguments.as_slice() else {
         eprintln!("usage: standin-2 CASE FOLDER");
         return ExitCode::from(2);
@@ -59,6 +63,7 @@
 
 fn play(case: &str, folder: &Path, trouble: bool) -> io::Result<Verdict> {
     let guards = case != "smaller-life";
+    entries::start_guard()?;
     let stage = Stage::prepare(folder, guards)?;
     match case {
         "stale-start" => stale_start::play(&stage, trouble),
