Runs, node: what becomes known together is handled together, so that nothing starts in between

Callers saw: a task ran twice for 11 to 12 ms.

Cause: each event of the runner ends with a placement of queued tasks. A suspension was handled as one event for each lost link and one for the suspension itself, so that the first lost link placed tasks on upstreams that were given up only by the last event.

Change: Runner::handle_all applies events that have become known together and places tasks once after them. A suspension, the cancellations and recalls of one message, and the changes of ownership of one comparison go through it. Before, the first of two cancellations could start the task of the second one, when the pause of an upstream had ended meanwhile.

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -134,12 +134,7 @@
                 self.jobs_by_submission.insert(submission, job);
             }
             Input::StoreAvailable(available) => self.peers.set_store_available(available),
-            Input::Suspended(time) => {
-                self.outputs.push(Output::Log(LogLine::Suspended(time)));
-                self.reset_links(now);
-                self.jobs.suspended(now);
-                self.runner.handle(now, Event::Suspended);
-            }
+            Input::Suspended(time) => self.suspended(now, time),
             Input::Tick => {
                 self.jobs.tick(now);
                 self.jobs.rebalance(now);
@@ -297,17 +292,18 @@
             claimed.extend(peer.claims.iter().cloned());
         }
         let isolated = self.peers.is_isolated();
-        let ids: Vec<_> = self.upstreams.iter().map(|upstream| upstream.id.clone()).collect();
-        for id in ids {
-            let owned = self.runner.owns(&id);
-            let free = !isolated && !claimed.contains(&id) && !self.takeover_paused.contains_key(&id);
-            if desired.contains(&id) && (owned || free) {
-                let fence = self.next_fence(now, &id);
-                self.runner.handle(now, Event::Own { fence, upstream: id });
-            } else if owned && !desired.contains(&id) {
-                self.runner.handle(now, Event::Release(id));
+        let mut events = Vec::new();
+        for upstream in &self.upstreams {
+            let id = &upstream.id;
+            let owned = self.runner.owns(id);
+            let free = !isolated && !claimed.contains(id) && !self.takeover_paused.contains_key(id);
+            if desired.contains(id) && (owned || free) {
+                events.push(Event::Own { fence: self.next_fence(now, id), upstream: id.clone() });
+            } else if owned && !desired.contains(id) {
+                events.push(Event::Release(id.clone()));
             }
         }
+        self.runner.handle_all(now, events);
     }
 
     /// A fencing token above those of earlier owners. Tokens grow with the wall clock in all processes; the clock of an earlier
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -56,26 +56,35 @@
         self.send_status(peer, &loads, &lost_runs);
     }
 
-    /// Discards what was sent over a lost link: assignments in either direction become void, as they do at the peer. Those that
-    /// were not sent yet have not run.
+    /// Discards what was sent over a lost link: assignments in either direction become void, as they do at the peer.
     pub(crate) fn link_lost(&mut self, now: Instant, peer: HomeId) {
-        self.jobs.forget_owner(peer);
-        for unsent in self.outboxes.remove(&peer).unwrap_or_default().assign {
-            self.jobs.report(now, peer, &TaskReport::new(unsent.id, Outcome::NotStarted, unsent.run));
-        }
-        self.jobs.owner_lost(now, peer);
+        self.void_assignments(now, peer);
         self.runner.handle(now, Event::HomeLost(peer));
     }
 
-    /// Gives up all links after the process was suspended. Peers may have lost them meanwhile, and what was sent before the
-    /// loss, such as an assignment that is still to be read, no longer holds.
-    pub(crate) fn reset_links(&mut self, now: Instant) {
+    /// Voids the assignments to an owner. Those that were not sent yet have not run.
+    fn void_assignments(&mut self, now: Instant, owner: HomeId) {
+        self.jobs.forget_owner(owner);
+        for unsent in self.outboxes.remove(&owner).unwrap_or_default().assign {
+            self.jobs.report(now, owner, &TaskReport::new(unsent.id, Outcome::NotStarted, unsent.run));
+        }
+        self.jobs.owner_lost(now, owner);
+    }
+
+    /// Discards what may no longer hold after the process was suspended: links, jobs and the knowledge of the upstreams. Peers
+    /// may have lost the links meanwhile, and what was sent before, such as an assignment that is still to be read, is void.
+    pub(crate) fn suspended(&mut self, now: Instant, time: Duration) {
+        self.outputs.push(Output::Log(LogLine::Suspended(time)));
         let linked: Vec<_> = self.peers.linked().map(|(peer, _)| peer).collect();
-        for peer in linked {
-            self.peers.mark_unlinked(now, peer, true);
-            self.link_lost(now, peer);
+        for peer in &linked {
+            self.peers.mark_unlinked(now, *peer, true);
+            self.void_assignments(now, *peer);
         }
         self.outputs.push(Output::ResetLinks);
+        self.jobs.suspended(now);
+        // Together, so that no queued task starts before all upstreams are given up.
+        let events = linked.into_iter().map(Event::HomeLost).chain([Event::Suspended]);
+        self.runner.handle_all(now, events);
     }
 
     /// Handles a message of a linked peer; what arrives over a link that was given up is void.
@@ -89,9 +98,8 @@
                 }
             }
             Message::Cancel(assignments) => {
-                for assignment in assignments {
-                    self.runner.handle(now, Event::Cancelled { assignment, home: id });
-                }
+                let cancelled = |assignment| Event::Cancelled { assignment, home: id };
+                self.runner.handle_all(now, assignments.into_iter().map(cancelled));
             }
             Message::Config { body, version } => self.adopt_config(version, body),
             Message::ConfigRequest => {
@@ -114,9 +122,8 @@
                 peer.claims = owned.into_iter().map(|claim| claim.upstream).collect();
             }
             Message::Recall(assignments) => {
-                for assignment in assignments {
-                    self.runner.handle(now, Event::Recalled { assignment, home: id });
-                }
+                let recalled = |assignment| Event::Recalled { assignment, home: id };
+                self.runner.handle_all(now, assignments.into_iter().map(recalled));
             }
             Message::Report(reports) => {
                 for report in reports {
--- a/crates/runs/src/runner.rs
+++ b/crates/runs/src/runner.rs
@@ -55,6 +55,23 @@
 impl Runner {
     /// Handles an event, then starts queued tasks and sends the holds that are due.
     pub fn handle(&mut self, now: Instant, event: Event) {
+        self.handle_all(now, [event]);
+    }
+
+    /// Handles events that have become known together, then starts queued tasks and sends the holds that are due. No task
+    /// starts on the knowledge of only some of the events.
+    pub fn handle_all(&mut self, now: Instant, events: impl IntoIterator<Item = Event>) {
+        for event in events {
+            self.apply(now, event);
+        }
+        self.place(now);
+        self.return_unplaced(now);
+        self.release_idle();
+        self.deactivate_idle();
+        self.send_holds(now);
+    }
+
+    fn apply(&mut self, now: Instant, event: Event) {
         match event {
             Event::Assigned { assignment, home, sent_after } => {
                 self.enqueue(now, home, assignment, sent_after);
@@ -72,11 +89,6 @@
             Event::Tick => self.tick(now),
             Event::Upstreams(records) => self.set_upstreams(now, records),
         }
-        self.place(now);
-        self.return_unplaced(now);
-        self.release_idle();
-        self.deactivate_idle();
-        self.send_holds(now);
     }
 
     /// Removes and returns the actions since the last call, in order.
