Runs, jobs: a time limit is checked where a task is placed, not only by the next tick

Callers would see: a task started after its limit, when its caller may have left, beside the resubmission if its stop order is lost; and a task placed again that cannot end before its caller leaves, so that the rejection comes late.

Cause: queued tasks past their limit were taken out by the tick, which comes after the inputs that a process reads when it has stood still for less than the 0.6 s of a suspension, and each input ends in a placement. A returned task was placed again by the objective of its job alone, which may end later than the caller's budget.

Change: the runner returns late tasks before each placement; a returned task is placed within the slack of its job, as in the first placement.

runs/after_pause and jobs/division::a_returned_task_that_cannot_end_before_its_caller_leaves_is_rejected fail before.

--- a/crates/jobs/src/placing.rs
+++ b/crates/jobs/src/placing.rs
@@ -81,7 +81,7 @@
         }
     }
 
-    /// Time in which the last task of a new job must start for the job to meet its objective and to end before its
+    /// Time in which the last task of a job must start for the job to meet its objective and to end before its
     /// caller stops waiting.
     pub(crate) fn slack(&self, now: Instant, number: JobNumber) -> Duration {
         let Some(job) = self.jobs.get(&number) else { return Duration::ZERO };
@@ -202,7 +202,7 @@
         }
         let Some(job) = self.jobs.get(&placement.job) else { return };
         let expected = self.estimates.expected(&job.request.queue.name, job.request.estimate);
-        let start_within = job.objective_at.saturating_duration_since(now + expected);
+        let start_within = self.slack(now, placement.job);
         let returned = if placement.stage == Stage::Offered { placement.returned + 1 } else { 0 };
         let placement = Placement { returned, ..placement };
         let attempt = Attempt { avoid: None, expected, late: false, run: report.run, start_within };
--- a/crates/jobs/tests/division.rs
+++ b/crates/jobs/tests/division.rs
@@ -4,8 +4,9 @@
 
 use std::collections::BTreeMap;
 
+use hinge_jobs::{Answer, RejectCause};
 use hinge_runs::Outcome;
-use support::{HOME, Home, load, request};
+use support::{HOME, Home, load, ms, request};
 
 fn counts(home: &Home) -> BTreeMap<u64, usize> {
     let mut counts = BTreeMap::new();
@@ -125,6 +126,19 @@
     assert!(home.answers.is_empty());
 }
 
+/// Guards against a returned task that is placed again although its caller leaves before it can end: the limit was checked by
+/// ticks only, which come after the reports that a process reads when it has stood still.
+#[test]
+fn a_returned_task_that_cannot_end_before_its_caller_leaves_is_rejected() {
+    let mut home = Home::new(&[(2, load(1, 0, 60)), (3, load(1, 0, 60))]);
+    // The objective is later than the end of the caller's budget of 2 s.
+    home.submit(request("a", 1, 1_500));
+    home.now += ms(600);
+    home.report(0, Outcome::NotStarted);
+    assert_eq!(home.assigned.len(), 1);
+    assert!(matches!(home.answers[..], [(_, Answer::Rejected { cause: RejectCause::Overload, .. })]));
+}
+
 /// Guards against new tasks for an owner that has just become unreachable: they would fail when its link goes down half
 /// a second later.
 #[test]
--- a/crates/runs/src/runner.rs
+++ b/crates/runs/src/runner.rs
@@ -64,6 +64,7 @@
         for event in events {
             self.apply(now, event);
         }
+        self.drop_late(now);
         self.place(now);
         self.return_unplaced(now);
         self.release_idle();
@@ -203,6 +204,11 @@
             upstream.probe_overdue(now);
             upstream.refresh_clock(now);
         }
+    }
+
+    /// Returns the queued tasks whose time limit has passed. It precedes each placement, because the process may have stood
+    /// still since the last one.
+    fn drop_late(&mut self, now: Instant) {
         for task in self.queue.extract(|task| now >= task.start_by) {
             self.report_not_run(now, &task, "late");
         }
