Jobs: no job waits for a first owner after a suspension

A process that is suspended within its first 2 s let jobs wait for its first upstreams. A submission that was queued before the suspension is read after it as a new job; it waited for the takeovers and then started, though its caller might have left and sent it again long before. At other times such a submission is rejected, because no owner is known right after a suspension.

--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -377,8 +377,10 @@
         }
     }
 
-    /// Fails all jobs after the process was suspended, because their callers have stopped waiting or will soon.
+    /// Fails all jobs after the process was suspended, because their callers have stopped waiting or will soon. Jobs no longer
+    /// wait for a first owner: those that are still to be read may have been submitted long before.
     pub fn suspended(&mut self, now: Instant) {
+        self.owners_expected_until = None;
         for number in std::mem::take(&mut self.unplaced) {
             self.reject(now, number, RejectCause::NoOwner);
         }
--- a/crates/node/tests/suspensions.rs
+++ b/crates/node/tests/suspensions.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use hinge_jobs::{Answer, RejectCause};
 use hinge_mesh::{Hello, MeshEvent, Message};
 use hinge_node::{Engine, Input, Output};
 use hinge_runs::{Assignment, Hold, HoldReply, Listing, StartOrder, StartReply};
@@ -19,6 +20,8 @@
 const UPSTREAM_PAUSE: Duration = Duration::from_millis(250);
 /// Longer than the pause of an upstream.
 const SUSPENDED: Duration = Duration::from_millis(1_800);
+/// Time after the start of the process in which jobs wait for the first upstreams.
+const STARTUP_TIME: Duration = Duration::from_secs(2);
 
 /// The peer is in another data centre, so that the entry keeps the upstream.
 fn peer_hello() -> Hello {
@@ -27,6 +30,7 @@
 
 /// An entry with one upstream and one linked peer.
 struct Entry {
+    answers: Vec<Answer>,
     engine: Engine,
     holds: Vec<Hold>,
     now: Instant,
@@ -38,7 +42,8 @@
     fn new() -> Self {
         let now = Instant::now();
         let engine = Engine::new(now, hello(OWN), 1_000, OWN);
-        let mut entry = Self { engine, holds: Vec::new(), now, starts: Vec::new(), submissions: 0 };
+        let mut entry =
+            Self { answers: Vec::new(), engine, holds: Vec::new(), now, starts: Vec::new(), submissions: 0 };
         entry.handle(Input::Upstreams(vec![upstream()]));
         entry.handle(Input::Mesh(MeshEvent::Up(peer_hello())));
         entry.flush();
@@ -54,6 +59,7 @@
         self.engine.flush(self.now);
         for output in self.engine.drain_outputs() {
             match output {
+                Output::Answer { answer, .. } => self.answers.push(answer),
                 Output::Hold(hold) => self.holds.push(hold),
                 Output::Start(start) => self.starts.push(start),
                 _ => {}
@@ -176,3 +182,18 @@
     entry.list_runs();
     assert_eq!(entry.starts.len(), 1, "after the second takeover tasks start again");
 }
+
+/// Guards against a job whose caller may have left long before: it was submitted just before a suspension that falls into
+/// the time after the start of the process, in which jobs wait for the first upstreams.
+#[test]
+fn a_job_that_was_submitted_before_a_suspension_is_rejected() {
+    let mut entry = Entry::new();
+    assert!(SUSPENDED < STARTUP_TIME);
+    entry.suspend();
+    // Read from the queue of inputs, in which it has waited.
+    entry.submit();
+    entry.flush();
+    entry.list_runs();
+    assert!(entry.starts.is_empty(), "{:?}", entry.starts);
+    assert!(matches!(entry.answers[..], [Answer::Rejected { cause: RejectCause::NoOwner, .. }]));
+}
