--- a/crates/node/tests/resubmissions.rs
+++ b/crates/node/tests/resubmissions.rs
@@ -13,7 +13,9 @@
 const LINKS: Faults = Faults { link_losses: true, ..NO_FAULTS };
 const PROCESSES: Faults = Faults { kills: true, longest_freeze_ms: 600, ..NO_FAULTS };
 const SUSPENSIONS: Faults = Faults { longest_freeze_ms: 3_000, ..PROCESSES };
+const TIMEOUTS: Faults = Faults { impatient_callers: 1.0, lost_orders: 0.05, ..SUSPENSIONS };
 const ALL: Faults = Faults {
+    impatient_callers: 0.5,
     kills: true,
     leaving_callers: 0.15,
     link_losses: true,
@@ -55,6 +57,13 @@
         simulate(seed, SUSPENSIONS);
     }
 
+    /// Guards against a run that a resumed owner or home starts for a caller who has left during the suspension and sent the job to
+    /// another entry.
+    #[test]
+    fn no_run_outlives_the_time_budget_when_entries_are_suspended(seed in any::<u64>()) {
+        simulate(seed, TIMEOUTS);
+    }
+
     /// Guards against combinations of the faults above, with callers that leave and come back.
     #[test]
     fn no_run_outlives_the_answer_with_all_faults(seed in any::<u64>()) {
--- a/crates/node/tests/simulation/callers.rs
+++ b/crates/node/tests/simulation/callers.rs
@@ -95,6 +95,15 @@
             let stay_us = self.rng.random_range(5_000..1_000_000);
             self.schedule(sent_at_us + delay_us + stay_us, Event::CallerLeaves { submission });
         }
+        if self.rng.random_bool(self.faults.impatient_callers) {
+            self.schedule(sent_at_us + budget_us, Event::CallerLeaves { submission });
+        }
+    }
+
+    /// Whether a request is dropped when it is read, because its caller has disconnected.
+    pub(crate) fn is_dropped(&self, input: &Input) -> bool {
+        let Input::Submit { submission, .. } = input else { return false };
+        self.submissions[usize::try_from(*submission).unwrap()].broken
     }
 
     fn request(&self, number: usize, submission: usize) -> JobRequest {
--- a/crates/node/tests/simulation/entries.rs
+++ b/crates/node/tests/simulation/entries.rs
@@ -32,6 +32,8 @@
     pub(crate) incarnation: u64,
     last_wake_us: u64,
     number: usize,
+    /// Whether the process, when its freeze ends, reads what has arrived before its timers run.
+    pub(crate) reads_first: bool,
     /// By peer, until when a closed link is not opened again.
     pub(crate) redial_us: [u64; ENTRIES],
     /// When the registration of a silent process lapses.
@@ -55,6 +57,7 @@
             incarnation,
             last_wake_us: 0,
             number,
+            reads_first: true,
             redial_us: [0; ENTRIES],
             registered_until_us: u64::MAX,
             sides: vec![Side::default(); ENTRIES],
@@ -229,6 +232,7 @@
         self.set_silent(entry);
         self.entries[entry].frozen_us = Some((self.now_us, self.now_us + frozen_us));
         self.entries[entry].frozen_total_us += frozen_us;
+        self.entries[entry].reads_first = self.rng.random_bool(0.5);
     }
 
     fn set_silent(&mut self, entry: usize) {
--- a/crates/node/tests/simulation/faults.rs
+++ b/crates/node/tests/simulation/faults.rs
@@ -7,6 +7,8 @@
 /// Faults of a simulation. Shares are probabilities.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Faults {
+    /// Share of submissions whose callers disconnect when their budget ends without an answer.
+    pub(crate) impatient_callers: f64,
     /// Entries are killed and start again.
     pub(crate) kills: bool,
     /// Share of submissions whose callers disconnect.
@@ -22,6 +24,7 @@
 }
 
 pub(crate) const NO_FAULTS: Faults = Faults {
+    impatient_callers: 0.0,
     kills: false,
     leaving_callers: 0.0,
     link_losses: false,
--- a/crates/node/tests/simulation/mod.rs
+++ b/crates/node/tests/simulation/mod.rs
@@ -195,9 +195,10 @@
                 return;
             }
             if let Some(until_us) = self.entries[entry].frozen_until(self.now_us) {
-                // Timers of a process that was frozen run after it has read what arrived meanwhile.
+                // A process that was frozen reads what has arrived meanwhile before or after its timers run.
                 let timer = !matches!(event, Event::Frame { .. } | Event::Input { .. });
-                return self.schedule(until_us + if timer { 2_000 } else { 0 }, event);
+                let delay_us = if timer == self.entries[entry].reads_first { 2_000 } else { 0 };
+                return self.schedule(until_us + delay_us, event);
             }
         }
         match event {
@@ -206,6 +207,7 @@
             Event::Down { at, link, peer, silent } => self.link_down(at, peer, link, silent),
             Event::Fault => self.fault(),
             Event::Frame { frame, from, link, to } => self.receive(from, to, link, frame),
+            Event::Input { input, .. } if self.is_dropped(&input) => {}
             Event::Input { entry, input, .. } => self.push_input(entry, *input),
             Event::Links { entry, .. } => self.maintain_links(entry),
             Event::Order(order) => self.execute(*order),
