Runs: which process an upstream's record belongs to is known and logged

The start time in the record stood for two things: the process that wrote the record, and the process that answers. After a restart that an answer shows first, the second overwrote the first, and nothing told that the rest of the record is a former process's.

The present process is now kept apart from the record. RECORD_OUTDATED (1623) is logged, and counted as record_outdated, when a process answers before its record is read. What is done with the record stays as it was.

--- a/crates/node/src/journal.rs
+++ b/crates/node/src/journal.rs
@@ -140,6 +140,10 @@
         RunNotice::Owner { fence, state, upstream } => {
             emit(LogEvent::UpstreamOwner, &json!({ "fence": fence, "state": state, "upstream": upstream }));
         }
+        RunNotice::RecordOutdated { cpu_millis, upstream } => emit(
+            LogEvent::RecordOutdated,
+            &json!({ "capacity_cpu_millis": cpu_millis, "upstream": upstream }),
+        ),
         RunNotice::RenewalLost { fence, upstream } => {
             emit(LogEvent::RenewalLost, &json!({ "fence": fence, "upstream": upstream }));
         }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -129,6 +129,9 @@
             RunNotice::Owner { state, .. } => {
                 self.events.with_label_values(&[&format!("upstream_{state}")]).inc();
             }
+            RunNotice::RecordOutdated { .. } => {
+                self.events.with_label_values(&["record_outdated"]).inc();
+            }
             RunNotice::RenewalLost { .. } => self.events.with_label_values(&["renewal_lost"]).inc(),
             RunNotice::Stalled { .. } => self.events.with_label_values(&["run_stalled"]).inc(),
             RunNotice::StartRejected { reason, .. } => {
--- a/crates/runs/src/event.rs
+++ b/crates/runs/src/event.rs
@@ -290,6 +290,13 @@
         /// Upstream whose ownership has changed.
         upstream: UpstreamId,
     },
+    /// An upstream's process has answered, and its record is still that of another process.
+    RecordOutdated {
+        /// CPU capacity of the record, in thousandths of a core.
+        cpu_millis: u64,
+        /// Upstream with the new process.
+        upstream: UpstreamId,
+    },
     /// A hold that renews the lease was not answered; it may still be executed.
     RenewalLost {
         /// Fencing token of the hold.
--- a/crates/runs/src/listing.rs
+++ b/crates/runs/src/listing.rs
@@ -58,6 +58,7 @@
         }
         upstream.set_process(listing.incarnation);
         if process != Process::Present {
+            self.notice_outdated_record(id);
             // An answer under the present token shows that the process is alive, even if it counted as a former one.
             self.upstream_restarted(now, id);
             return;
@@ -83,6 +84,15 @@
         }
     }
 
+    /// Logs that the present process of an upstream has answered before its record was read.
+    fn notice_outdated_record(&mut self, id: &UpstreamId) {
+        let Some(upstream) = self.upstreams.get(id).filter(|upstream| !upstream.has_current_record()) else {
+            return;
+        };
+        let cpu_millis = upstream.record.capacity.cpu_millis;
+        self.actions.push(Action::Notice(Notice::RecordOutdated { cpu_millis, upstream: id.clone() }));
+    }
+
     fn run_ended(&mut self, now: Instant, id: &UpstreamId, end: &Ended) {
         let Some(upstream) = self.upstreams.get_mut(id) else { return };
         if end.number <= upstream.last_end {
--- a/crates/runs/src/upstream.rs
+++ b/crates/runs/src/upstream.rs
@@ -127,6 +127,9 @@
     pub(crate) ownership: Ownership,
     /// Whether a probe is in flight.
     pub(crate) probing: bool,
+    /// The present process; none until a record or an answer names it.
+    process: Option<Incarnation>,
+    /// The record that was read last. It may be that of another process, see [`has_current_record`](Self::has_current_record).
     pub(crate) record: UpstreamRecord,
     /// Whether the upstream is still registered.
     pub(crate) registered: bool,
@@ -158,6 +161,7 @@
             probe_after: None,
             ownership: Ownership::None,
             probing: false,
+            process: record.incarnation,
             record,
             registered: true,
             restarted: false,
@@ -176,14 +180,13 @@
             return false;
         }
         self.set_process(record.incarnation);
-        let incarnation = self.record.incarnation;
-        self.record = UpstreamRecord { incarnation, ..record };
+        self.record = record;
         process != Process::Present
     }
 
     /// Which process of this upstream has the given start time.
     pub(crate) fn process(&self, incarnation: Option<Incarnation>) -> Process {
-        match (self.record.incarnation, incarnation) {
+        match (self.process, incarnation) {
             (Some(present), Some(other)) if present != other => {
                 if self.former.contains(&other) {
                     Process::Former
@@ -198,7 +201,7 @@
     /// Makes the process with the given start time the present one, unless it is already or none is given.
     pub(crate) fn set_process(&mut self, incarnation: Option<Incarnation>) {
         let Some(incarnation) = incarnation else { return };
-        let Some(previous) = self.record.incarnation.replace(incarnation) else { return };
+        let Some(previous) = self.process.replace(incarnation) else { return };
         if previous == incarnation {
             return;
         }
@@ -210,6 +213,15 @@
         }
     }
 
+    /// Whether the record is that of the present process. A new process may have another capacity, and its first answer may
+    /// arrive long before its record.
+    pub(crate) fn has_current_record(&self) -> bool {
+        match (self.process, self.record.incarnation) {
+            (Some(process), Some(recorded)) => process == recorded,
+            (None, _) | (_, None) => true,
+        }
+    }
+
     /// Records that the present process has answered a hold with the given token.
     pub(crate) fn record_answer(&mut self, fence: Fence) {
         self.has_answered |= fence >= self.fence;
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -110,6 +110,8 @@
     UpstreamAvoided = 1621,
     ///An avoided upstream has completed a task and gets new tasks again.
     UpstreamAvailable = 1622,
+    ///The process of an upstream has answered before its record was read; gives the capacity in the record of the former process.
+    RecordOutdated = 1623,
     ///The connection to a peer is established.
     PeerLinked = 1630,
     ///The connection to a peer is lost; tasks handed over on it are void.
@@ -183,6 +185,7 @@
         Self::UpstreamOwner,
         Self::UpstreamAvoided,
         Self::UpstreamAvailable,
+        Self::RecordOutdated,
         Self::PeerLinked,
         Self::PeerLost,
         Self::ProcessSuspended,
@@ -260,6 +263,7 @@
             Self::UpstreamOwner => "UPSTREAM_OWNER",
             Self::UpstreamAvoided => "UPSTREAM_AVOIDED",
             Self::UpstreamAvailable => "UPSTREAM_AVAILABLE",
+            Self::RecordOutdated => "RECORD_OUTDATED",
             Self::PeerLinked => "PEER_LINKED",
             Self::PeerLost => "PEER_LOST",
             Self::ProcessSuspended => "PROCESS_SUSPENDED",
@@ -330,6 +334,7 @@
             Self::UpstreamOwner => "info",
             Self::UpstreamAvoided => "warn",
             Self::UpstreamAvailable => "info",
+            Self::RecordOutdated => "warn",
             Self::PeerLinked => "info",
             Self::PeerLost => "warn",
             Self::ProcessSuspended => "warn",
