Runs: no start by the record of a former process where upstreams do not guard their capacity

Cause: the owner learns from an answer that a new process runs, and reads its record later. Until then it used the record of the former process for the new one. The log shows UPSTREAM_OWNER state=restarted and after it RUN_STARTED with free_cpu_millis=24000.

Ruled out, by the same log: a restart that is not noticed, wrong sums of what is used, two owners.

Change: an upstream whose record is not that of its present process gets no start and reports no room, unless the configuration says that the upstreams of its service reject what exceeds their capacity; there the record of the former process is used as before, since a start that is too large is rejected.

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -122,6 +122,9 @@
                 self.jobs.finish_by(finish_by);
             }
             Input::Entries(records) => self.peers.set_registered(now, self.own_id, &records),
+            Input::GuardingServices(services) => {
+                self.runner.handle(now, Event::GuardingServices(services));
+            }
             Input::HoldEnded { hold, reply } => self.runner.handle(now, Event::HoldEnded { hold, reply }),
             Input::Mesh(event) => self.handle_mesh_event(now, event),
             Input::UnresponsivePeers(peers) => self.jobs.set_unresponsive_owners(peers),
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -6,7 +6,7 @@
 use hinge_jobs::{Answer, JobRequest};
 use hinge_mesh::{MeshEvent, Message};
 use hinge_runs::{Hold, HoldReply, HomeId, StartOrder, StartReply, StopOrder, UpstreamRecord};
-use hinge_wire::FastSet;
+use hinge_wire::{FastSet, ServiceId};
 use tokio::time::Instant;
 
 use crate::EntryRecord;
@@ -34,6 +34,8 @@
     },
     /// All registered entries, this one included.
     Entries(Vec<EntryRecord>),
+    /// The services whose upstreams reject a task that exceeds their capacity, by the configuration.
+    GuardingServices(FastSet<ServiceId>),
     /// A call of [`UpstreamPort::hold`](crate::UpstreamPort::hold) has returned.
     HoldEnded {
         /// The request, as in [`Output::Hold`].
--- a/crates/node/src/journal.rs
+++ b/crates/node/src/journal.rs
@@ -4,9 +4,9 @@
 
 use hinge_jobs::{Answer, Notice as JobNotice};
 use hinge_obs::emit;
-use hinge_runs::{HomeId, Notice as RunNotice, whole_ms};
-use hinge_wire::{InstanceId, LogEvent};
-use serde_json::json;
+use hinge_runs::{HomeId, Notice as RunNotice, RunId, whole_ms};
+use hinge_wire::{InstanceId, LogEvent, UpstreamId};
+use serde_json::{Value, json};
 
 /// A line of the log, also counted by [`NodeMetrics`](crate::NodeMetrics).
 #[derive(Clone, Debug)]
@@ -109,68 +109,60 @@
 }
 
 fn write_run(notice: &RunNotice) {
-    match notice {
-        RunNotice::Available { upstream } => {
-            emit(LogEvent::UpstreamAvailable, &json!({ "upstream": upstream }));
-        }
-        RunNotice::Avoided { cause, pause, upstream } => {
-            let for_ms = whole_ms(*pause);
-            emit(
-                LogEvent::UpstreamAvoided,
-                &json!({ "cause": cause, "for_ms": for_ms, "upstream": upstream }),
-            );
-        }
-        RunNotice::Cancelled { run, upstream } => {
-            emit(LogEvent::RunCancelled, &json!({ "run": run.run, "task": run.task, "upstream": upstream }));
-        }
-        RunNotice::Dropped { queued, reason, run } => {
-            let queued_ms = whole_ms(*queued);
-            emit(
-                LogEvent::TaskDropped,
-                &json!({ "queued_ms": queued_ms, "reason": reason, "run": run.run, "task": run.task }),
-            );
-        }
-        RunNotice::Ended { how, run, run_time, upstream } => emit(
+    let (event, details) = match notice {
+        RunNotice::Available { upstream } => (LogEvent::UpstreamAvailable, json!({ "upstream": upstream })),
+        RunNotice::Avoided { cause, pause, upstream } => (
+            LogEvent::UpstreamAvoided,
+            json!({ "cause": cause, "for_ms": whole_ms(*pause), "upstream": upstream }),
+        ),
+        RunNotice::Cancelled { run, upstream } => (LogEvent::RunCancelled, run_details(run, upstream)),
+        RunNotice::Dropped { queued, reason, run } => (
+            LogEvent::TaskDropped,
+            json!({ "queued_ms": whole_ms(*queued), "reason": reason, "run": run.run, "task": run.task }),
+        ),
+        RunNotice::Ended { how, run, run_time, upstream } => (
             LogEvent::RunEnded,
-            &json!({
+            json!({
                 "how": how, "run": run.run, "run_time_ms": whole_ms(*run_time), "task": run.task,
                 "upstream": upstream,
             }),
         ),
         RunNotice::Owner { fence, state, upstream } => {
-            emit(LogEvent::UpstreamOwner, &json!({ "fence": fence, "state": state, "upstream": upstream }));
+            (LogEvent::UpstreamOwner, json!({ "fence": fence, "state": state, "upstream": upstream }))
+        }
+        RunNotice::RecordOutdated { cpu_millis, upstream } => {
+            (LogEvent::RecordOutdated, json!({ "capacity_cpu_millis": cpu_millis, "upstream": upstream }))
         }
-        RunNotice::RecordOutdated { cpu_millis, upstream } => emit(
-            LogEvent::RecordOutdated,
-            &json!({ "capacity_cpu_millis": cpu_millis, "upstream": upstream }),
-        ),
         RunNotice::RenewalLost { fence, upstream } => {
-            emit(LogEvent::RenewalLost, &json!({ "fence": fence, "upstream": upstream }));
+            (LogEvent::RenewalLost, json!({ "fence": fence, "upstream": upstream }))
         }
-        RunNotice::Stalled { done_percent, run, run_time, upstream } => emit(
+        RunNotice::Stalled { done_percent, run, run_time, upstream } => (
             LogEvent::RunStalled,
-            &json!({
+            json!({
                 "done_percent": done_percent, "run": run.run, "run_time_ms": whole_ms(*run_time),
                 "task": run.task, "upstream": upstream,
             }),
         ),
-        RunNotice::StartRejected { reason, run, upstream } => emit(
+        RunNotice::StartRejected { reason, run, upstream } => (
             LogEvent::StartRejected,
-            &json!({ "reason": reason, "run": run.run, "task": run.task, "upstream": upstream }),
+            json!({ "reason": reason, "run": run.run, "task": run.task, "upstream": upstream }),
         ),
-        RunNotice::Started { age, free, home, queued, run, upstream } => emit(
+        RunNotice::Started { age, free, home, queued, run, upstream } => (
             LogEvent::RunStarted,
-            &json!({
-                "age_ms": whole_ms(*age), "free_cpu_millis": free.cpu_millis, "home": home, "queued_ms": whole_ms(*queued),
-                "run": run.run, "task": run.task, "upstream": upstream,
+            json!({
+                "age_ms": whole_ms(*age), "free_cpu_millis": free.cpu_millis, "home": home,
+                "queued_ms": whole_ms(*queued), "run": run.run, "task": run.task, "upstream": upstream,
             }),
         ),
-        RunNotice::Survived { how, run, upstream } => emit(
+        RunNotice::Survived { how, run, upstream } => (
             LogEvent::RunSurvived,
-            &json!({ "how": how, "run": run.run, "task": run.task, "upstream": upstream }),
+            json!({ "how": how, "run": run.run, "task": run.task, "upstream": upstream }),
         ),
-        RunNotice::Unknown { run, upstream } => {
-            emit(LogEvent::UnknownRun, &json!({ "run": run.run, "task": run.task, "upstream": upstream }));
-        }
-    }
+        RunNotice::Unknown { run, upstream } => (LogEvent::UnknownRun, run_details(run, upstream)),
+    };
+    emit(event, &details);
+}
+
+fn run_details(run: &RunId, upstream: &UpstreamId) -> Value {
+    json!({ "run": run.run, "task": run.task, "upstream": upstream })
 }
--- a/crates/runs/src/event.rs
+++ b/crates/runs/src/event.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hinge_wire::UpstreamId;
+use hinge_wire::{FastSet, ServiceId, UpstreamId};
 use tokio::time::Instant;
 
 use crate::{
@@ -29,6 +29,9 @@
         /// Home that assigned the task.
         home: HomeId,
     },
+    /// The services whose upstreams reject a task that exceeds their capacity. Those of all others start whatever they are told
+    /// to start.
+    GuardingServices(FastSet<ServiceId>),
     /// The call of an [`Action::Hold`] has completed or failed.
     HoldEnded {
         /// The hold as it was sent.
--- a/crates/runs/src/load.rs
+++ b/crates/runs/src/load.rs
@@ -14,13 +14,13 @@
     /// Current load of this owner's upstreams of a service.
     #[must_use]
     pub fn load(&self, now: Instant, service: &ServiceId) -> Load {
-        let upstreams = self.upstreams.values().filter(|upstream| upstream.record.service == *service);
+        let accepting = self.accepting(now).map(|(_, upstream)| upstream);
         let mut load = Load {
             mean_run_ms: to_u64(self.mean_run_ms),
             queued: self.queue.counts(service),
             ..Load::default()
         };
-        for upstream in upstreams.filter(|upstream| upstream.accepts(now)) {
+        for upstream in accepting.filter(|upstream| upstream.record.service == *service) {
             let slots = self.average_tasks_in(upstream.record.capacity.cpu_millis);
             load.slots = load.slots.saturating_add(slots);
             let free_cpu_millis = upstream.free().cpu_millis;
--- a/crates/runs/src/placement.rs
+++ b/crates/runs/src/placement.rs
@@ -64,8 +64,7 @@
 }
 
 impl<'a> Pass<'a> {
-    fn new(now: Instant, upstreams: impl Iterator<Item = (&'a UpstreamId, &'a Upstream)>) -> Self {
-        let accepting = upstreams.filter(|(_, upstream)| upstream.accepts(now));
+    fn new(now: Instant, accepting: impl Iterator<Item = (&'a UpstreamId, &'a Upstream)>) -> Self {
         let mut candidates: Vec<_> = accepting
             .map(|(id, upstream)| Candidate {
                 free: upstream.free(),
@@ -109,7 +108,7 @@
         if self.queue.is_empty() {
             return;
         }
-        let mut pass = Pass::new(now, self.upstreams.iter());
+        let mut pass = Pass::new(now, self.accepting(now));
         let mut placements = Vec::new();
         for task in self.queue.iter() {
             if let Some(id) = pass.reserve(task) {
--- a/crates/runs/src/runner.rs
+++ b/crates/runs/src/runner.rs
@@ -1,6 +1,6 @@
 //! State of an owner and the handling of its events.
 
-use hinge_wire::{FastMap, UpstreamId};
+use hinge_wire::{FastMap, FastSet, ServiceId, UpstreamId};
 use tokio::time::Instant;
 
 use crate::ends::{EndProof, RecentEnd, RecentEnds};
@@ -22,6 +22,8 @@
 #[derive(Debug)]
 pub struct Runner {
     pub(crate) actions: Vec<Action>,
+    /// Services whose upstreams reject a task that exceeds their capacity.
+    guarding_services: FastSet<ServiceId>,
     /// Upstreams without ownership, runs and calls in flight. Events iterate over `upstreams` only, so that their cost
     /// does not depend on the number of inactive upstreams.
     pub(crate) inactive: FastMap<UpstreamId, Upstream>,
@@ -40,6 +42,7 @@
     fn default() -> Self {
         Self {
             actions: Vec::new(),
+            guarding_services: FastSet::default(),
             inactive: FastMap::default(),
             lost_runs: Vec::new(),
             mean_run_ms: INITIAL_RUN_MS,
@@ -78,6 +81,7 @@
                 self.enqueue(now, home, assignment, sent_after);
             }
             Event::Cancelled { assignment, home } => self.cancel(now, home, assignment),
+            Event::GuardingServices(services) => self.guarding_services = services,
             Event::HoldEnded { hold, reply } => self.hold_ended(now, &hold, reply),
             Event::HomeLost(home) => self.home_lost(now, home),
             Event::Own { fence, upstream } => self.take_ownership(now, &upstream, fence),
@@ -126,6 +130,15 @@
         self.placed.len() + self.queue.iter().count()
     }
 
+    /// Upstreams on which tasks may start now. The capacity of a former process must not be exceeded by starts that the present
+    /// process would accept.
+    pub(crate) fn accepting(&self, now: Instant) -> impl Iterator<Item = (&UpstreamId, &Upstream)> {
+        self.upstreams.iter().filter(move |(_, upstream)| {
+            let guards = || self.guarding_services.contains(&upstream.record.service);
+            upstream.accepts(now) && (upstream.has_current_record() || guards())
+        })
+    }
+
     /// Queues a task, unless its assignment is so old that its home may have died long before.
     fn enqueue(&mut self, now: Instant, home: HomeId, assignment: Assignment, sent_after: Instant) {
         let start_by = now + bounded_ms(assignment.start_within_ms);
