--- a/crates/runs/tests/lost_ownership.rs
+++ b/crates/runs/tests/lost_ownership.rs
@@ -8,7 +8,7 @@
     Action, EndKind, Ended, Event, HoldReply, Listing, Notice, Outcome, Rejection, StartOrder, StartReply,
     UpstreamRecord,
 };
-use support::{Owner, first_hold, first_start, record};
+use support::{Owner, SERVICE, first_hold, first_start, record};
 
 fn as_start(action: &Action) -> Option<&StartOrder> {
     match action {
@@ -111,6 +111,8 @@
 #[test]
 fn a_late_record_of_a_former_process_is_ignored() {
     let (mut owner, actions) = Owner::with_run();
+    // Otherwise nothing starts before the record of the new process is read.
+    owner.handle(Event::GuardingServices([SERVICE.into()].into_iter().collect()));
     owner.upstream.restart();
     owner.upstream.incarnation = 0;
     let hold = first_hold(&actions);
