Runs: upstreams of evacuated data centres start nothing; warm-up afterwards

Operators who evacuate a data centre saw tasks start there until the end: owners had no such state.

Change: a runner is told which data centres are evacuated, or that this is not known yet. Their upstreams accept no task and count neither room nor slots in load reports. Queued tasks that no other owned upstream can ever start return at once, marked so that homes can tell them from late ones (appended field of the report, absent otherwise). After the evacuation an upstream that reports cold-left-ms shows a growing part of its room; tasks that wait have no other place and may use all of it.

Ruled out: releasing the upstreams, since their runs need an owner; fewer slots while warming up, since homes would expect longer waits and refuse jobs.

--- a/crates/node/tests/crashing_tasks.rs
+++ b/crates/node/tests/crashing_tasks.rs
@@ -162,6 +162,7 @@
         let record = |(number, upstream): (usize, &FakeUpstream)| UpstreamRecord {
             address: "10.0.0.1:80".into(),
             capacity: Resources { cpu_millis: 16_000, gpus: 0, memory_mb: 32_768 },
+            cold_left_ms: 0,
             data_centre: "dc1".into(),
             draining: false,
             id: format!("up-{number}").into(),
--- a/crates/node/tests/malformed.rs
+++ b/crates/node/tests/malformed.rs
@@ -205,6 +205,7 @@
         let record = |(number, (capacity, incarnation, sequence, draining))| UpstreamRecord {
             address: "10.0.0.1:80".into(),
             capacity,
+            cold_left_ms: 0,
             data_centre: "dc1".into(),
             draining,
             id: format!("up-{number}").into(),
--- a/crates/node/tests/ownership.rs
+++ b/crates/node/tests/ownership.rs
@@ -17,6 +17,7 @@
     UpstreamRecord {
         address: format!("{data_centre}-{number}:80").into(),
         capacity: Resources { cpu_millis: 16_000, gpus: 0, memory_mb: 32_768 },
+        cold_left_ms: 0,
         data_centre: data_centre.into(),
         draining: false,
         id: format!("{data_centre}-up-{number}").into(),
--- a/crates/node/tests/recipients.rs
+++ b/crates/node/tests/recipients.rs
@@ -25,6 +25,7 @@
     UpstreamRecord {
         address: "10.0.0.1:80".into(),
         capacity: Resources { cpu_millis: 16_000, gpus: 0, memory_mb: 32_768 },
+        cold_left_ms: 0,
         data_centre: data_centre.into(),
         draining: false,
         id: "up-1".into(),
--- a/crates/node/tests/simulation/upstream.rs
+++ b/crates/node/tests/simulation/upstream.rs
@@ -95,6 +95,7 @@
         UpstreamRecord {
             address: format!("{}:80", self.id).into(),
             capacity: Resources { cpu_millis: NEED.cpu_millis * SLOTS as u64, gpus: 0, memory_mb: 32_768 },
+            cold_left_ms: 0,
             data_centre: "dc1".into(),
             draining: false,
             id: self.id.clone(),
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -60,6 +60,7 @@
     UpstreamRecord {
         address: "10.0.0.1:80".into(),
         capacity: Resources { cpu_millis: 16_000, gpus: 0, memory_mb: 32_768 },
+        cold_left_ms: 0,
         data_centre: "dc1".into(),
         draining: false,
         id: "up-1".into(),
--- a/crates/runs/src/event.rs
+++ b/crates/runs/src/event.rs
@@ -7,7 +7,8 @@
 use tokio::time::Instant;
 
 use crate::{
-    Assignment, AssignmentId, Fence, HomeId, Incarnation, Resources, RunId, TaskReport, UpstreamRecord,
+    Assignment, AssignmentId, ClosedDataCentres, Fence, HomeId, Incarnation, Resources, RunId, TaskReport,
+    UpstreamRecord,
 };
 
 /// An input of [`Runner::handle`](crate::Runner::handle).
@@ -22,6 +23,8 @@
         /// A time before which the home has not sent the assignment.
         sent_after: Instant,
     },
+    /// The data centres whose upstreams get no new tasks.
+    CloseDataCentres(ClosedDataCentres),
     /// A home no longer needs a task; a queued one is dropped, a running one is stopped.
     Cancelled {
         /// Number within `home`; an unknown one is ignored.
--- a/crates/runs/src/lib.rs
+++ b/crates/runs/src/lib.rs
@@ -28,6 +28,7 @@
 //! runner.handle(now, Event::Upstreams(vec![UpstreamRecord {
 //!     address: "10.0.0.9:80".into(),
 //!     capacity,
+//!     cold_left_ms: 0,
 //!     data_centre: "dc1".into(),
 //!     draining: false,
 //!     id: "up-1".into(),
@@ -62,6 +63,7 @@
 //! ```
 
 mod ends;
+mod evacuation;
 mod event;
 mod health;
 mod listing;
@@ -73,7 +75,9 @@
 mod stalled;
 mod types;
 mod upstream;
+mod warmup;
 
+pub use evacuation::ClosedDataCentres;
 pub use event::{
     Action, EndKind, Ended, Event, Hold, HoldReply, Listing, Notice, Rejection, RunProgress, StartOrder,
     StartReply, StopOrder,
--- a/crates/runs/src/load.rs
+++ b/crates/runs/src/load.rs
@@ -23,7 +23,7 @@
         for upstream in accepting.filter(|upstream| upstream.record.service == *service) {
             let slots = self.average_tasks_in(upstream.record.capacity.cpu_millis);
             load.slots = load.slots.saturating_add(slots);
-            let free_cpu_millis = upstream.free().cpu_millis;
+            let free_cpu_millis = self.shown_free(now, upstream).cpu_millis;
             if free_cpu_millis >= MIN_REPORTED_CPU_MILLIS {
                 load.rooms_cpu_millis.push(free_cpu_millis);
             }
--- a/crates/runs/src/placement.rs
+++ b/crates/runs/src/placement.rs
@@ -21,6 +21,8 @@
 #[derive(Debug)]
 struct Candidate<'a> {
     free: Resources,
+    /// Free resources for tasks that do not wait; less than `free` while the upstream warms up.
+    shown_free: Resources,
     /// Whether a task that is tried again runs here.
     has_retry: bool,
     id: &'a UpstreamId,
@@ -33,6 +35,12 @@
 }
 
 impl Candidate<'_> {
+    /// Whether the task fits in the room that it may use. A task that waits has no other place.
+    fn has_room(&self, assignment: &Assignment) -> bool {
+        let free = if assignment.waits { self.free } else { self.shown_free };
+        free.fits(&assignment.need)
+    }
+
     /// Whether a run here is expected to end in time, that is, no later than a run at speed 1 that starts at
     /// `start_by`. Upstreams of at least [`NORMAL_SPEED`] always qualify.
     fn can_end_in_time(&self, now: Instant, task: &Queued) -> bool {
@@ -64,10 +72,12 @@
 }
 
 impl<'a> Pass<'a> {
-    fn new(now: Instant, accepting: impl Iterator<Item = (&'a UpstreamId, &'a Upstream)>) -> Self {
-        let mut candidates: Vec<_> = accepting
+    fn new(now: Instant, runner: &'a Runner) -> Self {
+        let mut candidates: Vec<_> = runner
+            .accepting(now)
             .map(|(id, upstream)| Candidate {
                 free: upstream.free(),
+                shown_free: runner.shown_free(now, upstream),
                 has_retry: upstream.runs.values().any(|run| is_retry(&run.assignment)),
                 id,
                 occupied: !upstream.runs.is_empty(),
@@ -90,11 +100,12 @@
             serves(candidate)
                 && candidate.starts_left > 0
                 && (is_only_candidate || assignment.avoid.as_ref() != Some(candidate.id))
-                && candidate.free.fits(&assignment.need)
+                && candidate.has_room(assignment)
                 && candidate.can_end_in_time(now, task)
         });
         let best = usable.min_by(|a, b| a.cost(assignment).total_cmp(&b.cost(assignment)))?;
         best.free -= assignment.need;
+        best.shown_free -= assignment.need;
         best.has_retry |= is_retry(assignment);
         best.occupied = true;
         best.starts_left -= 1;
@@ -108,7 +119,7 @@
         if self.queue.is_empty() {
             return;
         }
-        let mut pass = Pass::new(now, self.accepting(now));
+        let mut pass = Pass::new(now, self);
         let mut placements = Vec::new();
         for task in self.queue.iter() {
             if let Some(id) = pass.reserve(task) {
--- a/crates/runs/src/runner.rs
+++ b/crates/runs/src/runner.rs
@@ -1,14 +1,14 @@
 //! State of an owner and the handling of its events.
 
-use hinge_wire::{FastMap, FastSet, ServiceId, UpstreamId};
+use hinge_wire::{DataCentreId, FastMap, FastSet, ServiceId, UpstreamId};
 use tokio::time::Instant;
 
 use crate::ends::{EndProof, RecentEnd, RecentEnds};
 use crate::queue::{Queue, Queued};
 use crate::upstream::{Ownership, Run, STOP_TIME, Upstream};
 use crate::{
-    Action, Assignment, AssignmentId, Event, Fence, HomeId, LIVENESS_TIMEOUT, LostRun, Notice, Outcome,
-    RunId, RunNumber, StartOrder, TaskReport, UpstreamRecord, bounded_ms, whole_ms,
+    Action, Assignment, AssignmentId, ClosedDataCentres, Event, Fence, HomeId, LIVENESS_TIMEOUT, LostRun,
+    Notice, Outcome, RunId, RunNumber, StartOrder, TaskReport, UpstreamRecord, bounded_ms, whole_ms,
 };
 
 /// Weight of a new value in the exponential moving averages of task sizes and run times.
@@ -22,6 +22,7 @@
 #[derive(Debug)]
 pub struct Runner {
     pub(crate) actions: Vec<Action>,
+    pub(crate) closed: ClosedDataCentres,
     /// Services whose upstreams reject a task that exceeds their capacity.
     guarding_services: FastSet<ServiceId>,
     /// Upstreams without ownership, runs and calls in flight. Events iterate over `upstreams` only, so that their cost
@@ -34,6 +35,8 @@
     pub(crate) placed: FastMap<(HomeId, AssignmentId), (UpstreamId, RunId)>,
     pub(crate) queue: Queue,
     pub(crate) recent_ends: RecentEnds,
+    /// When data centres that were evacuated were last taken back.
+    pub(crate) restored: FastMap<DataCentreId, Instant>,
     pub(crate) upstreams: FastMap<UpstreamId, Upstream>,
     pub(crate) mean_cpu_millis: f64,
 }
@@ -42,6 +45,7 @@
     fn default() -> Self {
         Self {
             actions: Vec::new(),
+            closed: ClosedDataCentres::default(),
             guarding_services: FastSet::default(),
             inactive: FastMap::default(),
             lost_runs: Vec::new(),
@@ -49,6 +53,7 @@
             placed: FastMap::default(),
             queue: Queue::default(),
             recent_ends: RecentEnds::default(),
+            restored: FastMap::default(),
             upstreams: FastMap::default(),
             mean_cpu_millis: INITIAL_CPU_MILLIS,
         }
@@ -69,6 +74,7 @@
         }
         self.drop_late(now);
         self.place(now);
+        self.return_evacuated(now);
         self.return_unplaced(now);
         self.release_idle();
         self.deactivate_idle();
@@ -80,6 +86,7 @@
             Event::Assigned { assignment, home, sent_after } => {
                 self.enqueue(now, home, assignment, sent_after);
             }
+            Event::CloseDataCentres(closed) => self.close_data_centres(now, closed),
             Event::Cancelled { assignment, home } => self.cancel(now, home, assignment),
             Event::GuardingServices(services) => self.guarding_services = services,
             Event::HoldEnded { hold, reply } => self.hold_ended(now, &hold, reply),
@@ -131,11 +138,13 @@
     }
 
     /// Upstreams on which tasks may start now. The capacity of a former process must not be exceeded by starts that the present
-    /// process would accept.
+    /// process would accept. Those of an evacuated data centre get no task.
     pub(crate) fn accepting(&self, now: Instant) -> impl Iterator<Item = (&UpstreamId, &Upstream)> {
         self.upstreams.iter().filter(move |(_, upstream)| {
             let guards = || self.guarding_services.contains(&upstream.record.service);
-            upstream.accepts(now) && (upstream.has_current_record() || guards())
+            upstream.accepts(now)
+                && !self.closed.contains(&upstream.record.data_centre)
+                && (upstream.has_current_record() || guards())
         })
     }
 
@@ -228,11 +237,15 @@
     }
 
     fn report_not_run(&mut self, now: Instant, task: &Queued, reason: &'static str) {
+        self.notice_dropped(now, task, reason);
+        let report = TaskReport::new(task.assignment.id, Outcome::NotStarted, task.assignment.run);
+        self.actions.push(Action::Report { home: task.home, report });
+    }
+
+    pub(crate) fn notice_dropped(&mut self, now: Instant, task: &Queued, reason: &'static str) {
         let run = RunId { task: task.assignment.task.clone(), run: task.assignment.run };
         let queued = now.duration_since(task.queued_at);
         self.actions.push(Action::Notice(Notice::Dropped { queued, reason, run }));
-        let report = TaskReport::new(task.assignment.id, Outcome::NotStarted, task.assignment.run);
-        self.actions.push(Action::Report { home: task.home, report });
     }
 
     /// Removes a run and reports its end, unless its home is lost.
@@ -265,6 +278,7 @@
             run_time_ms: whole_ms(run_time),
             upstream: Some(id.clone()),
             ends_within_ms: (outcome == Outcome::Uncertain).then_some(ends_within_ms),
+            place_again: false,
         };
         self.actions.push(Action::Report { home: run.home, report });
     }
@@ -329,11 +343,11 @@
         for record in records {
             let id = record.id.clone();
             if let Some(upstream) = self.upstreams.get_mut(&id) {
-                if upstream.register(record) {
+                if upstream.register(now, record) {
                     self.upstream_restarted(now, &id);
                 }
             } else if let Some(upstream) = self.inactive.get_mut(&id) {
-                if upstream.register(record) {
+                if upstream.register(now, record) {
                     upstream.reset_incarnation();
                 }
             } else {
--- a/crates/runs/src/types.rs
+++ b/crates/runs/src/types.rs
@@ -99,6 +99,8 @@
     pub address: Arc<str>,
     /// Total resources, whether in use or free.
     pub capacity: Resources,
+    /// Time for which the upstream will still be slow because it is cold, in milliseconds; 0 if it is warm.
+    pub cold_left_ms: u64,
     /// Data centre in which the upstream runs.
     pub data_centre: DataCentreId,
     /// Whether the upstream is shutting down and must get no new tasks.
@@ -178,13 +180,25 @@
     /// outcomes, and from older entries.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub ends_within_ms: Option<u64>,
+    /// Whether the task was returned because it fits only in evacuated data centres, so that its home places it elsewhere.
+    /// Absent otherwise, and from older entries.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub place_again: bool,
 }
 
 impl TaskReport {
     /// Creates a report without a run time and upstream.
     #[must_use]
     pub const fn new(assignment: AssignmentId, outcome: Outcome, run: RunNumber) -> Self {
-        Self { assignment, outcome, run, run_time_ms: 0, upstream: None, ends_within_ms: None }
+        Self {
+            assignment,
+            outcome,
+            run,
+            run_time_ms: 0,
+            upstream: None,
+            ends_within_ms: None,
+            place_again: false,
+        }
     }
 }
 
--- a/crates/runs/src/upstream.rs
+++ b/crates/runs/src/upstream.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 
 use crate::health::Health;
+use crate::warmup::Coldness;
 use crate::{Assignment, Fence, HomeId, Incarnation, Resources, RunId, UpstreamRecord, bounded_ms, whole_ms};
 
 /// Duration of the lease that each order requests. A renewal that an owner sends in its last moment may arrive at the end
@@ -101,6 +102,7 @@
     /// When the last lease has expired for certain, unless another order renews it.
     pub(crate) runs_expire_at: Instant,
     clock: Option<ClockReading>,
+    pub(crate) coldness: Coldness,
     /// Number of times in a row that a higher token has ended the ownership, without a takeover in between.
     pub(crate) failed_takeovers: u32,
     pub(crate) fence: Fence,
@@ -147,6 +149,7 @@
         Self {
             runs_expire_at: now,
             clock: None,
+            coldness: Coldness::new(now, &record),
             failed_takeovers: 0,
             fence: 0,
             former: VecDeque::new(),
@@ -173,13 +176,14 @@
 
     /// Stores a new registration record; true if it shows that the upstream has restarted. A record of a former process,
     /// which the store may still show, changes nothing once the present one has answered.
-    pub(crate) fn register(&mut self, record: UpstreamRecord) -> bool {
+    pub(crate) fn register(&mut self, now: Instant, record: UpstreamRecord) -> bool {
         self.registered = true;
         let process = self.process(record.incarnation);
         if process == Process::Former && self.has_answered {
             return false;
         }
         self.set_process(record.incarnation);
+        self.coldness.observe(now, &self.record, &record);
         self.record = record;
         process != Process::Present
     }
--- a/crates/runs/tests/support/mod.rs
+++ b/crates/runs/tests/support/mod.rs
@@ -26,6 +26,7 @@
     UpstreamRecord {
         address: format!("{id}:80").into(),
         capacity: Resources { cpu_millis: 16_000, gpus: 0, memory_mb: 32_768 },
+        cold_left_ms: 0,
         data_centre: "dc1".into(),
         draining: false,
         id: id.into(),
--- a/crates/runs/tests/versions.rs
+++ b/crates/runs/tests/versions.rs
@@ -35,3 +35,13 @@
     let decoded: EarlierReport = from_msgpack(&to_msgpack(&sent).unwrap()).unwrap();
     assert_eq!(decoded, earlier_report());
 }
+
+/// Guards against a link that breaks when a task is returned because of an evacuation.
+#[test]
+fn returns_for_an_evacuation_are_decoded_by_entries_before_the_change() {
+    let sent = TaskReport { place_again: true, ..TaskReport::new(3, Outcome::NotStarted, 7) };
+    let decoded: EarlierReport = from_msgpack(&to_msgpack(&sent).unwrap()).unwrap();
+    assert_eq!((decoded.assignment, decoded.outcome), (3, Outcome::NotStarted));
+    let received: TaskReport = from_msgpack(&to_msgpack(&earlier_report()).unwrap()).unwrap();
+    assert!(!received.place_again);
+}
