Jobs: tasks that return because of an evacuation are placed elsewhere

Callers saw jobs rejected whose task had waited at an owner of an evacuated data centre, although there was room in another one: a waiting task that returns counted as late.

Change: marked returns are placed at another owner, or repeated if some of the job has run. If no owner has room in time the job is rejected at once. After eight returns a task is given up, so that a home that is its own owner cannot loop.

Tests: jobs/evacuation.

--- a/crates/jobs/src/placing.rs
+++ b/crates/jobs/src/placing.rs
@@ -17,6 +17,9 @@
 const MIN_MOVE_WAIT: Duration = Duration::from_millis(10);
 /// Number of consecutive owners that may return a task for lack of room; the next owner queues it.
 const MAX_RETURNS: u32 = 3;
+/// Number of consecutive returns after which a task that fits only in evacuated data centres is given up. Its home may itself
+/// be the owner that returns it at once.
+const MAX_EVACUATED_RETURNS: u32 = 8;
 
 /// A new job that must wait is expected to wait at least this multiple of the longest wait in its queue so far, because
 /// the tasks that have waited so long are still waiting.
@@ -200,17 +203,46 @@
         if self.give_up_crashing(now, placement.job, [placement.task].into_iter()) {
             return;
         }
+        let returned = if placement.stage == Stage::Offered { placement.returned + 1 } else { 0 };
+        self.place_again(now, Placement { returned, ..placement }, report);
+    }
+
+    /// Places a task that has not run within the slack of its job.
+    fn place_again(&mut self, now: Instant, placement: Placement, report: &TaskReport) {
         let Some(job) = self.jobs.get(&placement.job) else { return };
         let expected = self.estimates.expected(&job.request.queue.name, job.request.estimate);
         let start_within = self.slack(now, placement.job);
-        let returned = if placement.stage == Stage::Offered { placement.returned + 1 } else { 0 };
-        let placement = Placement { returned, ..placement };
         let attempt = Attempt { avoid: None, expected, late: false, run: report.run, start_within };
         if start_within.is_zero() || !self.assign_to_best_owner(now, placement, attempt) {
             self.handle_not_started(now, placement, report);
         }
     }
 
+    /// Places a task elsewhere that its owner returned without a start, since it fits only in evacuated data centres. If there
+    /// is no other place, the job is rejected, or fails if some of it may have run.
+    pub(crate) fn move_evacuated_task(&mut self, now: Instant, placement: Placement, report: &TaskReport) {
+        let Some(job) = self.jobs.get(&placement.job) else { return };
+        let may_have_run = job.may_have_run;
+        let placement = Placement { returned: placement.returned + 1, ..placement };
+        let is_given_up = placement.returned > MAX_EVACUATED_RETURNS
+            || (!may_have_run && self.has_no_room_in_time(now, placement.job));
+        match (may_have_run, is_given_up) {
+            (true, true) => self.answer(now, placement.job, Answer::Failed(FailCause::Late)),
+            (true, false) => self.retry_task(now, placement, report),
+            (false, true) => self.withdraw_job(now, placement),
+            (false, false) => self.place_again(now, placement, report),
+        }
+    }
+
+    /// Whether a task of a job would wait for longer than the job's slack at the best owner.
+    fn has_no_room_in_time(&mut self, now: Instant, number: JobNumber) -> bool {
+        let slack = self.slack(now, number);
+        let Some(job) = self.jobs.get(&number) else { return true };
+        let demand = demand(&job.request);
+        let choice = self.owners.choose(now, &demand, &mut self.rng);
+        choice.is_none_or(|choice| choice.wait.is_some_and(|wait| wait > slack))
+    }
+
     /// Starts a task again whose previous run is known to have ended. The job fails if the answer would come too late
     /// to be of use to the caller, or if the task may crash further upstreams.
     pub(crate) fn retry_task(&mut self, now: Instant, placement: Placement, report: &TaskReport) {
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -28,7 +28,8 @@
     /// When the run, if there is one, has ended for certain; none unless it was cancelled or its owner lost.
     pub(crate) ended_by: Option<Instant>,
     pub(crate) job: JobNumber,
-    /// Number of consecutive owners that returned the task for lack of room although their reports showed some.
+    /// Number of consecutive owners that returned the task for lack of room although their reports showed some, or since it
+    /// fits only in evacuated data centres.
     pub(crate) returned: u32,
     pub(crate) owner: HomeId,
     pub(crate) stage: Stage,
@@ -257,6 +258,7 @@
             Outcome::Done => self.task_done(now, placement, bounded_ms(report.run_time_ms)),
             Outcome::Failed => self.task_failed(now, placement, report),
             Outcome::Interrupted => self.retry_task(now, placement, report),
+            Outcome::NotStarted if report.place_again => self.move_evacuated_task(now, placement, report),
             Outcome::NotStarted if matches!(placement.stage, Stage::Offered | Stage::Recalled) => {
                 self.move_returned_task(now, placement, report);
             }
