Node: register of evacuated data centres, sent between entries

Per data centre the state with the highest revision holds, from the store or a peer. It is sent to all linked peers when it changes and at link-up, in an appended field of the status, before the reports about returned tasks. A higher revision of the same state is not sent on, since each entry has its own revision of a removal; a peer that names an outdated state gets the present one.

Homes count no sizes of upstreams in evacuated data centres, and owners elsewhere send loads to more entries of these, which see some 20 owners with room as before.

Operators get EVACUATION_CHANGED, EVACUATION_ADOPTED and gauges by data centre: time since the evacuation, revision, peers that have adopted it and that have not, runs and cold upstreams.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -25,4 +25,4 @@
 pub use link::{HEARTBEAT_INTERVAL, SILENCE_LIMIT};
 pub use liveness::{Liveness, TimestampAhead, Timestamps};
 pub use mesh::{Mesh, MeshEvent, PeerAddress};
-pub use message::{Hello, LinkId, Message, OwnedUpstream, Resume, ServiceLoad, Status};
+pub use message::{Evacuation, Hello, LinkId, Message, OwnedUpstream, Resume, ServiceLoad, Status};
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -36,6 +36,17 @@
     pub service: ServiceId,
 }
 
+/// Whether a data centre is evacuated: its upstreams get no new tasks.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Evacuation {
+    /// Data centre that the state is about.
+    pub data_centre: DataCentreId,
+    /// False once the operator has taken the data centre back.
+    pub evacuated: bool,
+    /// Revision of the store at which the state was seen; of two states the one with the higher revision holds.
+    pub revision: u64,
+}
+
 /// State that an entry reports to its peers.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Status {
@@ -51,6 +62,10 @@
     /// Absent from older entries.
     #[serde(default)]
     pub lost_runs: Vec<LostRun>,
+    /// All evacuations that the sender knows, when they have changed and in the first status of a link. None in other
+    /// statuses, from a sender that does not know the state yet, and from older entries.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub evacuations: Option<Vec<Evacuation>>,
 }
 
 /// An upstream that an entry owns.
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -5,10 +5,14 @@
 use bytes::Bytes;
 use hinge_jobs::{JobNumber, JobTable};
 use hinge_mesh::{Hello, OwnedUpstream};
-use hinge_runs::{AssignmentId, Event, Fence, HomeId, LostRun, Outcome, Runner, TaskReport, UpstreamRecord};
+use hinge_runs::{
+    AssignmentId, ClosedDataCentres, Event, Fence, HomeId, LostRun, Outcome, Runner, TaskReport,
+    UpstreamRecord,
+};
 use hinge_wire::{FastMap, FastSet, ServiceId, UpstreamId};
 use tokio::time::Instant;
 
+use crate::evacuations::Evacuations;
 use crate::event::{Input, Output, SubmissionId};
 use crate::journal::LogLine;
 use crate::outbox::{LOCAL_STATUS_INTERVAL, Outbox, REMOTE_STATUS_INTERVAL, StatusTimer};
@@ -37,6 +41,13 @@
     pub(crate) config: Option<(u64, Bytes)>,
     /// When a peer may be asked for its newer configuration; none while no peer has a newer one.
     pub(crate) config_request_at: Option<Instant>,
+    /// Data centres that the runner starts no tasks in.
+    pub(crate) closed: ClosedDataCentres,
+    pub(crate) evacuations: Evacuations,
+    /// Whether the evacuations have changed since they were last sent to all peers.
+    pub(crate) evacuations_changed: bool,
+    /// Whether the peers can be told the state of the evacuations.
+    pub(crate) evacuations_known: bool,
     /// Fencing token at the start of the process.
     pub(crate) fence_base: Fence,
     pub(crate) jobs: JobTable,
@@ -82,6 +93,10 @@
             busy_status_at: now,
             config: None,
             config_request_at: None,
+            closed: ClosedDataCentres::default(),
+            evacuations: Evacuations::default(),
+            evacuations_changed: false,
+            evacuations_known: false,
             fence_base,
             jobs,
             known_fences: FastMap::default(),
@@ -122,12 +137,14 @@
                 self.jobs.finish_by(finish_by);
             }
             Input::Entries(records) => self.peers.set_registered(now, self.own_id, &records),
+            Input::Evacuations { keys, revision } => self.read_evacuations(now, &keys, revision),
             Input::GuardingServices(services) => {
                 self.runner.handle(now, Event::GuardingServices(services));
             }
             Input::HoldEnded { hold, reply } => self.runner.handle(now, Event::HoldEnded { hold, reply }),
             Input::Mesh(event) => self.handle_mesh_event(now, event),
             Input::UnresponsivePeers(peers) => self.jobs.set_unresponsive_owners(peers),
+            Input::ObeyEvacuations => self.obey_evacuations(now),
             Input::StartEnded { reply, start } => {
                 self.runner.handle(now, Event::StartEnded { reply, start });
             }
@@ -151,8 +168,7 @@
                 self.services = records.iter().map(|upstream| upstream.service.clone()).collect();
                 self.services.sort_unstable();
                 self.services.dedup();
-                let capacities = records.iter().map(|upstream| (&upstream.service, upstream.capacity));
-                self.jobs.set_capacities(capacities);
+                self.update_capacities();
                 self.runner.handle(now, Event::Upstreams(records));
             }
         }
@@ -164,8 +180,10 @@
         if now >= self.next_ownership_update {
             self.next_ownership_update = now + OWNERSHIP_INTERVAL;
             self.adjust_ownership(now);
+            self.recheck_evacuations(now);
             self.update_load_recipients(now);
             self.request_config(now);
+            self.report_evacuations(now);
             self.dispatch_actions(now);
         }
         self.send_owned();
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -6,11 +6,11 @@
 use hinge_jobs::{Answer, JobRequest};
 use hinge_mesh::{MeshEvent, Message};
 use hinge_runs::{Hold, HoldReply, HomeId, StartOrder, StartReply, StopOrder, UpstreamRecord};
-use hinge_wire::{FastSet, ServiceId};
+use hinge_wire::{DataCentreId, FastSet, ServiceId};
 use tokio::time::Instant;
 
-use crate::EntryRecord;
 use crate::journal::LogLine;
+use crate::{EntryRecord, EvacuationReport};
 
 /// Identifies a submitted job within this process.
 pub type SubmissionId = u64;
@@ -34,6 +34,13 @@
     },
     /// All registered entries, this one included.
     Entries(Vec<EntryRecord>),
+    /// Evacuated data centres as the store shows them; ignored unless [`Input::ObeyEvacuations`] came before.
+    Evacuations {
+        /// Data centres with a key, and the revision of the key's last change.
+        keys: Vec<(DataCentreId, u64)>,
+        /// Revision up to which the changes of keys are included.
+        revision: u64,
+    },
     /// The services whose upstreams reject a task that exceeds their capacity, by the configuration.
     GuardingServices(FastSet<ServiceId>),
     /// A call of [`UpstreamPort::hold`](crate::UpstreamPort::hold) has returned.
@@ -45,6 +52,8 @@
     },
     /// A link to a peer has come up or gone down, or a message has arrived on one.
     Mesh(MeshEvent),
+    /// Evacuations of data centres are obeyed from now on. No task starts before the store or a peer has sent their state.
+    ObeyEvacuations,
     /// A call of [`UpstreamPort::start`](crate::UpstreamPort::start) has returned.
     StartEnded {
         /// The upstream's reply, or how the call failed.
@@ -89,6 +98,8 @@
         /// Version inside the configuration.
         version: u64,
     },
+    /// State of all data centres that are or were evacuated, for the metrics.
+    Evacuations(Vec<EvacuationReport>),
     /// Renew the lease at an upstream and read its runs; answered by [`Input::HoldEnded`].
     Hold(Hold),
     /// Write a log line.
--- a/crates/node/src/journal.rs
+++ b/crates/node/src/journal.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use hinge_jobs::{Answer, Notice as JobNotice};
+use hinge_mesh::Evacuation;
 use hinge_obs::emit;
 use hinge_runs::{HomeId, Notice as RunNotice, RunId, whole_ms};
 use hinge_wire::{InstanceId, LogEvent, UpstreamId};
@@ -11,6 +12,22 @@
 /// A line of the log, also counted by [`NodeMetrics`](crate::NodeMetrics).
 #[derive(Clone, Debug)]
 pub enum LogLine {
+    /// A data centre is evacuated or taken back.
+    Evacuation {
+        /// Process that has sent the state; none if it is from the store.
+        peer: Option<HomeId>,
+        /// Runs on the upstreams of the data centre that this entry owns.
+        running: usize,
+        /// The new state.
+        state: Evacuation,
+    },
+    /// A peer knows that a data centre is evacuated or taken back.
+    EvacuationAdopted {
+        /// Instance id of the peer.
+        instance: InstanceId,
+        /// State that it has sent.
+        state: Evacuation,
+    },
     /// A decision about a job of one of this entry's callers, or the end of the job.
     Job(JobNotice),
     /// The link to a peer is up.
@@ -47,6 +64,20 @@
 impl LogLine {
     pub(crate) fn write(&self) {
         match self {
+            Self::Evacuation { peer, running, state } => emit(
+                LogEvent::EvacuationChanged,
+                &json!({
+                    "data_centre": state.data_centre, "evacuated": state.evacuated, "peer": peer,
+                    "revision": state.revision, "running": running,
+                }),
+            ),
+            Self::EvacuationAdopted { instance, state } => emit(
+                LogEvent::EvacuationAdopted,
+                &json!({
+                    "data_centre": state.data_centre, "evacuated": state.evacuated, "instance": instance,
+                    "revision": state.revision,
+                }),
+            ),
             Self::Job(notice) => write_job(notice),
             Self::PeerLinked { instance, peer } => {
                 emit(LogEvent::PeerLinked, &json!({ "instance": instance, "peer": peer }));
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,9 @@
 //! no live peer claims it. If two entries disagree, the upstream obeys the one with the higher fencing token.
 
 mod engine;
+mod evacuation_metrics;
+mod evacuation_news;
+mod evacuations;
 mod event;
 mod journal;
 mod links;
@@ -22,6 +25,7 @@
 mod recipients;
 
 pub use engine::Engine;
+pub use evacuation_news::EvacuationReport;
 pub use event::{Input, Output, SubmissionId};
 pub use journal::LogLine;
 pub use metrics::NodeMetrics;
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use crate::journal::LogLine;
+use crate::outbox::News;
 use crate::{Engine, Output};
 
 /// Time that the store gets to deliver a configuration that a peer already has, before the peer is asked for it.
@@ -53,7 +54,8 @@
         self.update_load_recipients(now);
         let loads = self.loads(now);
         let lost_runs: Vec<_> = self.jobs.own_lost_runs(now).cloned().collect();
-        self.send_status(peer, &loads, &lost_runs);
+        let evacuations = self.evacuations.states();
+        self.send_status(peer, &loads, News { evacuations, lost_runs });
     }
 
     /// Discards what was sent over a lost link: assignments in either direction become void, as they do at the peer.
@@ -82,6 +84,7 @@
         }
         self.outputs.push(Output::ResetLinks);
         self.jobs.suspended(now);
+        self.suspend_evacuations(now);
         // Together, so that no queued task starts before all upstreams are given up.
         let events = linked.into_iter().map(Event::HomeLost).chain([Event::Suspended]);
         self.runner.handle_all(now, events);
@@ -138,6 +141,7 @@
         for lost in std::mem::take(&mut status.lost_runs) {
             self.jobs.record_peer_lost_run(now, lost);
         }
+        let evacuations = status.evacuations.take();
         for service_load in &status.loads {
             let load = if status.draining { Load::default() } else { service_load.load.clone() };
             let service = service_load.service.clone();
@@ -147,6 +151,9 @@
         if let Some(peer) = self.peers.get_mut(id) {
             peer.status = status;
         }
+        if let Some(states) = evacuations {
+            self.receive_evacuations(now, id, states);
+        }
     }
 
     /// Adopts a configuration and outputs it, unless its version is not above the current one.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -7,6 +7,8 @@
     exponential_buckets,
 };
 
+use crate::EvacuationReport;
+use crate::evacuation_metrics::EvacuationMetrics;
 use crate::journal::LogLine;
 
 /// Upper bound of the first bucket of the time histograms, in seconds.
@@ -18,6 +20,7 @@
 #[derive(Clone, Debug)]
 pub struct NodeMetrics {
     avoided: IntCounterVec,
+    evacuations: EvacuationMetrics,
     events: IntCounterVec,
     in_progress: IntGauge,
     job_seconds: HistogramVec,
@@ -55,6 +58,7 @@
         };
         Ok(Self {
             avoided: counter("upstreams_avoided_total", "Pauses of upstreams by cause.", &["cause"])?,
+            evacuations: EvacuationMetrics::new(&registry)?,
             events: counter("events_total", "Changes of what the entry believes, by kind.", &["event"])?,
             in_progress: gauge("in_progress", "Jobs and tasks in progress.")?,
             job_seconds: times("job_seconds", "Time from receipt to answer.", &["queue"])?,
@@ -83,9 +87,18 @@
         self.owned.set(i64::try_from(owned).unwrap_or(i64::MAX));
     }
 
+    pub(crate) fn set_evacuations(&self, reports: &[EvacuationReport]) {
+        self.evacuations.set(reports);
+    }
+
     /// Counts the event of a log line. The counts include lines that the log drops.
     pub(crate) fn observe(&self, line: &LogLine) {
         match line {
+            LogLine::Evacuation { state, .. } => {
+                let event = if state.evacuated { "evacuated" } else { "taken_back" };
+                self.events.with_label_values(&[event]).inc();
+            }
+            LogLine::EvacuationAdopted { .. } => {}
             LogLine::Job(notice) => self.observe_job(notice),
             LogLine::PeerLinked { .. } => self.events.with_label_values(&["peer_linked"]).inc(),
             LogLine::PeerLost { .. } => self.events.with_label_values(&["peer_lost"]).inc(),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -310,6 +310,7 @@
                 Output::Config { body, version } => {
                     self.config.send_replace(Some((version, body)));
                 }
+                Output::Evacuations(reports) => self.metrics.set_evacuations(&reports),
                 Output::Hold(hold) => self.hold(hold),
                 Output::Log(line) => {
                     self.metrics.observe(&line);
--- a/crates/node/src/outbox.rs
+++ b/crates/node/src/outbox.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use hinge_jobs::OwnerLoad;
-use hinge_mesh::{Message, OwnedUpstream, ServiceLoad, Status};
+use hinge_mesh::{Evacuation, Message, OwnedUpstream, ServiceLoad, Status};
 use hinge_runs::{Assignment, AssignmentId, HomeId, Load, LostRun, TaskReport};
 use tokio::time::Instant;
 
-use crate::recipients::{Candidate, load_recipients};
+use crate::recipients::{Candidate, Sender, load_recipients};
 use crate::{Engine, Output};
 
 /// Minimum time between two status messages to a peer of this entry's data centre, if nothing else is sent to it.
@@ -37,6 +37,13 @@
     }
 }
 
+/// Parts of a status that are sent only when there is something new.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct News {
+    pub(crate) evacuations: Option<Vec<Evacuation>>,
+    pub(crate) lost_runs: Vec<LostRun>,
+}
+
 /// Decides when loads are sent to a group of peers: after a change, and at most once per interval.
 #[derive(Debug)]
 pub(crate) struct StatusTimer {
@@ -103,7 +110,7 @@
     }
 
     pub(crate) fn send_messages(&mut self, now: Instant) {
-        self.send_lost_runs(now);
+        self.send_news(now);
         let outboxes = std::mem::take(&mut self.outboxes);
         let mut recipients = Vec::new();
         for (peer, outbox) in outboxes {
@@ -136,20 +143,23 @@
         recipients.sort_unstable();
         recipients.dedup();
         for peer in recipients {
-            self.send_status(peer, &loads, &[]);
+            self.send_status(peer, &loads, News::default());
         }
     }
 
-    /// Tells all linked peers of the runs that were lost since the last call. Must precede the reports about them.
-    fn send_lost_runs(&mut self, now: Instant) {
-        if self.lost_runs.is_empty() {
+    /// Tells all linked peers of the runs that were lost since the last call, and of changed evacuations. Must precede the
+    /// reports about them.
+    fn send_news(&mut self, now: Instant) {
+        let changed = std::mem::take(&mut self.evacuations_changed);
+        if self.lost_runs.is_empty() && !changed {
             return;
         }
-        let lost_runs = std::mem::take(&mut self.lost_runs);
+        let evacuations = if changed { self.evacuations.states() } else { None };
+        let news = News { evacuations, lost_runs: std::mem::take(&mut self.lost_runs) };
         let loads = self.loads(now);
         let linked: Vec<_> = self.peers.linked().map(|(peer, _)| peer).collect();
         for peer in linked {
-            self.send_status(peer, &loads, &lost_runs);
+            self.send_status(peer, &loads, news.clone());
         }
     }
 
@@ -172,7 +182,12 @@
             id,
             instance: &peer.instance,
         });
-        let chosen = load_recipients(&self.local.instance, &self.local.data_centre, linked.collect());
+        let sender = Sender {
+            data_centre: &self.local.data_centre,
+            evacuations: &self.evacuations,
+            instance: &self.local.instance,
+        };
+        let chosen = load_recipients(&sender, linked.collect());
         if chosen == self.load_recipients {
             return;
         }
@@ -180,7 +195,7 @@
         let loads = self.loads(now);
         let changed: Vec<_> = before.symmetric_difference(&self.load_recipients).copied().collect();
         for peer in changed {
-            self.send_status(peer, &loads, &[]);
+            self.send_status(peer, &loads, News::default());
         }
     }
 
@@ -193,15 +208,15 @@
 
     /// Sends the status of this entry to a peer. Peers that are not recipients of loads see no free slots, so they
     /// assign no tasks to this entry.
-    pub(crate) fn send_status(&mut self, peer: HomeId, loads: &[ServiceLoad], lost_runs: &[LostRun]) {
+    pub(crate) fn send_status(&mut self, peer: HomeId, loads: &[ServiceLoad], news: News) {
         self.local_status.note_unscheduled(loads);
         self.remote_status.note_unscheduled(loads);
         let last_assignment = self.peers.get_mut(peer).map_or(0, |peer| peer.last_assignment);
         let loads = if self.load_recipients.contains(&peer) { loads.to_vec() } else { without_slots(loads) };
         let config_version = self.config_version();
         let draining = self.local.draining;
-        let lost_runs = lost_runs.to_vec();
-        let status = Status { config_version, draining, last_assignment, loads, lost_runs };
+        let News { evacuations, lost_runs } = news;
+        let status = Status { config_version, draining, last_assignment, loads, lost_runs, evacuations };
         self.send(peer, Message::Status(status));
     }
 
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hinge_mesh::{Hello, Status};
+use hinge_mesh::{Evacuation, Hello, Status};
 use hinge_runs::{AssignmentId, HomeId};
 use hinge_wire::{DataCentreId, FastMap, FastSet, InstanceId, UpstreamId};
 use tokio::time::Instant;
@@ -38,6 +38,8 @@
 pub(crate) struct Peer {
     pub(crate) claims: FastSet<UpstreamId>,
     pub(crate) data_centre: DataCentreId,
+    /// Evacuations that it has sent last.
+    pub(crate) evacuations: Vec<Evacuation>,
     pub(crate) instance: InstanceId,
     /// Highest assignment number received from it over the current link.
     pub(crate) last_assignment: AssignmentId,
@@ -55,6 +57,7 @@
         Self {
             claims: FastSet::default(),
             data_centre,
+            evacuations: Vec::new(),
             instance,
             last_assignment: 0,
             linked: false,
@@ -137,6 +140,7 @@
         peer.linked = true;
         peer.closed_at = None;
         peer.last_assignment = 0;
+        peer.evacuations.clear();
         peer.status = Status::default();
         self.remove_replaced();
         was_linked
--- a/crates/node/tests/malformed.rs
+++ b/crates/node/tests/malformed.rs
@@ -9,13 +9,13 @@
 use std::time::Duration;
 
 use hinge_jobs::{JobRequest, QueuePolicy};
-use hinge_mesh::{MeshEvent, Message, OwnedUpstream, ServiceLoad, Status};
+use hinge_mesh::{Evacuation, MeshEvent, Message, OwnedUpstream, ServiceLoad, Status};
 use hinge_node::{Engine, Input, Output};
 use hinge_runs::{
     Assignment, EndKind, Ended, Hold, HoldReply, Listing, Load, LostRun, Outcome, Rejection, Resources,
     RunId, RunProgress, StartOrder, StartReply, TaskReport, UpstreamRecord,
 };
-use hinge_wire::UpstreamId;
+use hinge_wire::{DataCentreId, UpstreamId};
 use proptest::collection::vec;
 use proptest::prelude::*;
 use support::hello;
@@ -103,20 +103,35 @@
     (any::<bool>(), run(), upstream_id()).prop_map(|(alone, run, upstream)| LostRun { alone, run, upstream })
 }
 
+fn data_centre() -> impl Strategy<Value = DataCentreId> {
+    prop_oneof![
+        4 => (1..3u32).prop_map(|number| format!("dc{number}").into()),
+        1 => Just("".into()),
+        1 => Just("dc/1".into()),
+        1 => Just("d".repeat(100_000).into()),
+    ]
+}
+
+fn evacuations() -> impl Strategy<Value = Option<Vec<Evacuation>>> {
+    let state = (data_centre(), any::<bool>(), number())
+        .prop_map(|(data_centre, evacuated, revision)| Evacuation { data_centre, evacuated, revision });
+    proptest::option::of(vec(state, 0..4))
+}
+
 fn status() -> impl Strategy<Value = Status> {
     let load = (number(), [small_number(), small_number(), small_number(), small_number()]);
-    let rest = (number(), any::<bool>(), vec(lost_run(), 0..4));
+    let rest = (number(), any::<bool>(), vec(lost_run(), 0..4), evacuations());
     (load, vec(number(), 0..4), small_number(), number(), rest).prop_map(
         |(
             (mean_run_ms, queued),
             rooms_cpu_millis,
             slots,
             config_version,
-            (last_assignment, draining, lost_runs),
+            (last_assignment, draining, lost_runs, evacuations),
         )| {
             let load = Load { mean_run_ms, queued, rooms_cpu_millis, slots };
             let loads = vec![ServiceLoad { load, service: SERVICE.into() }];
-            Status { config_version, draining, last_assignment, loads, lost_runs }
+            Status { config_version, draining, last_assignment, loads, lost_runs, evacuations }
         },
     )
 }
@@ -220,8 +235,10 @@
 
 #[derive(Clone, Debug)]
 enum Step {
+    Evacuations(Vec<(DataCentreId, u64)>, u64),
     HoldEnded(HoldReply),
     Message(Message),
+    ObeyEvacuations,
     StartEnded(StartReply),
     Submit(JobRequest),
     Upstreams(Vec<UpstreamRecord>),
@@ -230,6 +247,9 @@
 
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
+        1 => (vec((data_centre(), number()), 0..4), number())
+            .prop_map(|(keys, revision)| Step::Evacuations(keys, revision)),
+        1 => Just(Step::ObeyEvacuations),
         4 => hold_reply().prop_map(Step::HoldEnded),
         4 => message().prop_map(Step::Message),
         2 => start_reply().prop_map(Step::StartEnded),
@@ -272,6 +292,7 @@
 
     fn step(&mut self, step: Step) {
         match step {
+            Step::Evacuations(keys, revision) => self.input(Input::Evacuations { keys, revision }),
             Step::HoldEnded(reply) => {
                 if let Some(hold) = self.holds.pop_front() {
                     self.input(Input::HoldEnded { hold, reply });
@@ -280,6 +301,7 @@
             Step::Message(message) => {
                 self.input(Input::Mesh(MeshEvent::Received { message, peer: PEER, sent_after: self.now }))
             }
+            Step::ObeyEvacuations => self.input(Input::ObeyEvacuations),
             Step::StartEnded(reply) => {
                 if let Some(start) = self.starts.pop_front() {
                     self.input(Input::StartEnded { reply, start });
--- a/crates/node/tests/recipients.rs
+++ b/crates/node/tests/recipients.rs
@@ -40,6 +40,8 @@
 struct Entry {
     engine: Engine,
     now: Instant,
+    /// Revision of the store at the last evacuation.
+    revision: u64,
     /// Whether the last status to each peer had free slots.
     sent_slots: BTreeMap<HomeId, bool>,
 }
@@ -49,7 +51,7 @@
     fn linked(number: u64, entries: u64) -> Self {
         let (now, local) = (Instant::now(), hello(number));
         let engine = Engine::new(now, local.clone(), 1_000, number);
-        let mut entry = Self { engine, now, sent_slots: BTreeMap::new() };
+        let mut entry = Self { engine, now, revision: 0, sent_slots: BTreeMap::new() };
         entry.input(Input::Upstreams(vec![upstream(&local.data_centre)]));
         for peer in (0..entries).filter(|peer| *peer != number) {
             entry.input(Input::Mesh(MeshEvent::Up(hello(peer))));
@@ -62,6 +64,14 @@
         self.process_outputs();
     }
 
+    /// The store shows that these data centres are evacuated, and no others.
+    fn evacuate(&mut self, data_centres: &[&str]) {
+        self.revision += 1;
+        let keys = data_centres.iter().map(|data_centre| ((*data_centre).into(), self.revision)).collect();
+        self.input(Input::ObeyEvacuations);
+        self.input(Input::Evacuations { keys, revision: self.revision });
+    }
+
     fn process_outputs(&mut self) {
         for _ in 0..3 {
             self.engine.flush(self.now);
@@ -114,6 +124,41 @@
     }
 }
 
+/// Guards against entries of evacuated data centres that see too few owners with room: their usual senders have none, and they
+/// still take jobs of callers. Also guards against messages to all of them.
+#[test]
+fn entries_of_evacuated_data_centres_see_enough_owners() {
+    let entries = 99;
+    for evacuated in [&["dc0"][..], &["dc0", "dc2"][..]] {
+        let mut received = BTreeMap::new();
+        for number in 0..entries {
+            let mut entry = Entry::linked(number, entries);
+            entry.evacuate(evacuated);
+            let recipients = entry.peers_with_slots();
+            let is_evacuated = evacuated.contains(&&*hello(number).data_centre);
+            assert!(!is_evacuated || recipients.is_empty(), "an owner without room shows none");
+            assert!(recipients.len() <= 60, "{}", recipients.len());
+            for peer in recipients {
+                *received.entry(peer).or_insert(0) += 1;
+            }
+        }
+        let of_evacuated = (0..entries).filter(|number| evacuated.contains(&&*hello(*number).data_centre));
+        let counts: Vec<_> = of_evacuated.map(|number| received.get(&number).copied().unwrap_or(0)).collect();
+        assert!(counts.iter().all(|count| (15..=40).contains(count)), "{evacuated:?}: {counts:?}");
+    }
+}
+
+/// Guards against recipients that stay when the data centre is taken back.
+#[test]
+fn the_usual_recipients_return_after_the_evacuation() {
+    let mut entry = Entry::linked(1, 99);
+    let usual = entry.peers_with_slots();
+    entry.evacuate(&["dc0"]);
+    assert_ne!(entry.peers_with_slots(), usual);
+    entry.evacuate(&[]);
+    assert_eq!(entry.peers_with_slots(), usual);
+}
+
 /// Guards against a peer that keeps outdated loads: it received them between two intervals, and they are back at the
 /// value that was sent at the last interval, so nothing appears to have changed.
 #[test]
--- a/crates/node/tests/simulation/entries.rs
+++ b/crates/node/tests/simulation/entries.rs
@@ -180,7 +180,7 @@
     fn execute_output(&mut self, entry: usize, output: Output) {
         match output {
             Output::Answer { answer, submission } => self.answered(entry, answer, submission),
-            Output::Config { .. } => {}
+            Output::Config { .. } | Output::Evacuations(_) => {}
             Output::Hold(hold) => self.send_order(entry, Action::Hold(hold)),
             Output::Log(line) => self.note_log(entry, &line),
             Output::ResetLinks => self.reset_links(entry),
@@ -250,6 +250,6 @@
         Output::Stop(stop) => (3, format!("{} {}", stop.upstream, stop.run)),
         Output::Start(start) => (4, format!("{} {}", start.upstream, start.run)),
         Output::Hold(hold) => (5, format!("{} {}", hold.upstream, hold.probe)),
-        Output::Config { .. } | Output::ResetLinks => (6, String::new()),
+        Output::Config { .. } | Output::Evacuations(_) | Output::ResetLinks => (6, String::new()),
     }
 }
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -128,6 +128,10 @@
     LogLinesDropped = 1642,
     ///The process could not listen on an address.
     ListenFailed = 1643,
+    ///This entry has learnt from the store or a peer that a data centre is evacuated or taken back; gives the revision and the runs on its own upstreams there.
+    EvacuationChanged = 1650,
+    ///A peer reports that it knows a data centre as evacuated or taken back; gives the revision.
+    EvacuationAdopted = 1651,
 }
 impl LogEvent {
     /// All values, in the order of their numbers.
@@ -194,6 +198,8 @@
         Self::RegistrationLost,
         Self::LogLinesDropped,
         Self::ListenFailed,
+        Self::EvacuationChanged,
+        Self::EvacuationAdopted,
     ];
     /// Number used in messages, logs and tables.
     #[must_use]
@@ -272,6 +278,8 @@
             Self::RegistrationLost => "REGISTRATION_LOST",
             Self::LogLinesDropped => "LOG_LINES_DROPPED",
             Self::ListenFailed => "LISTEN_FAILED",
+            Self::EvacuationChanged => "EVACUATION_CHANGED",
+            Self::EvacuationAdopted => "EVACUATION_ADOPTED",
         }
     }
 }
@@ -343,6 +351,8 @@
             Self::RegistrationLost => "warn",
             Self::LogLinesDropped => "warn",
             Self::ListenFailed => "error",
+            Self::EvacuationChanged => "info",
+            Self::EvacuationAdopted => "info",
         }
     }
 }
