Node, jobs: fewer lines about evacuations; crashing tasks are given up on that way too

A peer is logged when its state of a data centre changes, no longer at each link-up. A task that returns from an evacuated data centre is checked for the upstreams it has crashed before it is placed again, as other returned tasks are.

Tests: node/evacuation::a_peer_is_logged_once_for_each_change and one for jobs that fit only in an evacuated data centre; mesh/malformed with the new field.

--- a/crates/jobs/src/placing.rs
+++ b/crates/jobs/src/placing.rs
@@ -221,6 +221,9 @@
     /// Places a task elsewhere that its owner returned without a start, since it fits only in evacuated data centres. If there
     /// is no other place, the job is rejected, or fails if some of it may have run.
     pub(crate) fn move_evacuated_task(&mut self, now: Instant, placement: Placement, report: &TaskReport) {
+        if self.give_up_crashing(now, placement.job, [placement.task].into_iter()) {
+            return;
+        }
         let Some(job) = self.jobs.get(&placement.job) else { return };
         let may_have_run = job.may_have_run;
         let placement = Placement { returned: placement.returned + 1, ..placement };
--- a/crates/mesh/tests/malformed.rs
+++ b/crates/mesh/tests/malformed.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "tests")]
 
-use hinge_mesh::{Hello, Message, Resume, Status, Timestamps};
+use hinge_mesh::{Evacuation, Hello, Message, Resume, Status, Timestamps};
 use hinge_runs::{LostRun, Outcome, RunId, TaskReport};
 use hinge_wire::{from_msgpack, to_msgpack};
 use proptest::collection::vec;
@@ -19,11 +19,13 @@
     };
     let lost =
         LostRun { alone: true, run: RunId { task: "job.0.0.1".into(), run: 5 }, upstream: "up-1".into() };
+    let evacuation = Evacuation { data_centre: "dc1".into(), evacuated: true, revision: 9 };
     let messages = [
         Message::Hello(hello),
         Message::Resume(Resume { link: Some(1), nonce: 2, received: 3 }),
         Message::Status(Status::default()),
         Message::Status(Status { lost_runs: vec![lost], ..Status::default() }),
+        Message::Status(Status { evacuations: Some(vec![evacuation]), ..Status::default() }),
         Message::Report(vec![TaskReport::new(1, Outcome::Done, 2)]),
         Message::Cancel(vec![1, 2, 3]),
         Message::Timestamps(Timestamps { echo_ms: 1, idle: false, reply: true, value_ms: 2 }),
--- a/crates/node/src/evacuation_news.rs
+++ b/crates/node/src/evacuation_news.rs
@@ -54,7 +54,10 @@
             self.send_status(id, &loads, news);
         }
         let Some(peer) = self.peers.get_mut(id) else { return };
-        let news = states.iter().filter(|state| !peer.evacuations.contains(state));
+        let was_evacuated = |data_centre: &DataCentreId| {
+            peer.evacuations.iter().any(|known| known.data_centre == *data_centre && known.evacuated)
+        };
+        let news = states.iter().filter(|state| state.evacuated != was_evacuated(&state.data_centre));
         let adopted = news.map(|state| LogLine::EvacuationAdopted {
             instance: peer.instance.clone(),
             state: state.clone(),
--- a/crates/node/tests/evacuation.rs
+++ b/crates/node/tests/evacuation.rs
@@ -8,7 +8,7 @@
 
 use hinge_jobs::{Answer, RejectCause};
 use hinge_mesh::{Evacuation, MeshEvent, Message, ServiceLoad, Status};
-use hinge_node::{Engine, EvacuationReport, Input, Output};
+use hinge_node::{Engine, EvacuationReport, Input, LogLine, Output};
 use hinge_runs::{
     HoldReply, Listing, Load, Outcome, Resources, RunProgress, StartOrder, StartReply, TaskReport,
     UpstreamRecord,
@@ -24,6 +24,8 @@
 
 /// An entry of `dc1` with one upstream there, which accepts and answers all orders.
 struct Entry {
+    /// Number of log lines about peers that have adopted a state.
+    adopted: u64,
     answers: Vec<Answer>,
     engine: Engine,
     metrics: Vec<EvacuationReport>,
@@ -46,6 +48,7 @@
     fn without_feature(upstreams: Vec<UpstreamRecord>) -> Self {
         let now = Instant::now();
         let mut entry = Self {
+            adopted: 0,
             answers: Vec::new(),
             engine: Engine::new(now, hello(1), 1_000, 1),
             metrics: Vec::new(),
@@ -94,6 +97,7 @@
                 let reply = HoldReply::Listed(Listing { clock_ms: 1_000, running, ..Listing::default() });
                 self.engine.handle(self.now, Input::HoldEnded { hold, reply });
             }
+            Output::Log(LogLine::EvacuationAdopted { .. }) => self.adopted += 1,
             Output::Send { message, peer } => self.sent.push((peer, message)),
             Output::Start(start) => {
                 self.started.push(start.clone());
@@ -437,3 +441,28 @@
     entry.wait(100);
     assert_eq!(entry.metrics[0].evacuated_for, None);
 }
+
+/// Guards against jobs that wait at owners elsewhere for upstreams as large as only those of the evacuated data centre are.
+#[test]
+fn jobs_that_fit_only_in_the_evacuated_data_centre_are_rejected_at_once() {
+    let capacity = Resources { cpu_millis: 4_000, ..upstream().capacity };
+    let small = UpstreamRecord { capacity, data_centre: "dc2".into(), id: "up-2".into(), ..upstream() };
+    let mut entry = Entry::without_feature(vec![upstream(), small]);
+    entry.input(Input::ObeyEvacuations);
+    entry.store(&[("dc1", 11)], 11);
+    entry.link(PEER);
+    entry.receive_room(PEER);
+    entry.submit();
+    assert!(matches!(entry.answers[..], [Answer::Rejected { cause: RejectCause::TooLarge, .. }]));
+}
+
+/// Guards against a line for each peer and data centre whenever a link comes up.
+#[test]
+fn a_peer_is_logged_once_for_each_change() {
+    let mut entry = Entry::informed(&[], 10);
+    entry.link(PEER);
+    for (evacuated, lines) in [(false, 0), (true, 1), (true, 1), (false, 2), (false, 2)] {
+        entry.receive_states(PEER, &[state("dc2", evacuated, 11 + lines)]);
+        assert_eq!(entry.adopted, lines);
+    }
+}
