Node: odd keys do not crowd out the evacuation of a data centre

Operators would have seen tasks start in an evacuated data centre when another program writes over 256 keys below op/evacuate/ later: the register kept the 256 keys with the highest revisions. No such case was seen; found by reading.

Change: all keys of the store count, which bounds them; only ended evacuations are forgotten. Peers and metrics get at most 256, those of data centres with registered upstreams first. A process without the feature does not log what its peers adopt.

node/evacuation::odd_keys_are_bounded_and_harm_nothing has keys with higher revisions now, and failed before.

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -168,6 +168,8 @@
                 self.services = records.iter().map(|upstream| upstream.service.clone()).collect();
                 self.services.sort_unstable();
                 self.services.dedup();
+                let data_centres = records.iter().map(|upstream| upstream.data_centre.clone());
+                self.evacuations.set_served(data_centres.collect());
                 self.update_capacities();
                 self.runner.handle(now, Event::Upstreams(records));
             }
--- a/crates/node/src/evacuation_news.rs
+++ b/crates/node/src/evacuation_news.rs
@@ -45,7 +45,10 @@
 
     /// Adopts the evacuations that a peer knows.
     pub(crate) fn receive_evacuations(&mut self, now: Instant, id: HomeId, states: Vec<Evacuation>) {
-        let changed = self.evacuations.merge(now, &states);
+        if !self.evacuations.is_enabled() {
+            return;
+        }
+        let changed = self.evacuations.merge_peer(now, &states);
         self.adopt_evacuations(now, &changed, Some(id));
         if self.evacuations.contradicts(&states) {
             // The peer has missed a change that this entry learnt of together with the one before, and did not send on.
@@ -116,7 +119,7 @@
     pub(crate) fn report_evacuations(&mut self, now: Instant) {
         let reports: Vec<_> = self
             .evacuations
-            .iter()
+            .listed()
             .map(|(data_centre, register)| {
                 let agrees = |state: &Evacuation| {
                     state.data_centre == *data_centre && state.evacuated == register.evacuated
--- a/crates/node/src/evacuations.rs
+++ b/crates/node/src/evacuations.rs
@@ -3,15 +3,17 @@
 //! States come from the store and from peers, in any order and more than once. The result depends only on which states have
 //! been merged, so that entries agree as soon as one has told the others.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use hinge_mesh::Evacuation;
 use hinge_runs::ClosedDataCentres;
-use hinge_wire::DataCentreId;
+use hinge_wire::{DataCentreId, FastSet};
 use tokio::time::Instant;
 
-/// Maximum number of data centres in the register. Bounds memory and messages when other programs write odd keys.
+/// Maximum number of data centres that are sent to peers and shown in metrics, and of those that are remembered although they are
+/// not evacuated. Bounds messages and memory when other programs write odd keys; the keys themselves are bounded by the store.
 const MAX_DATA_CENTRES: usize = 256;
 /// Maximum length of the id of a data centre, in bytes.
 const MAX_ID_BYTES: usize = 128;
@@ -45,11 +47,13 @@
 pub(crate) struct Evacuations {
     by_data_centre: BTreeMap<DataCentreId, Register>,
     knowledge: Knowledge,
+    /// Data centres of the registered upstreams. Odd keys must not crowd them out.
+    served: FastSet<DataCentreId>,
 }
 
 impl Default for Evacuations {
     fn default() -> Self {
-        Self { by_data_centre: BTreeMap::new(), knowledge: Knowledge::Disabled }
+        Self { by_data_centre: BTreeMap::new(), knowledge: Knowledge::Disabled, served: FastSet::default() }
     }
 }
 
@@ -61,17 +65,27 @@
         }
     }
 
-    /// Merges states that the store or a peer has sent, which is all that it knows. Returns those that have changed.
-    pub(crate) fn merge(&mut self, now: Instant, states: &[Evacuation]) -> Vec<Evacuation> {
+    pub(crate) fn is_enabled(&self) -> bool {
+        self.knowledge != Knowledge::Disabled
+    }
+
+    /// Sets the data centres of the registered upstreams.
+    pub(crate) fn set_served(&mut self, data_centres: FastSet<DataCentreId>) {
+        self.served = data_centres;
+    }
+
+    /// Merges the states that a peer knows. Returns those that have changed.
+    pub(crate) fn merge_peer(&mut self, now: Instant, states: &[Evacuation]) -> Vec<Evacuation> {
+        self.merge(now, &states[..states.len().min(MAX_DATA_CENTRES)])
+    }
+
+    fn merge(&mut self, now: Instant, states: &[Evacuation]) -> Vec<Evacuation> {
         if self.knowledge == Knowledge::Disabled {
             return Vec::new();
         }
         self.knowledge = Knowledge::Known;
-        let mut changed: Vec<_> = states.iter().filter(|state| self.merge_one(now, state)).cloned().collect();
-        while self.by_data_centre.len() > MAX_DATA_CENTRES {
-            self.remove_least();
-        }
-        changed.retain(|state| self.by_data_centre.contains_key(&state.data_centre));
+        let changed = states.iter().filter(|state| self.merge_one(now, state)).cloned().collect();
+        self.forget_ended();
         changed
     }
 
@@ -134,11 +148,16 @@
         }
     }
 
-    /// Forgets a data centre, preferably one that is not evacuated and has not been for long.
-    fn remove_least(&mut self) {
-        let least =
-            self.by_data_centre.iter().min_by_key(|(_, register)| (register.evacuated, register.revision));
-        if let Some(data_centre) = least.map(|(data_centre, _)| data_centre.clone()) {
+    /// Forgets data centres that are not evacuated if there are many, those that have not been for the longest time first.
+    fn forget_ended(&mut self) {
+        let ended = self.by_data_centre.iter().filter(|(_, register)| !register.evacuated);
+        let mut ended: Vec<_> = ended
+            .map(|(data_centre, register)| {
+                (!self.served.contains(data_centre), Reverse(register.revision), data_centre.clone())
+            })
+            .collect();
+        ended.sort_unstable();
+        for (_, _, data_centre) in ended.into_iter().skip(MAX_DATA_CENTRES) {
             self.by_data_centre.remove(&data_centre);
         }
     }
@@ -179,7 +198,7 @@
         if matches!(self.knowledge, Knowledge::Disabled | Knowledge::Unknown) {
             return None;
         }
-        let states = self.iter().map(|(data_centre, register)| Evacuation {
+        let states = self.listed().map(|(data_centre, register)| Evacuation {
             data_centre: data_centre.clone(),
             evacuated: register.evacuated,
             revision: register.revision,
@@ -187,8 +206,13 @@
         Some(states.collect())
     }
 
-    pub(crate) fn iter(&self) -> impl Iterator<Item = (&DataCentreId, &Register)> {
-        self.by_data_centre.iter()
+    /// The states for peers and metrics, at most [`MAX_DATA_CENTRES`]: those of served data centres first.
+    pub(crate) fn listed(&self) -> impl Iterator<Item = (&DataCentreId, &Register)> {
+        let mut listed: Vec<_> = self.by_data_centre.iter().collect();
+        listed.sort_by_key(|(data_centre, register)| {
+            (!self.served.contains(*data_centre), !register.evacuated, Reverse(register.revision))
+        });
+        listed.into_iter().take(MAX_DATA_CENTRES)
     }
 }
 
--- a/crates/node/tests/evacuation.rs
+++ b/crates/node/tests/evacuation.rs
@@ -407,20 +407,31 @@
 /// Guards against odd keys that crowd out the evacuation of a data centre, and against ids that are none.
 #[test]
 fn odd_keys_are_bounded_and_harm_nothing() {
-    let mut entry = Entry::informed(&[("dc1", 1_000)], 1_000);
-    entry.link(PEER);
-    let long = "d".repeat(1_000);
-    entry.receive_states(
-        PEER,
-        &[state("", true, 2_000), state("a/b", true, 2_000), state(&long, true, 2_000)],
-    );
     let odd: Vec<_> = (0..400).map(|number| format!("odd-{number}")).collect();
-    let keys: Vec<_> = odd.iter().map(|key| (key.as_str(), 5)).chain([("dc1", 1_000)]).collect();
-    entry.store(&keys, 3_000);
-    entry.wait(100);
-    assert_eq!(entry.metrics.len(), 256);
-    entry.submit();
-    assert!(entry.started.is_empty());
+    let keys: Vec<_> = odd.iter().map(|key| (key.as_str(), 1_500)).chain([("dc1", 1_000)]).collect();
+    let long = "d".repeat(1_000);
+    for upstreams_first in [true, false] {
+        let mut entry = Entry::without_feature(Vec::new());
+        entry.input(Input::ObeyEvacuations);
+        let upstreams = || Input::Upstreams(vec![upstream()]);
+        if upstreams_first {
+            entry.input(upstreams());
+        }
+        entry.store(&keys, 3_000);
+        entry.input(upstreams());
+        entry.link(PEER);
+        entry.receive_states(PEER, &["", "a/b", &long].map(|id| state(id, true, 2_000)));
+        entry.wait(200);
+        assert_eq!(entry.metrics.len(), 256);
+        let sent = entry.sent_states(PEER).concat();
+        assert_eq!((sent.len(), &sent[0]), (256, &state("dc1", true, 1_000)));
+        entry.submit();
+        assert!(entry.started.is_empty());
+        entry.store(&[], 4_000);
+        entry.wait(200);
+        entry.submit();
+        assert!(!entry.started.is_empty());
+    }
 }
 
 /// Guards against operators who cannot see who has adopted the state, and what still runs there.
