Registration: written again only if the store does not show it

Now the copy of the registrations tells whether the key is there, and it is written again with the next renewal if it is not.

--- a/crates/store/src/registration.rs
+++ b/crates/store/src/registration.rs
@@ -15,15 +15,12 @@
 const MAX_DELAY: Duration = Duration::from_secs(1);
 /// Renewals per time to live of the lease.
 const RENEWALS_PER_TTL: u32 = 4;
-/// Renewals after which the key is written again, in case it was removed while its lease continued.
-const RENEWALS_PER_WRITE: u32 = 8;
-
 /// Change of a registration's state.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum RegistrationEvent {
     /// A call failed; the key may have expired.
     Lost(KeyspaceError),
-    /// The key was written under this lease; repeated with each periodic write.
+    /// The key was written under this lease; repeated when it is written again.
     Registered(LeaseId),
 }
 
@@ -35,6 +32,9 @@
     pub key: Arc<str>,
     /// Client of the store that holds the key.
     pub keyspace: K,
+    /// Whether the store shows the key with the value of this process, as far as is known. If not, it is written again with
+    /// the next renewal: it may have been removed while its lease continued.
+    pub listed: watch::Receiver<bool>,
     /// Seed of the random delays after failed calls.
     pub seed: u64,
     /// Time to live of the lease, renewed four times in this period.
@@ -78,11 +78,19 @@
             }
             backoff.reset();
             let _ = self.events.send(RegistrationEvent::Registered(lease)).await;
-            for _ in 0..RENEWALS_PER_WRITE {
-                sleep(self.ttl / RENEWALS_PER_TTL).await;
-                if let Err(error) = self.keyspace.renew(lease).await {
-                    return clear_if_expired(held, error);
-                }
+            if let Err(error) = self.renew_while_listed(lease).await {
+                return clear_if_expired(held, error);
+            }
+        }
+    }
+
+    /// Renews the lease until the store no longer shows the key.
+    async fn renew_while_listed(&self, lease: LeaseId) -> Result<(), KeyspaceError> {
+        loop {
+            sleep(self.ttl / RENEWALS_PER_TTL).await;
+            self.keyspace.renew(lease).await?;
+            if !*self.listed.borrow() {
+                return Ok(());
             }
         }
     }
--- a/crates/store/tests/mirror.rs
+++ b/crates/store/tests/mirror.rs
@@ -268,6 +268,7 @@
         events,
         key: "a/me".into(),
         keyspace: store.clone(),
+        listed: watch::channel(true).1,
         seed: 1,
         ttl: Duration::from_secs(2),
         value: Bytes::from_static(b"x"),
@@ -278,3 +279,28 @@
     assert_eq!(received.recv().await, Some(RegistrationEvent::Lost(KeyspaceError::LeaseExpired)));
     assert_eq!(received.recv().await, Some(RegistrationEvent::Registered(2)));
 }
+
+/// Guards against an entry that stays unregistered after its key was removed while its lease continued.
+#[tokio::test(start_paused = true)]
+async fn a_key_that_the_store_no_longer_shows_is_written_again() {
+    let store = ScriptedStore::default();
+    let (events, mut received) = mpsc::channel(64);
+    let (_stop, stopped) = watch::channel(false);
+    let (listed, listed_reader) = watch::channel(true);
+    let registration = Registration {
+        events,
+        key: "a/me".into(),
+        keyspace: store.clone(),
+        listed: listed_reader,
+        seed: 1,
+        ttl: Duration::from_secs(2),
+        value: Bytes::from_static(b"x"),
+    };
+    tokio::spawn(registration.run(stopped));
+    assert_eq!(received.recv().await, Some(RegistrationEvent::Registered(1)));
+    let rewritten = tokio::time::timeout(Duration::from_secs(60), received.recv()).await;
+    assert!(rewritten.is_err(), "a key that is shown is not written again");
+    listed.send_replace(false);
+    let rewritten = tokio::time::timeout(Duration::from_secs(1), received.recv()).await;
+    assert_eq!(rewritten, Ok(Some(RegistrationEvent::Registered(1))));
+}
