Ownership: upstreams are divided by the processor share of the entries

Callers saw late answers to short urgent tasks in bursts. The logs show 8 to 36 ms from a home to an owner, on entries with 0.09 of a core, which owned as many upstreams as entries with 0.5. Ruled out: the queues of the owners, in which these tasks are first, and the upstreams.

The share comes from the settings file and travels in Hello and in the registration, as appended fields. An entry gets upstreams by what its share exceeds half of the mean by, at least by a quarter of its share; equal parts while a share is unknown.

--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -25,6 +25,10 @@
     /// Whether the process sends time stamps, so that its peers can tell late messages from prompt ones.
     #[serde(default)]
     pub timestamps: bool,
+    /// Share of a core that the process may use, in thousandths; 0 if it is not known, as from older entries. Upstreams are
+    /// divided by it.
+    #[serde(default)]
+    pub cpu_millis: u32,
 }
 
 /// Load of an owner's upstreams of one service.
--- a/crates/mesh/tests/malformed.rs
+++ b/crates/mesh/tests/malformed.rs
@@ -16,6 +16,7 @@
         instance: "entry-1".into(),
         resumable: true,
         timestamps: true,
+        cpu_millis: 90,
     };
     let lost =
         LostRun { alone: true, run: RunId { task: "job.0.0.1".into(), run: 5 }, upstream: "up-1".into() };
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -91,7 +91,12 @@
             takeover_paused: FastMap::default(),
             outboxes: FastMap::default(),
             outputs: Vec::new(),
-            local: LocalEntry { data_centre: local.data_centre, draining: false, instance: local.instance },
+            local: LocalEntry {
+                cpu_millis: local.cpu_millis,
+                data_centre: local.data_centre,
+                draining: false,
+                instance: local.instance,
+            },
             lost_runs: Vec::new(),
             own_id: local.incarnation,
             next_ownership_update: now,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 //! no live peer claims it. If two entries disagree, the upstream obeys the one with the higher fencing token.
 
 mod engine;
+mod entry_weights;
 mod event;
 mod journal;
 mod links;
--- a/crates/node/src/ownership.rs
+++ b/crates/node/src/ownership.rs
@@ -7,6 +7,7 @@
 use hinge_wire::{DataCentreId, FastMap, FastSet, InstanceId, UpstreamId};
 use tokio::time::Instant;
 
+use crate::entry_weights::{EntryShare, weighted};
 use crate::peers::Peers;
 
 /// Time for which a data centre must have no live entries before entries of other data centres take over its upstreams.
@@ -22,6 +23,8 @@
 /// This entry, as far as the division of upstreams is concerned.
 #[derive(Debug)]
 pub(crate) struct LocalEntry {
+    /// Share of a core in thousandths, as in [`Hello::cpu_millis`](hinge_mesh::Hello::cpu_millis).
+    pub(crate) cpu_millis: u32,
     pub(crate) data_centre: DataCentreId,
     pub(crate) draining: bool,
     pub(crate) instance: InstanceId,
@@ -30,7 +33,8 @@
 /// This entry's share of a data centre's upstreams, with the inputs it was computed from.
 #[derive(Debug)]
 struct Division {
-    entries: Vec<InstanceId>,
+    /// Entries with their weights.
+    entries: Vec<(InstanceId, u32)>,
     share: Vec<UpstreamId>,
     upstreams: Vec<(UpstreamId, u32)>,
 }
@@ -64,16 +68,17 @@
         &mut self,
         data_centre: &DataCentreId,
         instance: &InstanceId,
-        entries: &[InstanceId],
+        entries: &[EntryShare],
         upstreams: &[&UpstreamRecord],
     ) -> &[UpstreamId] {
+        let entries = weighted(entries);
         let limit = median_weight(upstreams).saturating_mul(MAX_WEIGHT_FACTOR);
-        let mut weighted: Vec<_> =
+        let mut sized: Vec<_> =
             upstreams.iter().map(|upstream| (upstream.id.clone(), weight(upstream).min(limit))).collect();
-        weighted.sort_unstable();
+        sized.sort_unstable();
         let cached = self.divisions.remove(data_centre);
-        let unchanged = cached.filter(|cached| cached.entries == entries && cached.upstreams == weighted);
-        let division = unchanged.unwrap_or_else(|| Division::new(instance, entries, weighted));
+        let unchanged = cached.filter(|cached| cached.entries == entries && cached.upstreams == sized);
+        let division = unchanged.unwrap_or_else(|| Division::new(instance, entries, sized));
         &self.divisions.entry(data_centre.clone()).insert_entry(division).into_mut().share
     }
 
@@ -83,12 +88,16 @@
 }
 
 impl Division {
-    fn new(instance: &InstanceId, entries: &[InstanceId], upstreams: Vec<(UpstreamId, u32)>) -> Self {
-        let owners = assign_upstreams(entries, &upstreams);
+    fn new(
+        instance: &InstanceId,
+        entries: Vec<(InstanceId, u32)>,
+        upstreams: Vec<(UpstreamId, u32)>,
+    ) -> Self {
+        let owners = assign_upstreams(&entries, &upstreams);
         let pairs = upstreams.iter().zip(owners);
-        let owned = pairs.filter(|(_, owner)| entries.get(*owner) == Some(instance));
+        let owned = pairs.filter(|(_, owner)| entries.get(*owner).is_some_and(|(id, _)| id == instance));
         let share = owned.map(|((id, _), _)| id.clone()).collect();
-        Self { entries: entries.to_vec(), share, upstreams }
+        Self { entries, share, upstreams }
     }
 }
 
@@ -104,18 +113,22 @@
     upstreams: &[UpstreamRecord],
     ownership: &mut OwnershipState,
 ) -> FastSet<UpstreamId> {
-    let mut entries: FastMap<&DataCentreId, Vec<InstanceId>> = FastMap::default();
+    let mut entries: FastMap<&DataCentreId, Vec<EntryShare>> = FastMap::default();
     for peer in peers.alive(now).filter(|peer| !peer.status.draining) {
-        entries.entry(&peer.data_centre).or_default().push(peer.instance.clone());
+        entries
+            .entry(&peer.data_centre)
+            .or_default()
+            .push(EntryShare { instance: peer.instance.clone(), cpu_millis: peer.cpu_millis });
     }
     let is_only_entry = entries.get(&local.data_centre).is_none_or(Vec::is_empty);
     if !local.draining || is_only_entry {
-        entries.entry(&local.data_centre).or_default().push(local.instance.clone());
+        let share = EntryShare { instance: local.instance.clone(), cpu_millis: local.cpu_millis };
+        entries.entry(&local.data_centre).or_default().push(share);
     }
     let mut all_entries: Vec<_> = entries.values().flatten().cloned().collect();
     for list in entries.values_mut().chain([&mut all_entries]) {
         list.sort_unstable();
-        list.dedup();
+        list.dedup_by(|a, b| a.instance == b.instance);
     }
     let mut by_data_centre: FastMap<&DataCentreId, Vec<&UpstreamRecord>> = FastMap::default();
     for upstream in upstreams {
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -25,6 +25,8 @@
 pub struct EntryRecord {
     /// Address on which it accepts links from peers.
     pub address: SocketAddr,
+    /// Share of a core that its process may use, in thousandths; 0 if it is not known, as for older entries.
+    pub cpu_millis: u32,
     /// Data centre that it runs in.
     pub data_centre: DataCentreId,
     /// Identifies its process; differs after each restart.
@@ -37,6 +39,8 @@
 #[derive(Debug)]
 pub(crate) struct Peer {
     pub(crate) claims: FastSet<UpstreamId>,
+    /// Share of a core in thousandths, as in [`Hello::cpu_millis`].
+    pub(crate) cpu_millis: u32,
     pub(crate) data_centre: DataCentreId,
     pub(crate) instance: InstanceId,
     /// Highest assignment number received from it over the current link.
@@ -51,9 +55,10 @@
 }
 
 impl Peer {
-    fn new(instance: InstanceId, data_centre: DataCentreId, alive_until: Instant) -> Self {
+    fn new(instance: InstanceId, data_centre: DataCentreId, cpu_millis: u32, alive_until: Instant) -> Self {
         Self {
             claims: FastSet::default(),
+            cpu_millis,
             data_centre,
             instance,
             last_assignment: 0,
@@ -120,7 +125,8 @@
         }
         for record in records.iter().filter(|record| record.incarnation != own_id) {
             let peer = self.peers.entry(record.incarnation).or_insert_with(|| {
-                Peer::new(record.instance.clone(), record.data_centre.clone(), now + FIRST_LINK_GRACE)
+                let (instance, data_centre) = (record.instance.clone(), record.data_centre.clone());
+                Peer::new(instance, data_centre, record.cpu_millis, now + FIRST_LINK_GRACE)
             });
             peer.registered = true;
         }
@@ -131,7 +137,8 @@
     /// Records a new link. Returns true if an earlier link of the same process had not been reported as down.
     pub(crate) fn mark_linked(&mut self, now: Instant, hello: &Hello) -> bool {
         let peer = self.peers.entry(hello.incarnation).or_insert_with(|| {
-            Peer::new(hello.instance.clone(), hello.data_centre.clone(), now + FIRST_LINK_GRACE)
+            let (instance, data_centre) = (hello.instance.clone(), hello.data_centre.clone());
+            Peer::new(instance, data_centre, hello.cpu_millis, now + FIRST_LINK_GRACE)
         });
         let was_linked = peer.linked;
         peer.linked = true;
--- a/crates/node/tests/ownership.rs
+++ b/crates/node/tests/ownership.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use hinge_mesh::{MeshEvent, Message, OwnedUpstream};
+use hinge_mesh::{Hello, MeshEvent, Message, OwnedUpstream};
 use hinge_node::{Engine, Input, Output};
 use hinge_runs::{Hold, HoldReply, Listing, Resources, UpstreamRecord};
 use support::{entry, hello};
@@ -288,3 +288,36 @@
         assert!((6..=14).contains(&usual), "entry {number} owns {usual} of 30");
     }
 }
+
+/// Number of upstreams that entry 1 owns beside six entries of a small processor share, of 48 upstreams.
+fn owned_beside_small_entries(cpu_millis: u32, small_cpu_millis: u32) -> usize {
+    let now = Instant::now();
+    let engine = Engine::new(now, Hello { cpu_millis, ..hello(1) }, 1_000, 1);
+    let mut large = Entry { engine, fence: 0, now };
+    for number in 2..8 {
+        let small = Hello { cpu_millis: small_cpu_millis, ..hello(number) };
+        large.input(Input::Mesh(MeshEvent::Up(small)));
+    }
+    large.input(Input::Upstreams((0..48).map(|number| upstream("dc1", number, 1)).collect()));
+    large.wait(300);
+    large.owned().len()
+}
+
+/// Guards against small entries that own as many upstreams as large ones: in a burst they use their whole processor share, and
+/// assignments wait for them.
+#[test]
+fn upstreams_are_divided_by_processor_share() {
+    let large = owned_beside_small_entries(500, 90);
+    assert!(large >= 24, "a large entry owns {large} of 48 upstreams");
+    let small = owned_beside_small_entries(90, 500);
+    assert!((1..=3).contains(&small), "a small entry owns {small} of 48 upstreams");
+}
+
+/// Guards against divisions that differ between entries of this and of the previous version, which names no share.
+#[test]
+fn upstreams_are_divided_evenly_while_a_share_is_unknown() {
+    let owned = owned_beside_small_entries(500, 0);
+    assert!((6..=8).contains(&owned), "{owned} of 48 upstreams");
+    let owned = owned_beside_small_entries(90, 90);
+    assert!((6..=8).contains(&owned), "{owned} of 48 upstreams");
+}
--- a/crates/node/tests/simulation/entries.rs
+++ b/crates/node/tests/simulation/entries.rs
@@ -92,6 +92,7 @@
     fn record(&self) -> EntryRecord {
         let hello = self.hello();
         EntryRecord {
+            cpu_millis: 0,
             address: ([127, 0, 0, 1], 7_000).into(),
             data_centre: hello.data_centre,
             incarnation: hello.incarnation,
@@ -102,7 +103,14 @@
 
 fn hello(number: usize, incarnation: u64) -> Hello {
     let instance = format!("entry-{number}").into();
-    Hello { data_centre: "dc1".into(), incarnation, instance, resumable: true, timestamps: true }
+    Hello {
+        data_centre: "dc1".into(),
+        incarnation,
+        instance,
+        resumable: true,
+        timestamps: true,
+        cpu_millis: 0,
+    }
 }
 
 impl Simulation {
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -43,12 +43,14 @@
         instance: format!("entry-{number}").into(),
         resumable: true,
         timestamps: true,
+        cpu_millis: 0,
     }
 }
 
 /// The registration of the entry that [`hello`] names.
 pub(crate) fn entry(number: u64) -> EntryRecord {
     EntryRecord {
+        cpu_millis: 0,
         address: ([127, 0, 0, 1], 7_000).into(),
         data_centre: "dc1".into(),
         incarnation: number,
--- a/crates/route/src/listing.rs
+++ b/crates/route/src/listing.rs
@@ -109,7 +109,7 @@
     pub fn set_entries(&mut self, entries: &[InstanceId]) {
         let known = self.entries.iter().map(|entry| &entry.id).eq(entries);
         if !known {
-            self.entries = entries.iter().map(Candidate::new).collect();
+            self.entries = entries.iter().map(|id| Candidate::new(id, 1)).collect();
             self.assign_leaders();
         }
     }
--- a/crates/route/src/rendezvous.rs
+++ b/crates/route/src/rendezvous.rs
@@ -20,11 +20,13 @@
 pub(crate) struct Candidate {
     hash: u64,
     pub(crate) id: InstanceId,
+    /// Part of the slots that it may lead, relative to the weights of the others.
+    weight: u32,
 }
 
 impl Candidate {
-    pub(crate) fn new(id: &InstanceId) -> Self {
-        Self { hash: hash_id(id), id: id.clone() }
+    pub(crate) fn new(id: &InstanceId, weight: u32) -> Self {
+        Self { hash: hash_id(id), id: id.clone(), weight: weight.max(1) }
     }
 }
 
@@ -36,14 +38,14 @@
     pub(crate) slots: u32,
 }
 
-/// Assigns each upstream, given as id and size, to an entry so that every entry gets about the same total
-/// size.
+/// Assigns each upstream, given as id and size, to an entry, given as id and weight, so that the total size that an entry
+/// gets is about proportional to its weight.
 ///
 /// Returns, for each upstream, the index of its entry in `entries`; empty when there are no entries.
 /// Processes that see the same entries and upstreams compute the same result.
 #[must_use]
-pub fn assign_upstreams(entries: &[InstanceId], upstreams: &[(UpstreamId, u32)]) -> Vec<usize> {
-    let candidates: Vec<_> = entries.iter().map(Candidate::new).collect();
+pub fn assign_upstreams(entries: &[(InstanceId, u32)], upstreams: &[(UpstreamId, u32)]) -> Vec<usize> {
+    let candidates: Vec<_> = entries.iter().map(|(id, weight)| Candidate::new(id, *weight)).collect();
     let sized: Vec<_> = upstreams
         .iter()
         .enumerate()
@@ -55,7 +57,7 @@
 /// Returns the position of each upstream with the index of its leader, which is `None` when there are no
 /// entries.
 ///
-/// Each entry leads an equal number of slots, to within one upstream. Within that bound the pairs with the
+/// Each entry leads a number of slots in proportion to its weight, to within one upstream. Within that bound the pairs with the
 /// highest rendezvous weight are chosen, so that a change of membership moves few upstreams and all entries
 /// with the same view agree. Plain rendezvous hashing is not even enough: it gave one of three entries a
 /// third as many upstreams as another, and its queue grew while the others had free slots.
@@ -63,7 +65,7 @@
     if candidates.is_empty() {
         return upstreams.iter().map(|upstream| (upstream.position, None)).collect();
     }
-    let mut remaining = RemainingSlots::new(candidates.len(), upstreams);
+    let mut remaining = RemainingSlots::new(candidates, upstreams);
     let mut pairs = Vec::with_capacity(candidates.len() * upstreams.len());
     for (index, upstream) in upstreams.iter().enumerate() {
         for (entry, candidate) in candidates.iter().enumerate() {
@@ -85,7 +87,7 @@
     upstreams.iter().zip(leaders).map(|(upstream, leader)| (upstream.position, leader)).collect()
 }
 
-/// Number of slots that each entry may still be assigned: an equal part, rounded down to whole upstreams, and
+/// Number of slots that each entry may still be assigned: its part, rounded down to whole upstreams, and
 /// one extra upstream for as many entries as are needed to assign the rest.
 struct RemainingSlots {
     extra_slots: u32,
@@ -95,16 +97,22 @@
 }
 
 impl RemainingSlots {
-    fn new(entries: usize, upstreams: &[SizedUpstream]) -> Self {
+    fn new(candidates: &[Candidate], upstreams: &[SizedUpstream]) -> Self {
         let total: u64 = upstreams.iter().map(|upstream| u64::from(upstream.slots)).sum();
+        let weights: u64 = candidates.iter().map(|candidate| u64::from(candidate.weight)).sum();
         let largest = upstreams.iter().map(|upstream| upstream.slots).max().unwrap_or_default().max(1);
-        let per_entry = total / entries as u64 / u64::from(largest) * u64::from(largest);
-        let remainder = total - per_entry * entries as u64;
+        let part = |candidate: &Candidate| {
+            let slots = u128::from(total) * u128::from(candidate.weight) / u128::from(weights.max(1));
+            let slots = u32::try_from(slots).unwrap_or(u32::MAX);
+            slots / largest * largest
+        };
+        let slots: Vec<_> = candidates.iter().map(part).collect();
+        let assigned: u64 = slots.iter().copied().map(u64::from).sum();
         Self {
             extra_slots: largest,
-            extras_left: remainder.div_ceil(u64::from(largest)),
-            has_extra: vec![false; entries],
-            slots: vec![u32::try_from(per_entry).unwrap_or(u32::MAX); entries],
+            extras_left: (total - assigned).div_ceil(u64::from(largest)),
+            has_extra: vec![false; candidates.len()],
+            slots,
         }
     }
 
