Jobs: an owner that returns an offered task counts as full until its next report

When upstreams are full, homes offered task after task to owners by reports that were out of date; each return costs some 10 ms and the place in a queue. Ruled out: waits in the queues of the owners, which are 20 ms at the median for direct starts.

The test failed before.

--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -254,6 +254,13 @@
         state.reserve(demand.cpu_millis);
     }
 
+    /// Records that an owner has returned a task for lack of room: its report is out of date, and it counts as full until the next
+    /// one.
+    pub(crate) fn record_no_room(&mut self, owner: HomeId, service: &ServiceId, cpu_millis: u64) {
+        let Some(state) = self.states.get_mut(&(owner, service.clone())) else { return };
+        state.rooms_cpu_millis.retain(|room| *room < cpu_millis);
+    }
+
     /// Removes the recorded tasks from assignment `first` on, which are not sent after all.
     pub(crate) fn remove_sent_since(&mut self, first: AssignmentId) {
         for state in self.states.values_mut() {
--- a/crates/jobs/src/placing.rs
+++ b/crates/jobs/src/placing.rs
@@ -201,6 +201,10 @@
             return;
         }
         let Some(job) = self.jobs.get(&placement.job) else { return };
+        if placement.stage == Stage::Offered {
+            let demand = demand(&job.request);
+            self.owners.record_no_room(placement.owner, &demand.service, demand.cpu_millis);
+        }
         let expected = self.estimates.expected(&job.request.queue.name, job.request.estimate);
         let start_within = self.slack(now, placement.job);
         let returned = if placement.stage == Stage::Offered { placement.returned + 1 } else { 0 };
--- a/crates/jobs/tests/division.rs
+++ b/crates/jobs/tests/division.rs
@@ -126,6 +126,22 @@
     assert!(home.answers.is_empty());
 }
 
+/// Guards against offers of further tasks to an owner that has just returned one, by the report that was out of date.
+#[test]
+fn an_owner_that_returned_a_task_counts_as_full_until_its_next_report() {
+    let mut home = Home::new(&[(2, load(8, 0, 60))]);
+    home.submit(request("a", 1, 200));
+    home.set_load(3, load(1, 0, 60), 0);
+    home.report(0, Outcome::NotStarted);
+    assert_eq!(home.assigned[1].0, 3);
+    home.submit(request("b", 1, 200));
+    assert!(home.assigned[2].1.waits, "no owner counts as having room");
+    home.set_load(2, load(8, 0, 60), 9);
+    home.submit(request("c", 1, 200));
+    assert_eq!(home.assigned[3].0, 2);
+    assert!(!home.assigned[3].1.waits);
+}
+
 /// Guards against a returned task that is placed again although its caller leaves before it can end: the limit was checked by
 /// ticks only, which come after the reports that a process reads when it has stood still.
 #[test]
