--- a/crates/jobs/src/placing.rs
+++ b/crates/jobs/src/placing.rs
@@ -210,6 +210,10 @@
     /// Places a task that has not run within the slack of its job.
     fn place_again(&mut self, now: Instant, placement: Placement, report: &TaskReport) {
         let Some(job) = self.jobs.get(&placement.job) else { return };
+        if placement.stage == Stage::Offered {
+            let demand = demand(&job.request);
+            self.owners.record_no_room(placement.owner, &demand.service, demand.cpu_millis);
+        }
         let expected = self.estimates.expected(&job.request.queue.name, job.request.estimate);
         let start_within = self.slack(now, placement.job);
         let attempt = Attempt { avoid: None, expected, late: false, run: report.run, start_within };
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use hinge_jobs::{JobNumber, JobTable};
-use hinge_mesh::{Hello, OwnedUpstream};
+use hinge_mesh::{Hello, OwnedUpstream, ServiceLoad};
 use hinge_runs::{
     AssignmentId, ClosedDataCentres, Event, Fence, HomeId, LostRun, Outcome, Runner, TaskReport,
     UpstreamRecord,
@@ -35,6 +35,8 @@
 pub struct Engine {
     /// Peers that receive the loads of this entry's upstreams.
     pub(crate) load_recipients: FastSet<HomeId>,
+    /// Loads of the own upstreams by service.
+    pub(crate) loads: Vec<ServiceLoad>,
     /// When the next status is due for peers with tasks in progress, even if nothing has changed.
     pub(crate) busy_status_at: Instant,
     /// Configuration with the highest version so far: its version and its encoded body.
@@ -90,6 +92,7 @@
         jobs.expect_owners(now + STARTUP_TIME);
         Self {
             load_recipients: FastSet::default(),
+            loads: Vec::new(),
             busy_status_at: now,
             config: None,
             config_request_at: None,
@@ -103,7 +106,12 @@
             takeover_paused: FastMap::default(),
             outboxes: FastMap::default(),
             outputs: Vec::new(),
-            local: LocalEntry { data_centre: local.data_centre, draining: false, instance: local.instance },
+            local: LocalEntry {
+                cpu_millis: local.cpu_millis,
+                data_centre: local.data_centre,
+                draining: false,
+                instance: local.instance,
+            },
             lost_runs: Vec::new(),
             own_id: local.incarnation,
             next_ownership_update: now,
@@ -183,7 +191,7 @@
             self.next_ownership_update = now + OWNERSHIP_INTERVAL;
             self.adjust_ownership(now);
             self.recheck_evacuations(now);
-            self.update_load_recipients(now);
+            self.update_load_recipients();
             self.request_config(now);
             self.report_evacuations(now);
             self.dispatch_actions(now);
@@ -239,7 +247,9 @@
                 self.handle_run_action(now, action);
             }
         }
-        self.update_own_loads(now);
+        if self.runner.take_load_changed() {
+            self.update_own_loads(now);
+        }
     }
 
     fn handle_job_action(&mut self, now: Instant, action: hinge_jobs::Action) {
--- a/crates/node/src/evacuation_news.rs
+++ b/crates/node/src/evacuation_news.rs
@@ -53,7 +53,7 @@
         if self.evacuations.contradicts(&states) {
             // The peer has missed a change that this entry learnt of together with the one before, and did not send on.
             let news = News { evacuations: self.evacuations.states(), lost_runs: Vec::new() };
-            let loads = self.loads(now);
+            let loads = self.loads.clone();
             self.send_status(id, &loads, news);
         }
         let Some(peer) = self.peers.get_mut(id) else { return };
@@ -93,7 +93,7 @@
         self.update_capacities();
         // The tasks that come back must not be placed by loads from before.
         self.update_own_loads(now);
-        self.update_load_recipients(now);
+        self.update_load_recipients();
     }
 
     /// Starts no task for a short time after a suspension unless the state is received again.
