Mesh: links inside a large data centre become dormant

An entry with 100 peers in its data centre sent and received ten heartbeats a second over each link, used or not. Where it has more than 16 linked peers there, and both sides announce dormancy in Hello, an unused link now sends time stamps every 10 s, but for those to eight watched peers, the neighbours in a ring of the incarnations. Who loses a peer by silence tells the others, which check their own links: an answer within 0.6 s, without an end of the rest. Peers without a registration and predecessors of a new process are checked too. Links inside small data centres, and to entries of the previous version, stay as they were.

Ruled out: watching by rendezvous hash of both ids (not symmetric), one heartbeat a second as between data centres (still grows), a check that wakes the link (a slow entry would get heartbeats from all).

--- a/crates/mesh/src/connection.rs
+++ b/crates/mesh/src/connection.rs
@@ -7,7 +7,6 @@
 
 use futures_util::FutureExt;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
 use crate::link::{self, LinkError, Reader, SILENCE_LIMIT, Writer};
@@ -21,10 +20,12 @@
 /// Runs a connection until it ends. Returns true if its link now waits for another connection.
 pub(crate) async fn run_connection(stream: TcpStream, shared: &Arc<Shared>, dialled: bool) -> bool {
     let opened_at = Instant::now();
-    let opened = timeout(SILENCE_LIMIT, link::open(stream, &shared.local, dialled)).await;
+    let opened =
+        timeout(SILENCE_LIMIT, link::open(stream, &shared.local, shared.counters.clone(), dialled)).await;
     let Ok(Ok((mut hello, mut reader, mut writer))) = opened else { return false };
     hello.resumable &= shared.local.resumable;
     hello.timestamps &= shared.local.timestamps;
+    hello.dormancy &= shared.local.dormancy && hello.timestamps;
     let Some(claim) = claim_link(hello, opened_at, shared, &mut reader, &mut writer).await else {
         return false;
     };
@@ -129,11 +130,10 @@
 /// continue the link.
 async fn carry(claim: &Claim, shared: &Shared, reader: Reader, writer: Writer) -> (LinkError, bool) {
     let session = &claim.session;
-    let may_idle = session.peer.data_centre != shared.local.data_centre;
     let mut outgoing = session.outgoing.lock().await;
     let ended = tokio::select! {
-        ended = read_messages(session, reader, &shared.events) => ended,
-        ended = writer.run(session, &mut outgoing, may_idle) => ended,
+        ended = read_messages(session, reader, shared) => ended,
+        ended = writer.run(session, &mut outgoing) => ended,
         () = claim.replaced() => Err(LinkError::Replaced),
     };
     let error = ended.err().unwrap_or(LinkError::Closed);
@@ -141,19 +141,16 @@
     (error, resumable && outgoing.is_resumable(session))
 }
 
-async fn read_messages(
-    session: &Session,
-    mut reader: Reader,
-    events: &mpsc::Sender<MeshEvent>,
-) -> Result<(), LinkError> {
+async fn read_messages(session: &Session, mut reader: Reader, shared: &Shared) -> Result<(), LinkError> {
     let peer = session.peer.incarnation;
     loop {
         match reader.next_message(session).await? {
             Message::Acknowledge(received) => session.acknowledge(received),
             Message::Heartbeat | Message::Idle | Message::Timestamps(_) => {}
+            Message::Suspect(suspects) => shared.check(&suspects),
             message => {
                 let sent_after = session.liveness().sent_after();
-                if events.send(MeshEvent::Received { message, peer, sent_after }).await.is_err() {
+                if shared.events.send(MeshEvent::Received { message, peer, sent_after }).await.is_err() {
                     return Err(LinkError::Closed);
                 }
                 session.count_received();
--- a/crates/mesh/src/link.rs
+++ b/crates/mesh/src/link.rs
@@ -1,5 +1,6 @@
 //! One connection between two entries.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,13 +10,14 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::time::{Instant, error::Elapsed, timeout, timeout_at};
+use tokio::time::{Instant, error::Elapsed, sleep_until, timeout, timeout_at};
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
 use crate::session::{Outgoing, Queued, Session};
+use crate::stats::Counters;
 use crate::{Hello, Message, TimestampAhead, Timestamps};
 
-/// Longest time between two messages on a link that is not idle.
+/// Longest time between two messages on a link that does not rest.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest time that opening a connection and each write may take, and time without a message after which the link to a
 /// process that sends no time stamps is down.
@@ -23,8 +25,6 @@
 /// Time without a message after which the side that dials replaces the connection. A connection can go silent for good
 /// while new ones work; the link then continues on a new one.
 const STALLED_AFTER: Duration = Duration::from_millis(350);
-/// Replaces [`HEARTBEAT_INTERVAL`] on an idle link.
-const IDLE_HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 /// Smallest age of the time stamps that were sent last at which newer ones precede the next message.
 const TIMESTAMP_INTERVAL: Duration = Duration::from_millis(50);
 /// Maximum size of a message. The largest messages contain a configuration of at most 1 MB.
@@ -66,6 +66,7 @@
 }
 
 pub(crate) struct Writer {
+    counters: Arc<Counters>,
     frames: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
     /// Time stamp of the peer that was returned last, and when.
     echoed: Option<(u64, Instant)>,
@@ -79,12 +80,13 @@
 pub(crate) async fn open(
     stream: TcpStream,
     local: &Hello,
+    counters: Arc<Counters>,
     dialled: bool,
 ) -> Result<(Hello, Reader, Writer), LinkError> {
     stream.set_nodelay(true)?;
     let (read, write) = stream.into_split();
     let mut reader = Reader { frames: FramedRead::new(read, codec()), dialled };
-    let mut writer = Writer { frames: FramedWrite::new(write, codec()), echoed: None };
+    let mut writer = Writer { counters, frames: FramedWrite::new(write, codec()), echoed: None };
     writer.write(&Message::Hello(local.clone())).await?;
     match reader.next().await? {
         Message::Hello(hello) => Ok((hello, reader, writer)),
@@ -101,14 +103,21 @@
 
     /// Returns the next message of a link; fails when the peer does not count as alive any more.
     pub(crate) async fn next_message(&mut self, session: &Session) -> Result<Message, LinkError> {
-        let (stalled_at, alive_until) = {
-            let liveness = session.liveness();
-            let last_arrival = liveness.last_arrival().filter(|_| self.dialled);
-            (last_arrival.map(|at| at + STALLED_AFTER), liveness.alive_until())
-        };
-        let until = stalled_at.map_or(alive_until, |stalled_at| stalled_at.min(alive_until));
-        let Ok(message) = timeout_at(until, self.next()).await else {
-            return Err(if until == alive_until { LinkError::NotAlive } else { LinkError::Stalled });
+        let message = loop {
+            let (stalled_at, alive_until) = {
+                let liveness = session.liveness();
+                let last_arrival = liveness.last_arrival().filter(|_| self.dialled);
+                (last_arrival.map(|at| at + STALLED_AFTER), liveness.alive_until())
+            };
+            let until = stalled_at.map_or(alive_until, |stalled_at| stalled_at.min(alive_until));
+            tokio::select! {
+                biased;
+                message = self.next() => break message,
+                () = session.deadline_changed.notified() => {}
+                () = sleep_until(until) => {
+                    return Err(if until == alive_until { LinkError::NotAlive } else { LinkError::Stalled });
+                }
+            }
         };
         let (message, now) = (message?, Instant::now());
         let mut liveness = session.liveness();
@@ -133,6 +142,7 @@
     ) -> Result<(), LinkError> {
         for frame in frames {
             self.frames.feed(frame).await?;
+            self.counters.count_frame();
         }
         timeout(SILENCE_LIMIT, SinkExt::<Bytes>::flush(&mut self.frames)).await??;
         Ok(())
@@ -184,14 +194,9 @@
         Ok(())
     }
 
-    /// Writes queued messages, and heartbeats when there are none, until the queue is closed or a write fails. If
-    /// `may_idle` is set, heartbeats become less frequent after a while without other messages.
-    pub(crate) async fn run(
-        mut self,
-        session: &Session,
-        outgoing: &mut Outgoing,
-        may_idle: bool,
-    ) -> Result<(), LinkError> {
+    /// Writes queued messages, and heartbeats when there are none, until the queue is closed or a write fails. Heartbeats
+    /// become less frequent on a link that begins to rest.
+    pub(crate) async fn run(mut self, session: &Session, outgoing: &mut Outgoing) -> Result<(), LinkError> {
         let mut batch = Vec::with_capacity(WRITE_BATCH);
         // The first time stamps are sent at once.
         let mut interval = Duration::ZERO;
@@ -208,9 +213,14 @@
                 return Err(LinkError::NotAlive);
             }
             let frames = if batch.is_empty() {
-                let timestamps = session.liveness().heartbeat(Instant::now(), may_idle);
-                interval = if timestamps.idle { IDLE_HEARTBEAT_INTERVAL } else { HEARTBEAT_INTERVAL };
-                self.heartbeat_frames(session, outgoing, timestamps)?
+                let pending = session.take_pending();
+                let timestamps = self.next_timestamps(session, pending.check);
+                interval = timestamps.rest().heartbeat_interval();
+                let mut frames = self.heartbeat_frames(session, outgoing, timestamps)?;
+                if !pending.suspects.is_empty() {
+                    frames.push(to_msgpack(&Message::Suspect(pending.suspects))?.into());
+                }
+                frames
             } else {
                 interval = HEARTBEAT_INTERVAL;
                 self.message_frames(session, outgoing, &batch).await?
@@ -219,6 +229,19 @@
         }
     }
 
+    /// The time stamps of a heartbeat. With `check` they ask for an answer if the link rests, and limit the time for it.
+    fn next_timestamps(&self, session: &Session, check: bool) -> Timestamps {
+        let now = Instant::now();
+        let mut liveness = session.liveness();
+        let heartbeat = liveness.heartbeat(now);
+        let request = if check { liveness.check(now) } else { None };
+        if request.is_some() {
+            self.counters.count_check();
+            session.deadline_changed.notify_one();
+        }
+        request.unwrap_or(heartbeat)
+    }
+
     fn heartbeat_frames(
         &mut self,
         session: &Session,
@@ -233,7 +256,7 @@
         Ok(frames)
     }
 
-    /// Encodes queued messages behind the time stamps that hold for them. On an idle link time stamps are exchanged first.
+    /// Encodes queued messages behind the time stamps that hold for them. On a resting link time stamps are exchanged first.
     async fn message_frames(
         &mut self,
         session: &Session,
@@ -246,7 +269,8 @@
             frames.push(outgoing.encode(session, &queued.message)?);
         }
         let mut echo_ms = batch.first().map_or(0, |queued| queued.echo_ms);
-        if session.liveness().record_sending(Instant::now()) {
+        let only_notices = batch.iter().all(|queued| queued.message.is_notice());
+        if session.liveness().record_sending(Instant::now(), only_notices) {
             self.wake(session).await?;
             echo_ms = session.liveness().peer_ms();
         }
--- a/crates/mesh/src/mesh.rs
+++ b/crates/mesh/src/mesh.rs
@@ -14,8 +14,10 @@
 
 use crate::connection::run_connection;
 use crate::link::{LinkError, SILENCE_LIMIT};
+use crate::rest::RestPolicy;
 use crate::session::{Queued, Session};
-use crate::{Hello, LinkId, Message};
+use crate::stats::Counters;
+use crate::{Hello, LinkId, MeshStats, Message};
 
 /// Delay before a peer without a link is dialled again.
 const RECONNECT_DELAY: Duration = Duration::from_millis(100);
@@ -23,6 +25,9 @@
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 /// Maximum number of messages queued for one peer. The link to a peer that is further behind is closed.
 const MAX_QUEUED_MESSAGES: usize = 4_096;
+/// Delay of the timer that ends a link from which on this process counts as slow, so that the silence of the peer may only be
+/// what it has not read yet.
+const MAX_TIMER_DELAY: Duration = Duration::from_millis(100);
 /// Delay after a failed `accept`.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
@@ -53,7 +58,7 @@
     },
     /// A peer sent a message other than a heartbeat.
     Received {
-        /// Never [`Message::Heartbeat`], [`Message::Idle`] or [`Message::Timestamps`].
+        /// Never [`Message::Heartbeat`], [`Message::Idle`], [`Message::Suspect`] or [`Message::Timestamps`].
         message: Message,
         /// Incarnation of the peer.
         peer: HomeId,
@@ -81,6 +86,7 @@
 
 /// Shared by the tasks of all links.
 pub(crate) struct Shared {
+    pub(crate) counters: Arc<Counters>,
     pub(crate) events: mpsc::Sender<MeshEvent>,
     links: Mutex<Links>,
     pub(crate) local: Hello,
@@ -105,25 +111,32 @@
         let (queue, messages) = mpsc::channel(MAX_QUEUED_MESSAGES);
         let session = Arc::new(Session::new(id, peer, epoch, messages));
         let link = Link { queue, session: session.clone(), suspended_at: None };
-        if let Some(old) = self.links().insert(session.peer.incarnation, link) {
+        let mut links = self.links();
+        if let Some(old) = links.insert(session.peer.incarnation, link) {
             old.session.connection.send_modify(|number| *number += 1);
         }
+        self.update_rests(&links);
+        check_predecessors(&links, &session.peer);
         Claim { number: 1, session }
     }
 
     /// Ends a link whose connection is gone, unless another connection carries it or another link has replaced it.
     pub(crate) async fn end(&self, claim: &Claim, error: &LinkError, since: Instant) {
         let peer = claim.session.peer.incarnation;
+        let silent = matches!(error, LinkError::NotAlive | LinkError::Stalled | LinkError::Timeout(_));
         let replaced = {
             let mut links = self.links();
             let replaced = links.get(&peer).is_some_and(|link| !claim.carries(link));
             if !replaced {
                 links.remove(&peer);
+                if silent && is_evidence(&claim.session, since) {
+                    self.report_suspicion(&links, peer);
+                }
+                self.update_rests(&links);
             }
             replaced
         };
         if !replaced {
-            let silent = matches!(error, LinkError::NotAlive | LinkError::Stalled | LinkError::Timeout(_));
             self.report_down(&claim.session, error.to_string(), silent, since).await;
         }
     }
@@ -135,13 +148,47 @@
             let suspended = links.iter().find_map(|(peer, link)| {
                 link.suspended_at.filter(|_| link.session.peer.instance == *instance).map(|at| (*peer, at))
             });
-            suspended.and_then(|(peer, since)| links.remove(&peer).map(|link| (link.session, since)))
+            let ended =
+                suspended.and_then(|(peer, since)| links.remove(&peer).map(|link| (link.session, since)));
+            self.update_rests(&links);
+            ended
         };
         if let Some((session, since)) = ended {
             self.report_down(&session, "refused".to_owned(), false, since).await;
         }
     }
 
+    /// Sets which links may rest, after a change of links.
+    fn update_rests(&self, links: &Links) {
+        let policy = RestPolicy::new(&self.local, links.values().map(|link| &link.session.peer));
+        for session in links.values().map(|link| &link.session) {
+            if session.liveness().set_deepest_rest(policy.deepest(&session.peer)) {
+                session.timestamps_due.notify_one();
+            }
+        }
+    }
+
+    /// Checks the links to suspected processes. They go down only if the processes do not answer over them.
+    pub(crate) fn check(&self, suspects: &[HomeId]) {
+        let links = self.links();
+        for link in suspects.iter().filter_map(|suspect| links.get(suspect)) {
+            link.session.request_check();
+        }
+    }
+
+    /// Tells the other peers of a process that has fallen silent, and checks the resting links: this process may be cut off
+    /// itself. Nothing is sent while no link may become dormant.
+    fn report_suspicion(&self, links: &Links, silent: HomeId) {
+        if !links.values().any(|link| link.session.liveness().may_become_dormant()) {
+            return;
+        }
+        self.counters.count_suspicion();
+        for session in links.values().map(|link| &link.session).filter(|session| session.peer.dormancy) {
+            session.send_suspicion(silent);
+            session.request_check();
+        }
+    }
+
     async fn report_down(&self, session: &Session, error: String, silent: bool, since: Instant) {
         let down = down_event(session, error, silent, since);
         // Fails only when the node has stopped.
@@ -175,6 +222,24 @@
     }
 }
 
+/// Whether a link that ended by silence at `ended_at` shows that its peer may be lost: it did not rest, and this process was
+/// not itself slow to notice.
+fn is_evidence(session: &Session, ended_at: Instant) -> bool {
+    let liveness = session.liveness();
+    !liveness.is_resting() && ended_at.duration_since(liveness.alive_until()) < MAX_TIMER_DELAY
+}
+
+/// Checks the links to earlier processes of an instance that has a new one.
+fn check_predecessors(links: &Links, peer: &Hello) {
+    let sessions = links.values().map(|link| &link.session);
+    let same = sessions.filter(|session| session.peer.instance == peer.instance);
+    for session in same.filter(|session| session.peer.incarnation != peer.incarnation) {
+        if session.liveness().may_become_dormant() {
+            session.request_check();
+        }
+    }
+}
+
 fn down_event(session: &Session, error: String, silent: bool, since: Instant) -> MeshEvent {
     let sent_after = session.liveness().sent_after();
     MeshEvent::Down { error, peer: session.peer.incarnation, sent_after, silent, since }
@@ -202,7 +267,7 @@
     /// Accepts links on `listener` and sends events to `events`.
     #[must_use]
     pub fn start(listener: TcpListener, local: Hello, events: mpsc::Sender<MeshEvent>) -> Self {
-        let shared = Arc::new(Shared { events, links: Mutex::default(), local });
+        let shared = Arc::new(Shared { counters: Arc::default(), events, links: Mutex::default(), local });
         tokio::spawn(accept_connections(listener, shared.clone()));
         Self { dialled: FastMap::default(), shared }
     }
@@ -211,6 +276,7 @@
     /// is dialled there. A peer that is no longer registered is dialled for a while longer and then forgotten.
     pub fn set_peers(&mut self, peers: &[PeerAddress]) {
         let now = Instant::now();
+        self.check_deregistered(peers);
         self.dialled.retain(|_, dialled| !dialled.task.is_finished());
         for peer in peers.iter().filter(|peer| self.shared.local.instance < peer.instance) {
             if let Some(known) =
@@ -228,6 +294,16 @@
         }
     }
 
+    /// Checks the links to peers that are no longer registered: those that may become dormant can hide the loss of a peer.
+    fn check_deregistered(&self, registered: &[PeerAddress]) {
+        let registered: FastSet<_> = registered.iter().map(|peer| &peer.instance).collect();
+        for session in self.shared.links().values().map(|link| &link.session) {
+            if session.liveness().may_become_dormant() && !registered.contains(&session.peer.instance) {
+                session.request_check();
+            }
+        }
+    }
+
     /// Queues a message; returns false if the peer has no link or its queue is full.
     ///
     /// A full queue closes the link, because the peer must not act on an incomplete stream of messages.
@@ -239,6 +315,7 @@
             return true;
         }
         links.remove(&peer);
+        self.shared.update_rests(&links);
         false
     }
 
@@ -257,14 +334,25 @@
         }
     }
 
+    /// What the links cost.
+    #[must_use]
+    pub fn stats(&self) -> MeshStats {
+        let links = self.shared.links();
+        let resting = links.values().filter(|link| link.session.liveness().is_resting());
+        MeshStats { links: links.len(), resting_links: resting.count(), ..self.shared.counters.stats() }
+    }
+
     /// Peers with a link that has no connection, or that have sent no message for longer than `limit`. Peers that let
-    /// their link idle do not count.
+    /// their link rest do not count, unless they have not answered for as long when it was to be used.
     #[must_use]
     pub fn unresponsive_peers(&self, now: Instant, limit: Duration) -> FastSet<HomeId> {
         let links = self.shared.links();
         let unresponsive = links.iter().filter(|(_, link)| {
-            let last_arrival = link.session.liveness().last_arrival();
-            let silent = last_arrival.is_some_and(|at| now.duration_since(at) > limit);
+            let silent_since = {
+                let liveness = link.session.liveness();
+                liveness.last_arrival().or_else(|| liveness.unanswered_since())
+            };
+            let silent = silent_since.is_some_and(|at| now.duration_since(at) > limit);
             silent || link.suspended_at.is_some()
         });
         unresponsive.map(|(peer, _)| *peer).collect()
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -13,7 +13,7 @@
 /// Identity of an entry; the first message in both directions.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Hello {
-    /// Only links between different data centres may become idle.
+    /// Links between different data centres may become idle; those inside one rest only if both processes have `dormancy`.
     pub data_centre: DataCentreId,
     /// Identifies the process; changes when the entry restarts.
     pub incarnation: HomeId,
@@ -25,6 +25,10 @@
     /// Whether the process sends time stamps, so that its peers can tell late messages from prompt ones.
     #[serde(default)]
     pub timestamps: bool,
+    /// Whether the process lets links become dormant, and checks its link to a process after [`Message::Suspect`]. Counts only
+    /// together with `timestamps`.
+    #[serde(default)]
+    pub dormancy: bool,
 }
 
 /// Load of an owner's upstreams of one service.
@@ -107,6 +111,21 @@
     Resume(Resume),
     /// Load and state of the sender.
     Status(Status),
+    /// Processes that have fallen silent on links that did not rest. The receiver checks its own links to them. Only to
+    /// processes that announce dormancy.
+    Suspect(Vec<HomeId>),
     /// Time stamps that hold for the messages behind them; only between processes that both send them.
     Timestamps(Timestamps),
 }
+
+impl Message {
+    /// Whether the message goes to all peers and says nothing about tasks of the receiver, so that a link that could rest
+    /// need not stay awake after it.
+    pub(crate) const fn is_notice(&self) -> bool {
+        match self {
+            Self::Config { .. } | Self::ConfigRequest | Self::Owned(_) => true,
+            Self::Status(status) => !status.lost_runs.is_empty(),
+            _ => false,
+        }
+    }
+}
--- a/crates/mesh/src/session.rs
+++ b/crates/mesh/src/session.rs
@@ -9,6 +9,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
+use hinge_runs::HomeId;
 use hinge_wire::{CodecError, to_msgpack};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::Instant;
@@ -28,7 +29,11 @@
     /// Agreed by both sides.
     pub(crate) id: LinkId,
     liveness: Mutex<Liveness>,
-    /// Signals time stamps of the peer that its own sending side must know.
+    /// Signals the receiving side that the peer has less time than before.
+    pub(crate) deadline_changed: Notify,
+    /// What the sending side does with its next time stamps.
+    pending: Mutex<Pending>,
+    /// Signals the sending side that time stamps are due, or have arrived that it must know.
     pub(crate) timestamps_due: Notify,
     /// Locked by the connection that carries the link.
     pub(crate) outgoing: tokio::sync::Mutex<Outgoing>,
@@ -47,6 +52,8 @@
             connection: watch::Sender::new(1),
             id,
             liveness: Mutex::new(Liveness::new(Instant::now(), epoch, peer.timestamps)),
+            deadline_changed: Notify::new(),
+            pending: Mutex::default(),
             timestamps_due: Notify::new(),
             outgoing: tokio::sync::Mutex::new(outgoing),
             peer,
@@ -59,6 +66,27 @@
         self.liveness.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Checks whether the peer is alive, if the link rests.
+    pub(crate) fn request_check(&self) {
+        self.pending().check = true;
+        self.timestamps_due.notify_one();
+    }
+
+    /// Tells the peer that a process has fallen silent.
+    pub(crate) fn send_suspicion(&self, peer: HomeId) {
+        self.pending().suspects.push(peer);
+        self.timestamps_due.notify_one();
+    }
+
+    /// Removes and returns what is to be done with the next time stamps.
+    pub(crate) fn take_pending(&self) -> Pending {
+        std::mem::take(&mut *self.pending())
+    }
+
+    fn pending(&self) -> MutexGuard<'_, Pending> {
+        self.pending.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Counts a message that was passed on.
     pub(crate) fn count_received(&self) {
         self.received.fetch_add(1, Ordering::AcqRel);
@@ -75,6 +103,15 @@
     }
 }
 
+/// What is to be done with the next time stamps of a link.
+#[derive(Debug, Default)]
+pub(crate) struct Pending {
+    /// Whether the peer is checked.
+    pub(crate) check: bool,
+    /// Processes of which the peer is told that they have fallen silent.
+    pub(crate) suspects: Vec<HomeId>,
+}
+
 /// A message that waits to be sent.
 pub(crate) struct Queued {
     /// Newest time stamp of the peer when the message was queued.
--- a/crates/mesh/tests/blocked_writes.rs
+++ b/crates/mesh/tests/blocked_writes.rs
@@ -22,7 +22,11 @@
 }
 
 async fn write_time(stream: &mut TcpStream, value_ms: u64) {
-    write(stream, &Message::Timestamps(Timestamps { echo_ms: 0, idle: false, reply: false, value_ms })).await;
+    write(
+        stream,
+        &Message::Timestamps(Timestamps { dormant: false, echo_ms: 0, idle: false, reply: false, value_ms }),
+    )
+    .await;
 }
 
 /// A mesh with a link to a peer, whose side of the connection the test plays.
--- a/crates/mesh/tests/liveness.rs
+++ b/crates/mesh/tests/liveness.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use hinge_mesh::{Liveness, Message, Timestamps};
+use hinge_mesh::{Liveness, Message, Rest, Timestamps};
 use hinge_runs::LIVENESS_TIMEOUT;
 use tokio::time::Instant;
 
@@ -14,7 +14,7 @@
 
 /// Time stamps of the peer that return `echo_ms`.
 const fn echo(echo_ms: u64) -> Timestamps {
-    Timestamps { echo_ms, idle: false, reply: false, value_ms: 7 }
+    Timestamps { dormant: false, echo_ms, idle: false, reply: false, value_ms: 7 }
 }
 
 struct Side {
@@ -25,7 +25,9 @@
 impl Side {
     fn new(has_timestamps: bool) -> Self {
         let epoch = Instant::now();
-        Self { epoch, liveness: Liveness::new(epoch, epoch, has_timestamps) }
+        let mut liveness = Liveness::new(epoch, epoch, has_timestamps);
+        liveness.set_deepest_rest(Rest::Idle);
+        Self { epoch, liveness }
     }
 
     /// Whether the sending side must know of the time stamps.
@@ -101,13 +103,16 @@
     let mut side = Side::new(true);
     side.receive(2_100, Timestamps { idle: true, ..echo(2_000) });
     assert!(side.alive_until_ms() > 4_000);
-    assert!(side.liveness.record_sending(side.epoch + ms(4_000)), "time stamps must be exchanged first");
+    assert!(
+        side.liveness.record_sending(side.epoch + ms(4_000), false),
+        "time stamps must be exchanged first"
+    );
     assert_eq!(side.alive_until_ms(), 4_000 + LIVENESS_TIMEOUT.as_millis());
     // A heartbeat that was on its way when the peer was asked.
     assert!(!side.receive(4_001, Timestamps { idle: true, ..echo(3_000) }));
     assert!(side.liveness.is_waking());
     assert!(side.receive(4_010, echo(4_000)));
-    assert!(!side.liveness.record_sending(side.epoch + ms(4_020)));
+    assert!(!side.liveness.record_sending(side.epoch + ms(4_020), false));
 }
 
 /// Guards against a link that one side gives up because it is itself idle and sends time stamps rarely.
@@ -115,11 +120,11 @@
 fn a_side_that_is_idle_itself_accepts_older_time_stamps() {
     let mut side = Side::new(true);
     side.receive(1_900, echo(1_800));
-    assert!(side.liveness.heartbeat(side.epoch + ms(2_000), true).idle);
+    assert!(side.liveness.heartbeat(side.epoch + ms(2_000)).idle);
     assert!(side.alive_until_ms() > 4_000);
     assert!(side.receive(2_700, Timestamps { reply: true, ..echo(2_000) }));
     assert_eq!(side.alive_until_ms(), 2_700 + LIVENESS_TIMEOUT.as_millis());
-    assert!(!side.liveness.heartbeat(side.epoch + ms(2_710), true).idle);
+    assert!(!side.liveness.heartbeat(side.epoch + ms(2_710)).idle);
 }
 
 /// Guards against a link that is lost because a side that is idle goes on to send time stamps rarely: a message has arrived
@@ -128,8 +133,85 @@
 fn a_message_on_a_link_that_is_idle_for_this_side_calls_for_time_stamps() {
     let mut side = Side::new(true);
     side.receive(1_900, echo(1_800));
-    assert!(side.liveness.heartbeat(side.epoch + ms(2_000), true).idle);
+    assert!(side.liveness.heartbeat(side.epoch + ms(2_000)).idle);
     let arrived_at = side.epoch + ms(2_001);
     assert!(side.liveness.record_arrival(arrived_at, &Message::Cancel(vec![1])).unwrap());
     assert!(!side.liveness.record_arrival(arrived_at, &Message::Cancel(vec![2])).unwrap());
 }
+
+/// Time stamps of a peer for which the link is dormant.
+const fn dormant(echo_ms: u64) -> Timestamps {
+    Timestamps { dormant: true, idle: true, ..echo(echo_ms) }
+}
+
+/// A side with a dormant link, whose peer was alive at 3 s.
+fn dormant_side() -> Side {
+    let mut side = Side::new(true);
+    side.liveness.set_deepest_rest(Rest::Dormant);
+    assert_eq!(side.liveness.heartbeat(side.epoch + ms(2_900)).rest(), Rest::Dormant);
+    side.receive(3_000, dormant(3_000));
+    assert_eq!(side.alive_until_ms(), 33_000);
+    side
+}
+
+/// Guards against a suspected peer that counts as alive for as long as a dormant link allows, and against its heartbeats to
+/// all that check it.
+#[test]
+fn a_check_of_a_dormant_link_must_be_answered_in_time_and_ends_no_rest() {
+    let mut side = dormant_side();
+    let check = side.liveness.check(side.epoch + ms(5_000)).unwrap();
+    assert!(check.reply && check.rest() == Rest::Dormant);
+    assert_eq!(side.alive_until_ms(), 5_000 + LIVENESS_TIMEOUT.as_millis());
+    assert!(side.liveness.check(side.epoch + ms(5_100)).is_none(), "one check at a time");
+    // A heartbeat that was on its way.
+    side.receive(5_100, dormant(4_990));
+    assert_eq!(side.alive_until_ms(), 5_000 + LIVENESS_TIMEOUT.as_millis());
+    side.receive(5_200, dormant(5_000));
+    assert_eq!(side.alive_until_ms(), 35_000);
+
+    let mut peer = dormant_side();
+    assert!(peer.receive(5_050, Timestamps { reply: true, ..dormant(3_000) }), "the answer is due");
+    assert_eq!(peer.liveness.heartbeat(peer.epoch + ms(5_050)).rest(), Rest::Dormant);
+}
+
+/// Guards against links that stay awake for seconds after each message that goes to all peers, and against messages about
+/// tasks that count as such.
+#[test]
+fn only_messages_about_tasks_keep_a_link_awake() {
+    for (message, rest) in [(Message::Owned(vec![]), Rest::Dormant), (Message::Cancel(vec![1]), Rest::Awake)]
+    {
+        let mut side = dormant_side();
+        assert!(side.liveness.record_arrival(side.epoch + ms(5_000), &message).unwrap());
+        assert_eq!(side.liveness.heartbeat(side.epoch + ms(5_100)).rest(), Rest::Awake);
+        assert_eq!(side.liveness.heartbeat(side.epoch + ms(5_500)).rest(), rest);
+    }
+}
+
+/// Guards against a peer that asks for time stamps, and gets the answer that the link rests still.
+#[test]
+fn a_dormant_side_that_is_asked_for_time_stamps_answers_awake() {
+    let mut side = dormant_side();
+    assert!(side.receive(5_000, Timestamps { reply: true, ..echo(3_000) }));
+    assert_eq!(side.liveness.heartbeat(side.epoch + ms(5_000)).rest(), Rest::Awake);
+    assert!(side.alive_until_ms() <= 5_000 + LIVENESS_TIMEOUT.as_millis());
+}
+
+/// Guards against a watched peer whose loss is noticed as late as on a dormant link.
+#[test]
+fn a_link_that_may_no_longer_rest_is_awake_at_once() {
+    let mut side = dormant_side();
+    assert!(side.liveness.set_deepest_rest(Rest::Awake));
+    assert_eq!(side.liveness.heartbeat(side.epoch + ms(5_000)).rest(), Rest::Awake);
+    side.receive(5_010, echo(5_000));
+    assert!(side.alive_until_ms() <= 5_010 + LIVENESS_TIMEOUT.as_millis());
+}
+
+/// Guards against an owner that gets new tasks although it has not answered for long, only because its link was at rest.
+#[test]
+fn a_peer_that_does_not_answer_is_silent_since_it_was_asked() {
+    let mut side = dormant_side();
+    assert_eq!(side.liveness.last_arrival(), None);
+    assert_eq!(side.liveness.unanswered_since(), None);
+    assert!(side.liveness.record_sending(side.epoch + ms(6_000), false));
+    assert_eq!(side.liveness.unanswered_since(), Some(side.epoch + ms(6_000)));
+}
--- a/crates/mesh/tests/malformed.rs
+++ b/crates/mesh/tests/malformed.rs
@@ -16,6 +16,7 @@
         instance: "entry-1".into(),
         resumable: true,
         timestamps: true,
+        dormancy: true,
     };
     let lost =
         LostRun { alone: true, run: RunId { task: "job.0.0.1".into(), run: 5 }, upstream: "up-1".into() };
@@ -26,8 +27,15 @@
         Message::Status(Status { lost_runs: vec![lost], ..Status::default() }),
         Message::Report(vec![TaskReport::new(1, Outcome::Done, 2)]),
         Message::Cancel(vec![1, 2, 3]),
-        Message::Timestamps(Timestamps { echo_ms: 1, idle: false, reply: true, value_ms: 2 }),
-        Message::Timestamps(Timestamps { echo_ms: 0, idle: true, reply: false, value_ms: u64::MAX }),
+        Message::Timestamps(Timestamps { dormant: false, echo_ms: 1, idle: false, reply: true, value_ms: 2 }),
+        Message::Timestamps(Timestamps {
+            dormant: true,
+            echo_ms: 0,
+            idle: true,
+            reply: false,
+            value_ms: u64::MAX,
+        }),
+        Message::Suspect(vec![1, u64::MAX]),
         Message::Config { body: "{}".into(), version: 4 },
     ];
     messages.iter().map(|message| to_msgpack(message).unwrap()).collect()
@@ -63,7 +71,7 @@
     }))
     .unwrap();
     let Message::Hello(hello) = from_msgpack(&frame).unwrap() else { unreachable!() };
-    assert!(!hello.resumable && !hello.timestamps);
+    assert!(!hello.resumable && !hello.timestamps && !hello.dormancy);
 }
 
 /// Guards against links that end, again and again, because the peer has an older version, which knows nothing of lost runs,
--- a/crates/mesh/tests/support/mod.rs
+++ b/crates/mesh/tests/support/mod.rs
@@ -14,6 +14,7 @@
         instance: format!("entry-{number}").into(),
         resumable: true,
         timestamps: true,
+        dormancy: true,
     }
 }
 
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -113,6 +113,7 @@
             | Message::Hello(_)
             | Message::Idle
             | Message::Resume(_)
+            | Message::Suspect(_)
             | Message::Timestamps(_) => {}
             Message::Owned(owned) => {
                 for claim in &owned {
--- a/crates/node/tests/recipients.rs
+++ b/crates/node/tests/recipients.rs
@@ -18,6 +18,7 @@
         data_centre: data_centre.into(),
         resumable: true,
         timestamps: true,
+        dormancy: true,
     }
 }
 
--- a/crates/node/tests/simulation/entries.rs
+++ b/crates/node/tests/simulation/entries.rs
@@ -102,7 +102,14 @@
 
 fn hello(number: usize, incarnation: u64) -> Hello {
     let instance = format!("entry-{number}").into();
-    Hello { data_centre: "dc1".into(), incarnation, instance, resumable: true, timestamps: true }
+    Hello {
+        data_centre: "dc1".into(),
+        incarnation,
+        instance,
+        resumable: true,
+        timestamps: true,
+        dormancy: true,
+    }
 }
 
 impl Simulation {
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -43,6 +43,7 @@
         instance: format!("entry-{number}").into(),
         resumable: true,
         timestamps: true,
+        dormancy: true,
     }
 }
 
