Node: metrics of links; peers are checked for silence with the ticks

Operators see how many links are awake, and the messages, checks and suspicions sent. All links were looked at for silent peers after each batch of inputs, hundreds of times a second under load; that is done every 20 ms now, the interval of ticks.

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,10 +1,11 @@
 //! Counters, gauges and histograms of an entry in the text format of Prometheus.
 
 use hinge_jobs::{Answer, Notice as JobNotice};
+use hinge_mesh::MeshStats;
 use hinge_runs::Notice as RunNotice;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
-    exponential_buckets,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder, exponential_buckets,
 };
 
 use crate::journal::LogLine;
@@ -22,6 +23,8 @@
     in_progress: IntGauge,
     job_seconds: HistogramVec,
     jobs: IntCounterVec,
+    links: IntGaugeVec,
+    mesh: IntCounterVec,
     owned: IntGauge,
     queue_seconds: Histogram,
     rejected_starts: IntCounterVec,
@@ -47,6 +50,8 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok::<_, prometheus::Error>(gauge)
         };
+        let links = IntGaugeVec::new(Opts::new("links", "Links to peers by state."), &["state"])?;
+        registry.register(Box::new(links.clone()))?;
         let times = |name: &str, help: &str, labels: &[&str]| {
             let buckets = exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKET_COUNT)?;
             let histogram = HistogramVec::new(HistogramOpts::new(name, help).buckets(buckets), labels)?;
@@ -59,6 +64,8 @@
             in_progress: gauge("in_progress", "Jobs and tasks in progress.")?,
             job_seconds: times("job_seconds", "Time from receipt to answer.", &["queue"])?,
             jobs: counter("jobs_total", "Answered jobs by queue and outcome.", &["queue", "outcome"])?,
+            links,
+            mesh: counter("mesh_total", "Messages, checks and suspicions sent to peers.", &["kind"])?,
             owned: gauge("upstreams_owned", "Upstreams that this entry owns.")?,
             queue_seconds: times("queue_seconds", "Time of tasks in the owner's queue.", &[])?
                 .get_metric_with_label_values::<&str>(&[])?,
@@ -83,6 +90,18 @@
         self.owned.set(i64::try_from(owned).unwrap_or(i64::MAX));
     }
 
+    pub(crate) fn set_mesh(&self, stats: MeshStats) {
+        let awake = stats.links - stats.resting_links;
+        for (state, links) in [("awake", awake), ("resting", stats.resting_links)] {
+            self.links.with_label_values(&[state]).set(i64::try_from(links).unwrap_or(i64::MAX));
+        }
+        let kinds = [("check", stats.checks), ("message", stats.frames), ("suspicion", stats.suspicions)];
+        for (kind, total) in kinds {
+            let counter = self.mesh.with_label_values(&[kind]);
+            counter.inc_by(total.saturating_sub(counter.get()));
+        }
+    }
+
     /// Counts the event of a log line. The counts include lines that the log drops.
     pub(crate) fn observe(&self, line: &LogLine) {
         match line {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -29,6 +29,8 @@
 /// Time without a message after which a peer counts as unresponsive and gets no new tasks. Peers send a heartbeat every
 /// 100 ms.
 const UNRESPONSIVE_AFTER: Duration = Duration::from_millis(220);
+/// Time between two readings of what the links cost.
+const MESH_STATS_INTERVAL: Duration = Duration::from_secs(1);
 /// Minimum gap between two iterations that counts as a suspension of the process, after which leases may have expired
 /// unnoticed.
 const MIN_SUSPENSION: Duration = Duration::from_millis(600);
@@ -171,6 +173,10 @@
     engine: Engine,
     mesh: Mesh,
     metrics: NodeMetrics,
+    /// When the peers are checked next for silence. Each check looks at all links.
+    next_peer_check: Instant,
+    /// When the cost of the links is read next.
+    next_mesh_stats: Instant,
     port: P,
     queue: mpsc::Receiver<Command>,
     /// Peers that were unresponsive at the last check.
@@ -207,6 +213,8 @@
                 engine,
                 mesh,
                 metrics,
+                next_peer_check: Instant::now(),
+                next_mesh_stats: Instant::now(),
                 port,
                 queue,
                 unresponsive: FastSet::default(),
@@ -232,7 +240,14 @@
                 self.handle_command(now, command);
             }
             self.abandon_jobs(now);
-            self.check_unresponsive_peers(now);
+            if now >= self.next_peer_check {
+                self.next_peer_check = now + TICK_INTERVAL;
+                self.check_unresponsive_peers(now);
+            }
+            if now >= self.next_mesh_stats {
+                self.next_mesh_stats = now + MESH_STATS_INTERVAL;
+                self.metrics.set_mesh(self.mesh.stats());
+            }
             self.engine.handle(now, Input::Tick);
             self.engine.flush(now);
             self.execute_outputs();
