Node: work over all peers only when their links change

Recipients of loads were sorted ten times a second, and all peers looked at in each flush. In a data centre with more than 16 peers a new version of the configuration goes to the recipients of loads only: 20 of 300 peers instead of all, each of which would wake a link. The store delivers configurations; who is left behind hears of the version from the senders of loads.

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -164,7 +164,9 @@
         if now >= self.next_ownership_update {
             self.next_ownership_update = now + OWNERSHIP_INTERVAL;
             self.adjust_ownership(now);
-            self.update_load_recipients(now);
+            if self.peers.take_links_changed() {
+                self.update_load_recipients(now);
+            }
             self.request_config(now);
             self.dispatch_actions(now);
         }
--- a/crates/node/src/outbox.rs
+++ b/crates/node/src/outbox.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hinge_jobs::OwnerLoad;
-use hinge_mesh::{Message, OwnedUpstream, ServiceLoad, Status};
+use hinge_mesh::{FULL_MESH_PEERS, Message, OwnedUpstream, ServiceLoad, Status};
 use hinge_runs::{Assignment, AssignmentId, HomeId, Load, LostRun, TaskReport};
 use tokio::time::Instant;
 
@@ -70,6 +70,16 @@
     }
 }
 
+/// What a status has to say other than loads.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum StatusNews {
+    /// Every linked peer must know.
+    ForAll,
+    /// The recipients of loads must know.
+    ForRecipients,
+    None,
+}
+
 impl Engine {
     pub(crate) fn update_own_loads(&mut self, now: Instant) {
         for service in self.services.clone() {
@@ -122,16 +132,14 @@
             recipients.push(peer);
         }
         let loads = self.loads(now);
-        let version = self.config_version();
-        let changed = self.status_sent != (version, self.local.draining);
-        self.status_sent = (version, self.local.draining);
-        let local = self.local_status.due(now, &loads);
-        let remote = self.remote_status.due(now, &loads);
-        let due = self.peers.linked().filter(|(id, peer)| {
-            let near = peer.data_centre == self.local.data_centre;
-            changed || self.load_recipients.contains(id) && if near { local } else { remote }
-        });
-        recipients.extend(due.map(|(peer, _)| peer));
+        let news = self.status_news();
+        let due_near = self.local_status.due(now, &loads);
+        let due_far = self.remote_status.due(now, &loads);
+        match news {
+            StatusNews::ForAll => recipients.extend(self.peers.linked().map(|(peer, _)| peer)),
+            StatusNews::ForRecipients => recipients.extend(self.linked_recipients(true, true)),
+            StatusNews::None => recipients.extend(self.linked_recipients(due_near, due_far)),
+        }
         recipients.extend(self.busy_peers(now));
         recipients.sort_unstable();
         recipients.dedup();
@@ -140,6 +148,32 @@
         }
     }
 
+    /// Who must be told of what has changed in the state of this entry since the last call, other than loads. In a large data
+    /// centre a new version of the configuration is not told to all: the store delivers it, and an entry that the store leaves
+    /// behind hears of it from those that send it their loads.
+    fn status_news(&mut self) -> StatusNews {
+        let state = (self.config_version(), self.local.draining);
+        let before = std::mem::replace(&mut self.status_sent, state);
+        if before == state {
+            return StatusNews::None;
+        }
+        let near = self.peers.linked().filter(|(_, peer)| peer.data_centre == self.local.data_centre);
+        let is_large = near.count() > FULL_MESH_PEERS;
+        if is_large && before.1 == state.1 { StatusNews::ForRecipients } else { StatusNews::ForAll }
+    }
+
+    /// Linked recipients of loads in this entry's data centre, in others, or both.
+    fn linked_recipients(&self, near: bool, far: bool) -> impl Iterator<Item = HomeId> {
+        let candidates = self.load_recipients.iter().filter(move |_| near || far);
+        let linked = candidates.filter_map(|id| Some((*id, self.peers.get(*id).filter(|peer| peer.linked)?)));
+        let wanted = linked.filter(
+            move |(_, peer)| {
+                if peer.data_centre == self.local.data_centre { near } else { far }
+            },
+        );
+        wanted.map(|(id, _)| id)
+    }
+
     /// Tells all linked peers of the runs that were lost since the last call. Must precede the reports about them.
     fn send_lost_runs(&mut self, now: Instant) {
         if self.lost_runs.is_empty() {
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -85,6 +85,8 @@
 /// All other entries by the incarnation of their process.
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
+    /// Whether a link came up or went down since [`take_links_changed`](Self::take_links_changed).
+    links_changed: bool,
     peers: FastMap<HomeId, Peer>,
     store_available: bool,
 }
@@ -94,6 +96,15 @@
         self.peers.get_mut(&id)
     }
 
+    pub(crate) fn get(&self, id: HomeId) -> Option<&Peer> {
+        self.peers.get(&id)
+    }
+
+    /// Whether links have come up or gone down since the last call.
+    pub(crate) fn take_links_changed(&mut self) -> bool {
+        std::mem::take(&mut self.links_changed)
+    }
+
     pub(crate) fn linked(&self) -> impl Iterator<Item = (HomeId, &Peer)> {
         self.peers.iter().filter(|(_, peer)| peer.linked).map(|(id, peer)| (*id, peer))
     }
@@ -133,6 +144,7 @@
         let peer = self.peers.entry(hello.incarnation).or_insert_with(|| {
             Peer::new(hello.instance.clone(), hello.data_centre.clone(), now + FIRST_LINK_GRACE)
         });
+        self.links_changed = true;
         let was_linked = peer.linked;
         peer.linked = true;
         peer.closed_at = None;
@@ -144,6 +156,7 @@
 
     /// Records the loss of a link whose connection ended at `since`; `silent` if it timed out rather than being closed.
     pub(crate) fn mark_unlinked(&mut self, since: Instant, id: HomeId, silent: bool) {
+        self.links_changed = true;
         let Some(peer) = self.peers.get_mut(&id) else { return };
         peer.linked = false;
         peer.closed_at = (!silent).then_some(since);
--- a/crates/node/tests/recipients.rs
+++ b/crates/node/tests/recipients.rs
@@ -85,6 +85,15 @@
         }
     }
 
+    /// Number of peers that get a status after a new version of the configuration.
+    fn told_of_configuration(&mut self) -> usize {
+        self.now += Duration::from_secs(1);
+        self.process_outputs();
+        self.sent_slots.clear();
+        self.input(Input::Config { body: "{}".into(), version: 1 });
+        self.sent_slots.len()
+    }
+
     fn peers_with_slots(&self) -> Vec<HomeId> {
         self.sent_slots.iter().filter(|(_, slots)| **slots).map(|(peer, _)| *peer).collect()
     }
@@ -131,3 +140,11 @@
     }
     assert_eq!(released, 6, "one entry of each data centre keeps its upstream");
 }
+
+/// Guards against a message from each entry to each other one after every change of the configuration, and against peers in
+/// small data centres that are not told.
+#[test]
+fn new_versions_of_the_configuration_are_told_to_a_fixed_number_of_peers() {
+    assert_eq!(Entry::linked(0, 300).told_of_configuration(), 20);
+    assert_eq!(Entry::linked(0, 51).told_of_configuration(), 50, "16 peers in its own data centre");
+}
