Mesh: heartbeats of a large data centre's links are sent together

Each link had a timer of its own, so that an entry woke up once per link and 100 ms. Where links may become dormant, heartbeats that follow heartbeats are now due at common times, never later than before. Small data centres keep their timers.

100 entries in one process, a thread each, idle links, release build, machine with other load, two runs each: 141 and 145 wake-ups per entry and second before, 54 and 64 after. The threads start together there, so that received heartbeats arrive together as well; on separate machines less is saved.

--- a/crates/mesh/src/link.rs
+++ b/crates/mesh/src/link.rs
@@ -15,7 +15,7 @@
 
 use crate::session::{Outgoing, Queued, Session};
 use crate::stats::Counters;
-use crate::{Hello, Message, TimestampAhead, Timestamps};
+use crate::{Hello, Message, Rest, TimestampAhead, Timestamps};
 
 /// Longest time between two messages on a link that does not rest.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
@@ -199,11 +199,11 @@
     pub(crate) async fn run(mut self, session: &Session, outgoing: &mut Outgoing) -> Result<(), LinkError> {
         let mut batch = Vec::with_capacity(WRITE_BATCH);
         // The first time stamps are sent at once.
-        let mut interval = Duration::ZERO;
+        let mut heartbeat_at = Instant::now();
         loop {
             batch.clear();
             let received = tokio::select! {
-                received = timeout(interval, outgoing.queue.recv_many(&mut batch, WRITE_BATCH)) => received.ok(),
+                received = timeout_at(heartbeat_at, outgoing.queue.recv_many(&mut batch, WRITE_BATCH)) => received.ok(),
                 () = session.timestamps_due.notified() => None,
             };
             if received == Some(0) {
@@ -212,20 +212,24 @@
             if Instant::now() >= session.liveness().alive_until() {
                 return Err(LinkError::NotAlive);
             }
-            let frames = if batch.is_empty() {
+            let rest;
+            let is_heartbeat = batch.is_empty();
+            let frames = if is_heartbeat {
                 let pending = session.take_pending();
                 let timestamps = self.next_timestamps(session, pending.check);
-                interval = timestamps.rest().heartbeat_interval();
+                rest = timestamps.rest();
                 let mut frames = self.heartbeat_frames(session, outgoing, timestamps)?;
                 if !pending.suspects.is_empty() {
                     frames.push(to_msgpack(&Message::Suspect(pending.suspects))?.into());
                 }
                 frames
             } else {
-                interval = HEARTBEAT_INTERVAL;
+                rest = Rest::Awake;
                 self.message_frames(session, outgoing, &batch).await?
             };
             self.write_frames(frames).await?;
+            let due_at = Instant::now() + rest.heartbeat_interval();
+            heartbeat_at = if is_heartbeat { session.align_heartbeat(due_at) } else { due_at };
         }
     }
 
--- a/crates/mesh/src/mesh.rs
+++ b/crates/mesh/src/mesh.rs
@@ -90,6 +90,7 @@
     pub(crate) events: mpsc::Sender<MeshEvent>,
     links: Mutex<Links>,
     pub(crate) local: Hello,
+    started_at: Instant,
 }
 
 impl Shared {
@@ -109,7 +110,7 @@
     /// Creates the link to a process, in place of an earlier one.
     pub(crate) fn create(&self, id: LinkId, peer: Hello, epoch: Instant) -> Claim {
         let (queue, messages) = mpsc::channel(MAX_QUEUED_MESSAGES);
-        let session = Arc::new(Session::new(id, peer, epoch, messages));
+        let session = Arc::new(Session::new(id, peer, epoch, self.started_at, messages));
         let link = Link { queue, session: session.clone(), suspended_at: None };
         let mut links = self.links();
         if let Some(old) = links.insert(session.peer.incarnation, link) {
@@ -162,6 +163,7 @@
     fn update_rests(&self, links: &Links) {
         let policy = RestPolicy::new(&self.local, links.values().map(|link| &link.session.peer));
         for session in links.values().map(|link| &link.session) {
+            session.set_aligned(policy.is_large());
             if session.liveness().set_deepest_rest(policy.deepest(&session.peer)) {
                 session.timestamps_due.notify_one();
             }
@@ -267,7 +269,13 @@
     /// Accepts links on `listener` and sends events to `events`.
     #[must_use]
     pub fn start(listener: TcpListener, local: Hello, events: mpsc::Sender<MeshEvent>) -> Self {
-        let shared = Arc::new(Shared { counters: Arc::default(), events, links: Mutex::default(), local });
+        let shared = Arc::new(Shared {
+            counters: Arc::default(),
+            events,
+            links: Mutex::default(),
+            local,
+            started_at: Instant::now(),
+        });
         tokio::spawn(accept_connections(listener, shared.clone()));
         Self { dialled: FastMap::default(), shared }
     }
--- a/crates/mesh/src/rest.rs
+++ b/crates/mesh/src/rest.rs
@@ -68,6 +68,11 @@
         Self { is_large, local, watched }
     }
 
+    /// Whether links of this entry may become dormant.
+    pub(crate) const fn is_large(&self) -> bool {
+        self.is_large
+    }
+
     /// The deepest rest of the link to a peer.
     pub(crate) fn deepest(&self, peer: &Hello) -> Rest {
         let is_near = peer.data_centre == self.local.data_centre;
--- a/crates/mesh/src/session.rs
+++ b/crates/mesh/src/session.rs
@@ -5,15 +5,17 @@
 //! the same two processes continues where the last one ended, so that nothing handed over on the link becomes void.
 
 use std::collections::VecDeque;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use bytes::Bytes;
-use hinge_runs::HomeId;
+use hinge_runs::{HomeId, whole_ms};
 use hinge_wire::{CodecError, to_msgpack};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::Instant;
 
+use crate::link::HEARTBEAT_INTERVAL;
 use crate::{Hello, LinkId, Liveness, Message};
 
 /// Number of received messages after which they are acknowledged even if no heartbeat is due.
@@ -24,6 +26,8 @@
 
 /// A link between two processes, with or without a connection.
 pub(crate) struct Session {
+    /// Whether heartbeats are sent together with those of other links.
+    aligned: AtomicBool,
     /// Number of the connection that carries the link. A connection ends when another one has taken its place.
     pub(crate) connection: watch::Sender<u64>,
     /// Agreed by both sides.
@@ -35,6 +39,8 @@
     pending: Mutex<Pending>,
     /// Signals the sending side that time stamps are due, or have arrived that it must know.
     pub(crate) timestamps_due: Notify,
+    /// Start of the process's links, from which aligned heartbeats count.
+    started_at: Instant,
     /// Locked by the connection that carries the link.
     pub(crate) outgoing: tokio::sync::Mutex<Outgoing>,
     /// Identity of the peer; resumable only if both sides are.
@@ -46,15 +52,23 @@
 }
 
 impl Session {
-    pub(crate) fn new(id: LinkId, peer: Hello, epoch: Instant, queue: mpsc::Receiver<Queued>) -> Self {
+    pub(crate) fn new(
+        id: LinkId,
+        peer: Hello,
+        epoch: Instant,
+        started_at: Instant,
+        queue: mpsc::Receiver<Queued>,
+    ) -> Self {
         let outgoing = Outgoing { first: 0, queue, reported: 0, unacknowledged: VecDeque::new() };
         Self {
+            aligned: AtomicBool::new(false),
             connection: watch::Sender::new(1),
             id,
             liveness: Mutex::new(Liveness::new(Instant::now(), epoch, peer.timestamps)),
             deadline_changed: Notify::new(),
             pending: Mutex::default(),
             timestamps_due: Notify::new(),
+            started_at,
             outgoing: tokio::sync::Mutex::new(outgoing),
             peer,
             acknowledged: AtomicU64::new(0),
@@ -66,6 +80,21 @@
         self.liveness.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Sets whether heartbeats are sent together with those of other links, so that one wake-up serves all.
+    pub(crate) fn set_aligned(&self, aligned: bool) {
+        self.aligned.store(aligned, Ordering::Relaxed);
+    }
+
+    /// When a heartbeat is sent that is due at `due_at`: never later.
+    pub(crate) fn align_heartbeat(&self, due_at: Instant) -> Instant {
+        if !self.aligned.load(Ordering::Relaxed) {
+            return due_at;
+        }
+        let interval_ms = whole_ms(HEARTBEAT_INTERVAL);
+        let due_ms = whole_ms(due_at.duration_since(self.started_at));
+        self.started_at + Duration::from_millis(due_ms - due_ms % interval_ms)
+    }
+
     /// Checks whether the peer is alive, if the link rests.
     pub(crate) fn request_check(&self) {
         self.pending().check = true;
