--- a/crates/node/tests/late_messages.rs
+++ b/crates/node/tests/late_messages.rs
@@ -4,20 +4,18 @@
 
 #[path = "support/path.rs"]
 mod path;
+#[path = "support/runs.rs"]
+mod runs;
 mod support;
 
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use hinge_mesh::Hello;
-use hinge_node::{EntryRecord, Input, Node, NodeHandle, NodeMetrics, NodeSettings, Submitted, UpstreamPort};
-use hinge_runs::{
-    EndKind, Ended, Hold, HoldReply, LIVENESS_TIMEOUT, Listing, RunId, RunProgress, StartOrder, StartReply,
-    StopOrder, whole_ms,
-};
+use hinge_node::{EntryRecord, Input, NodeHandle, Submitted};
+use hinge_runs::LIVENESS_TIMEOUT;
 use path::Path;
+use runs::{Runs, start_node};
 use support::{Clock, entry, hello, request, upstream};
-use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep};
 
 const HOME: u64 = 1;
@@ -27,84 +25,6 @@
 /// Longer than the time after which an unused link is idle.
 const UNUSED: Duration = Duration::from_secs(4);
 
-/// An upstream whose tasks run until they are stopped.
-#[derive(Clone)]
-struct Runs {
-    ended: Arc<Mutex<Vec<Ended>>>,
-    running: Arc<Mutex<Vec<RunId>>>,
-    /// When runs were started.
-    started: Arc<Mutex<Vec<Instant>>>,
-    started_at: Instant,
-    /// When runs were stopped.
-    stopped: Arc<Mutex<Vec<Instant>>>,
-}
-
-impl Runs {
-    fn new() -> Self {
-        Self {
-            ended: Arc::default(),
-            running: Arc::default(),
-            started: Arc::default(),
-            started_at: Instant::now(),
-            stopped: Arc::default(),
-        }
-    }
-
-    fn clock_ms(&self) -> u64 {
-        whole_ms(self.started_at.elapsed())
-    }
-
-    fn starts(&self) -> usize {
-        self.started.lock().unwrap().len()
-    }
-}
-
-impl UpstreamPort for Runs {
-    async fn hold(&self, hold: &Hold) -> HoldReply {
-        sleep(hold.wait).await;
-        let running = self.running.lock().unwrap().clone();
-        HoldReply::Listed(Listing {
-            clock_ms: self.clock_ms(),
-            ended: self
-                .ended
-                .lock()
-                .unwrap()
-                .iter()
-                .filter(|end| end.number > hold.last_end)
-                .cloned()
-                .collect(),
-            incarnation: None,
-            running: running.into_iter().map(|run| RunProgress { done_percent: 50, run }).collect(),
-        })
-    }
-
-    async fn start(&self, start: &StartOrder) -> StartReply {
-        self.started.lock().unwrap().push(Instant::now());
-        self.running.lock().unwrap().push(start.run.clone());
-        StartReply::Started { clock_ms: self.clock_ms() }
-    }
-
-    async fn stop(&self, stop: &StopOrder) {
-        let mut running = self.running.lock().unwrap();
-        let Some(position) = running.iter().position(|run| *run == stop.run) else { return };
-        let run = running.remove(position);
-        let mut ended = self.ended.lock().unwrap();
-        let number = ended.last().map_or(1, |end| end.number + 1);
-        ended.push(Ended { how: EndKind::Interrupted, number, run });
-        self.stopped.lock().unwrap().push(Instant::now());
-    }
-}
-
-async fn start_node(local: Hello, runs: &Runs, clock: Clock) -> (NodeHandle, std::net::SocketAddr) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let seed = local.incarnation;
-    let settings = NodeSettings { local, seed, started_unix_ms: 1_767_000_000_000 };
-    let (node, handle) = Node::new(settings, listener, runs.clone(), clock, NodeMetrics::new().unwrap());
-    tokio::spawn(node.run());
-    (handle, address)
-}
-
 struct Pair {
     home: NodeHandle,
     _owner: NodeHandle,
--- a/crates/node/tests/support/path.rs
+++ b/crates/node/tests/support/path.rs
@@ -1,5 +1,7 @@
 //! A network path between two entries whose packets arrive late.
 
+#![allow(dead_code, reason = "each test file uses a part")]
+
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
