--- a/crates/mesh/src/session.rs
+++ b/crates/mesh/src/session.rs
@@ -5,14 +5,17 @@
 //! the same two processes continues where the last one ended, so that nothing handed over on the link becomes void.
 
 use std::collections::VecDeque;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use bytes::Bytes;
+use hinge_runs::{HomeId, whole_ms};
 use hinge_wire::{CodecError, to_msgpack};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::Instant;
 
+use crate::link::HEARTBEAT_INTERVAL;
 use crate::{Hello, LinkId, Liveness, Message};
 
 /// Number of received messages after which they are acknowledged even if no heartbeat is due.
@@ -23,13 +26,21 @@
 
 /// A link between two processes, with or without a connection.
 pub(crate) struct Session {
+    /// Whether heartbeats are sent together with those of other links.
+    aligned: AtomicBool,
     /// Number of the connection that carries the link. A connection ends when another one has taken its place.
     pub(crate) connection: watch::Sender<u64>,
     /// Agreed by both sides.
     pub(crate) id: LinkId,
     liveness: Mutex<Liveness>,
-    /// Signals time stamps of the peer that its own sending side must know.
+    /// Signals the receiving side that the peer has less time than before.
+    pub(crate) deadline_changed: Notify,
+    /// What the sending side does with its next time stamps.
+    pending: Mutex<Pending>,
+    /// Signals the sending side that time stamps are due, or have arrived that it must know.
     pub(crate) timestamps_due: Notify,
+    /// Start of the process's links, from which aligned heartbeats count.
+    started_at: Instant,
     /// Locked by the connection that carries the link.
     pub(crate) outgoing: tokio::sync::Mutex<Outgoing>,
     /// Identity of the peer; resumable only if both sides are.
@@ -41,13 +52,23 @@
 }
 
 impl Session {
-    pub(crate) fn new(id: LinkId, peer: Hello, epoch: Instant, queue: mpsc::Receiver<Queued>) -> Self {
+    pub(crate) fn new(
+        id: LinkId,
+        peer: Hello,
+        epoch: Instant,
+        started_at: Instant,
+        queue: mpsc::Receiver<Queued>,
+    ) -> Self {
         let outgoing = Outgoing { first: 0, queue, reported: 0, unacknowledged: VecDeque::new() };
         Self {
+            aligned: AtomicBool::new(false),
             connection: watch::Sender::new(1),
             id,
             liveness: Mutex::new(Liveness::new(Instant::now(), epoch, peer.timestamps)),
+            deadline_changed: Notify::new(),
+            pending: Mutex::default(),
             timestamps_due: Notify::new(),
+            started_at,
             outgoing: tokio::sync::Mutex::new(outgoing),
             peer,
             acknowledged: AtomicU64::new(0),
@@ -59,6 +80,42 @@
         self.liveness.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Sets whether heartbeats are sent together with those of other links, so that one wake-up serves all.
+    pub(crate) fn set_aligned(&self, aligned: bool) {
+        self.aligned.store(aligned, Ordering::Relaxed);
+    }
+
+    /// When a heartbeat is sent that is due at `due_at`: never later.
+    pub(crate) fn align_heartbeat(&self, due_at: Instant) -> Instant {
+        if !self.aligned.load(Ordering::Relaxed) {
+            return due_at;
+        }
+        let interval_ms = whole_ms(HEARTBEAT_INTERVAL);
+        let due_ms = whole_ms(due_at.duration_since(self.started_at));
+        self.started_at + Duration::from_millis(due_ms - due_ms % interval_ms)
+    }
+
+    /// Checks whether the peer is alive, if the link rests.
+    pub(crate) fn request_check(&self) {
+        self.pending().check = true;
+        self.timestamps_due.notify_one();
+    }
+
+    /// Tells the peer that a process has fallen silent.
+    pub(crate) fn send_suspicion(&self, peer: HomeId) {
+        self.pending().suspects.push(peer);
+        self.timestamps_due.notify_one();
+    }
+
+    /// Removes and returns what is to be done with the next time stamps.
+    pub(crate) fn take_pending(&self) -> Pending {
+        std::mem::take(&mut *self.pending())
+    }
+
+    fn pending(&self) -> MutexGuard<'_, Pending> {
+        self.pending.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Counts a message that was passed on.
     pub(crate) fn count_received(&self) {
         self.received.fetch_add(1, Ordering::AcqRel);
@@ -75,6 +132,15 @@
     }
 }
 
+/// What is to be done with the next time stamps of a link.
+#[derive(Debug, Default)]
+pub(crate) struct Pending {
+    /// Whether the peer is checked.
+    pub(crate) check: bool,
+    /// Processes of which the peer is told that they have fallen silent.
+    pub(crate) suspects: Vec<HomeId>,
+}
+
 /// A message that waits to be sent.
 pub(crate) struct Queued {
     /// Newest time stamp of the peer when the message was queued.
--- a/crates/mesh/tests/support/mod.rs
+++ b/crates/mesh/tests/support/mod.rs
@@ -15,6 +15,7 @@
         resumable: true,
         timestamps: true,
         cpu_millis: 0,
+        dormancy: true,
     }
 }
 
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -191,7 +191,9 @@
             self.next_ownership_update = now + OWNERSHIP_INTERVAL;
             self.adjust_ownership(now);
             self.recheck_evacuations(now);
-            self.update_load_recipients();
+            if self.peers.take_links_changed() {
+                self.update_load_recipients();
+            }
             self.request_config(now);
             self.report_evacuations(now);
             self.dispatch_actions(now);
--- a/crates/node/tests/simulation/entries.rs
+++ b/crates/node/tests/simulation/entries.rs
@@ -110,6 +110,7 @@
         resumable: true,
         timestamps: true,
         cpu_millis: 0,
+        dormancy: true,
     }
 }
 
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -44,6 +44,7 @@
         resumable: true,
         timestamps: true,
         cpu_millis: 0,
+        dormancy: true,
     }
 }
 
