Fencing tokens: a type of counter and holder with one function that raises it

Operators see: the `fence` of log lines stays one integer below 2^53 on the scale of before.

Cause: a token was a bare integer. Entries that knew the same token added the same margin to it, and six places added one, so that the sum contained nothing that identifies the process.

Change: `Fence` has a counter in steps of 32 ms and the number of its holder; `Fence::raised` adds to the counter only, and all places use it. An upstream that has seen a higher one is not taken over until then; before, the token grew without a bound. The holder number comes from the seed until it is claimed. On the wire between entries and to upstreams a token is the integer of earlier versions.

--- a/crates/mesh/tests/malformed.rs
+++ b/crates/mesh/tests/malformed.rs
@@ -2,8 +2,8 @@
 
 #![allow(clippy::unwrap_used, reason = "tests")]
 
-use hinge_mesh::{Hello, Message, Resume, Status, Timestamps};
-use hinge_runs::{LostRun, Outcome, RunId, TaskReport};
+use hinge_mesh::{Hello, Message, OwnedUpstream, Resume, Status, Timestamps};
+use hinge_runs::{Fence, LostRun, Outcome, RunId, TaskReport};
 use hinge_wire::{from_msgpack, to_msgpack};
 use proptest::collection::vec;
 use proptest::prelude::*;
@@ -77,6 +77,17 @@
     assert_eq!(from_msgpack::<Message>(&to_msgpack(&status).unwrap()).unwrap(), expected);
 }
 
+/// Guards against links that end because the fencing tokens of owned upstreams are not the integers that other versions send and
+/// expect.
+#[test]
+fn fencing_tokens_are_integers_between_versions() {
+    const FENCE: u64 = 1_832_960_000_000_007;
+    let message = Message::Owned(vec![OwnedUpstream { fence: Fence::from(FENCE), upstream: "up-1".into() }]);
+    let earlier = serde_json::json!({ "Owned": [{ "fence": FENCE, "upstream": "up-1" }] });
+    assert_eq!(from_msgpack::<Message>(&to_msgpack(&earlier).unwrap()).unwrap(), message);
+    assert_eq!(to_msgpack(&message).unwrap(), to_msgpack(&earlier).unwrap());
+}
+
 proptest! {
     /// Guards against frames that end the process.
     #[test]
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use hinge_jobs::{JobNumber, JobTable};
 use hinge_mesh::{Hello, OwnedUpstream};
-use hinge_runs::{AssignmentId, Event, Fence, HomeId, LostRun, Outcome, Runner, TaskReport, UpstreamRecord};
+use hinge_runs::{AssignmentId, Event, Holder, HomeId, LostRun, Outcome, Runner, TaskReport, UpstreamRecord};
 use hinge_wire::{FastMap, FastSet, ServiceId, UpstreamId};
 use tokio::time::Instant;
 
@@ -14,6 +14,7 @@
 use crate::outbox::{LOCAL_STATUS_INTERVAL, Outbox, REMOTE_STATUS_INTERVAL, StatusTimer};
 use crate::ownership::{LocalEntry, OwnershipState, desired_upstreams};
 use crate::peers::Peers;
+use crate::tokens::{TokenBounds, Tokens};
 
 /// Time between two comparisons of the upstreams that are owned with those that should be.
 const OWNERSHIP_INTERVAL: Duration = Duration::from_millis(100);
@@ -37,11 +38,7 @@
     pub(crate) config: Option<(u64, Bytes)>,
     /// When a peer may be asked for its newer configuration; none while no peer has a newer one.
     pub(crate) config_request_at: Option<Instant>,
-    /// Fencing token at the start of the process.
-    pub(crate) fence_base: Fence,
     pub(crate) jobs: JobTable,
-    /// Highest fencing tokens that peers have named with the upstreams that they own.
-    pub(crate) known_fences: FastMap<UpstreamId, Fence>,
     /// Upstreams that another owner fenced off, with the time until which they are not taken over.
     pub(crate) takeover_paused: FastMap<UpstreamId, Instant>,
     pub(crate) outboxes: FastMap<HomeId, Outbox>,
@@ -59,21 +56,24 @@
     /// Owned upstreams as last sent to all peers, sorted by id.
     pub(crate) sent_owned: Vec<OwnedUpstream>,
     pub(crate) ownership: OwnershipState,
-    pub(crate) started_at: Instant,
     /// Version of the configuration and whether the entry drains, as last sent to all peers.
     pub(crate) status_sent: (u64, bool),
     pub(crate) local_status: StatusTimer,
     pub(crate) remote_status: StatusTimer,
+    pub(crate) tokens: Tokens,
     pub(crate) submissions: FastMap<JobNumber, SubmissionId>,
     pub(crate) jobs_by_submission: FastMap<SubmissionId, JobNumber>,
     pub(crate) upstreams: Vec<UpstreamRecord>,
 }
 
 impl Engine {
-    /// Creates the engine of the process that `local` identifies. `fence_base` must exceed all fencing tokens of
-    /// earlier processes.
+    /// Creates the engine of the process that `local` identifies. `started_unix_ms` is the Unix time at `now`, from which its
+    /// fencing tokens grow.
     #[must_use]
-    pub fn new(now: Instant, local: Hello, fence_base: Fence, seed: u64) -> Self {
+    pub fn new(now: Instant, local: Hello, started_unix_ms: u64, seed: u64) -> Self {
+        let mut tokens = Tokens::new(now, started_unix_ms);
+        let number = seed % u64::from(Holder::MAX) + 1;
+        tokens.holder = u16::try_from(number).ok().and_then(Holder::new);
         let mut jobs = JobTable::new(local.incarnation, seed);
         jobs.set_latency(local.incarnation, Duration::ZERO);
         jobs.expect_owners(now + STARTUP_TIME);
@@ -82,9 +82,7 @@
             busy_status_at: now,
             config: None,
             config_request_at: None,
-            fence_base,
             jobs,
-            known_fences: FastMap::default(),
             takeover_paused: FastMap::default(),
             outboxes: FastMap::default(),
             outputs: Vec::new(),
@@ -97,10 +95,10 @@
             services: Vec::new(),
             sent_owned: Vec::new(),
             ownership: OwnershipState::default(),
-            started_at: now,
             status_sent: (0, false),
             local_status: StatusTimer::new(now, LOCAL_STATUS_INTERVAL),
             remote_status: StatusTimer::new(now, REMOTE_STATUS_INTERVAL),
+            tokens,
             submissions: FastMap::default(),
             jobs_by_submission: FastMap::default(),
             upstreams: Vec::new(),
@@ -146,7 +144,7 @@
             Input::Upstreams(records) => {
                 self.ownership.observe(now, &records);
                 let registered: FastSet<_> = records.iter().map(|record| &record.id).collect();
-                self.known_fences.retain(|id, _| registered.contains(id));
+                self.tokens.retain(&registered);
                 self.upstreams.clone_from(&records);
                 self.services = records.iter().map(|upstream| upstream.service.clone()).collect();
                 self.services.sort_unstable();
@@ -300,29 +298,15 @@
             let id = &upstream.id;
             let owned = self.runner.owns(id);
             let free = !isolated && !claimed.contains(id) && !self.takeover_paused.contains_key(id);
-            if desired.contains(id) && (owned || free) {
-                events.push(Event::Own { fence: self.next_fence(now, id), upstream: id.clone() });
-            } else if owned && !desired.contains(id) {
-                events.push(Event::Release(id.clone()));
+            let bounds = self.tokens.bounds(now, id).filter(|_| desired.contains(id));
+            match bounds {
+                Some(TokenBounds { fence, limit }) if owned || free => {
+                    events.push(Event::Own { fence, limit, upstream: id.clone() });
+                }
+                None if owned => events.push(Event::Release(id.clone())),
+                Some(_) | None => {}
             }
         }
         self.runner.handle_all(now, events);
     }
-
-    /// A fencing token above those of earlier owners. Tokens grow with the wall clock in all processes; the clock of an earlier
-    /// owner that is known may have been ahead.
-    fn next_fence(&self, now: Instant, upstream: &UpstreamId) -> Fence {
-        let since_start_ms = hinge_runs::whole_ms(now.duration_since(self.started_at));
-        let own = self.fence_base + (since_start_ms << FENCE_TIME_SHIFT);
-        let known = self.known_fences.get(upstream).copied().unwrap_or_default();
-        if known > own + MAX_FENCE_AHEAD { own } else { own.max(known + FENCE_MARGIN) }
-    }
 }
-
-/// Minimum distance from a fencing token that a peer has named, since the peer may have raised it; 1 s of its time.
-const FENCE_MARGIN: Fence = 1_000 << FENCE_TIME_SHIFT;
-/// Maximum distance of a fencing token that a peer has named and that is not taken for an error; a day of its time.
-const MAX_FENCE_AHEAD: Fence = (24 * 60 * 60 * 1_000) << FENCE_TIME_SHIFT;
-/// Number of low bits of a fencing token that are taken from the process's seed, so that processes which issue a token
-/// in the same millisecond differ. The bits above hold the Unix time in milliseconds.
-pub(crate) const FENCE_TIME_SHIFT: u32 = 10;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,6 +20,7 @@
 mod ownership;
 mod peers;
 mod recipients;
+mod tokens;
 
 pub use engine::Engine;
 pub use event::{Input, Output, SubmissionId};
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -115,10 +115,7 @@
             | Message::Resume(_)
             | Message::Timestamps(_) => {}
             Message::Owned(owned) => {
-                for claim in &owned {
-                    let known = self.known_fences.entry(claim.upstream.clone()).or_default();
-                    *known = claim.fence.max(*known);
-                }
+                self.tokens.learn(&owned);
                 peer.claims = owned.into_iter().map(|claim| claim.upstream).collect();
             }
             Message::Recall(assignments) => {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -15,7 +15,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
-use crate::engine::{Engine, FENCE_TIME_SHIFT};
+use crate::engine::Engine;
 use crate::event::{Input, Output, SubmissionId};
 use crate::journal::LogLine;
 use crate::metrics::NodeMetrics;
@@ -67,7 +67,7 @@
 pub struct NodeSettings {
     /// Identity that this process announces to its peers.
     pub local: Hello,
-    /// Seed of random choices, and of the low bits of fencing tokens.
+    /// Seed of random choices, and of the holder number in fencing tokens.
     pub seed: u64,
     /// Unix time at the start of the process in milliseconds; fencing tokens grow from it.
     pub started_unix_ms: u64,
@@ -192,9 +192,7 @@
         let (events, mesh_events) = mpsc::channel(MAX_QUEUED_INPUTS);
         let mesh = Mesh::start(listener, settings.local.clone(), events);
         tokio::spawn(forward_mesh_events(mesh_events, commands.clone()));
-        let fence_base =
-            (settings.started_unix_ms << FENCE_TIME_SHIFT) | (settings.seed & ((1 << FENCE_TIME_SHIFT) - 1));
-        let engine = Engine::new(Instant::now(), settings.local, fence_base, settings.seed);
+        let engine = Engine::new(Instant::now(), settings.local, settings.started_unix_ms, settings.seed);
         let handle =
             NodeHandle { commands: commands.clone(), config: config_reader, next_submission: Arc::default() };
         let answers = FastMap::default();
--- a/crates/node/tests/malformed.rs
+++ b/crates/node/tests/malformed.rs
@@ -12,8 +12,8 @@
 use hinge_mesh::{MeshEvent, Message, OwnedUpstream, ServiceLoad, Status};
 use hinge_node::{Engine, Input, Output};
 use hinge_runs::{
-    Assignment, EndKind, Ended, Hold, HoldReply, Listing, Load, LostRun, Outcome, Rejection, Resources,
-    RunId, RunProgress, StartOrder, StartReply, TaskReport, UpstreamRecord,
+    Assignment, EndKind, Ended, Fence, Hold, HoldReply, Listing, Load, LostRun, Outcome, Rejection,
+    Resources, RunId, RunProgress, StartOrder, StartReply, TaskReport, UpstreamRecord,
 };
 use hinge_wire::UpstreamId;
 use proptest::collection::vec;
@@ -130,7 +130,7 @@
         3 => status().prop_map(Message::Status),
         1 => number().prop_map(|version| Message::Config { body: "{".into(), version }),
         1 => (number(), 0..3u32).prop_map(|(fence, number)| {
-            Message::Owned(vec![OwnedUpstream { fence, upstream: format!("up-{number}").into() }])
+            Message::Owned(vec![OwnedUpstream { fence: Fence::from(fence), upstream: format!("up-{number}").into() }])
         }),
         1 => number().prop_map(Message::Acknowledge),
         1 => Just(Message::ConfigRequest),
--- a/crates/node/tests/ownership.rs
+++ b/crates/node/tests/ownership.rs
@@ -7,7 +7,7 @@
 
 use hinge_mesh::{MeshEvent, Message, OwnedUpstream};
 use hinge_node::{Engine, Input, Output};
-use hinge_runs::{Hold, HoldReply, Listing, Resources, UpstreamRecord};
+use hinge_runs::{Fence, Hold, HoldReply, Listing, Resources, UpstreamRecord};
 use support::{entry, hello};
 use tokio::time::Instant;
 
@@ -31,7 +31,7 @@
 struct Entry {
     engine: Engine,
     /// Highest fencing token of the holds so far.
-    fence: u64,
+    fence: Fence,
     now: Instant,
 }
 
@@ -39,7 +39,7 @@
     fn new(number: u64) -> Self {
         let now = Instant::now();
         let engine = Engine::new(now, hello(number), 1_000, number);
-        Self { engine, fence: 0, now }
+        Self { engine, fence: Fence::default(), now }
     }
 
     fn input(&mut self, input: Input) {
@@ -92,10 +92,10 @@
     }
 
     fn peer_owns(&mut self, peer: u64, upstreams: &[UpstreamRecord]) {
-        self.peer_owns_with(1, peer, upstreams);
+        self.peer_owns_with(Fence::from(1), peer, upstreams);
     }
 
-    fn peer_owns_with(&mut self, fence: u64, peer: u64, upstreams: &[UpstreamRecord]) {
+    fn peer_owns_with(&mut self, fence: Fence, peer: u64, upstreams: &[UpstreamRecord]) {
         let owned =
             upstreams.iter().map(|owned| OwnedUpstream { fence, upstream: owned.id.clone() }).collect();
         self.input(Input::Mesh(MeshEvent::Received {
@@ -128,14 +128,14 @@
 /// Guards against upstreams without an owner for as long as the clock of their dead owner was ahead, although it was known.
 #[test]
 fn the_token_of_a_dead_owner_whose_clock_was_ahead_is_exceeded_at_once() {
-    const AHEAD: u64 = 60_000 << 10;
+    let ahead = Fence::from(60_000 << 10);
     let mut entry = linked_pair();
     let others = not_owned(&entry);
-    entry.peer_owns_with(AHEAD, 2, &others);
+    entry.peer_owns_with(ahead, 2, &others);
     entry.unlink(2, false);
     entry.wait(1_000);
     assert_eq!(entry.owned().len(), UPSTREAMS);
-    assert!(entry.fence > AHEAD, "{}", entry.fence);
+    assert!(entry.fence > ahead, "{}", entry.fence);
 }
 
 /// Guards against an uneven division, in which an entry owns all upstreams or none.
--- a/crates/node/tests/simulation/entries.rs
+++ b/crates/node/tests/simulation/entries.rs
@@ -17,8 +17,6 @@
 const STORE_INTERVAL_US: u64 = 400_000;
 /// Time for which the registration of a silent entry stays in the store, at least and at most.
 const REGISTRATION_US: (u64, u64) = (1_300_000, 2_000_000);
-/// Low bits of a fencing token below the Unix time.
-const FENCE_TIME_SHIFT: u32 = 10;
 
 pub(crate) struct Entry {
     engine: Engine,
@@ -45,11 +43,11 @@
 }
 
 impl Entry {
-    pub(crate) fn new(now: Instant, number: usize, epoch: u32, fence_base: u64) -> Self {
+    pub(crate) fn new(now: Instant, number: usize, epoch: u32, started_unix_ms: u64) -> Self {
         let incarnation = (number as u64 + 1) * 1_000 + u64::from(epoch);
         let hello = hello(number, incarnation);
         Self {
-            engine: Engine::new(now, hello, fence_base, incarnation),
+            engine: Engine::new(now, hello, started_unix_ms, incarnation),
             epoch,
             frozen_us: None,
             frozen_total_us: 0,
@@ -108,8 +106,6 @@
 impl Simulation {
     /// Starts a new process of an entry.
     pub(crate) fn start_entry(&mut self, entry: usize) {
-        let low_bits = self.rng.random_range(0..1 << FENCE_TIME_SHIFT);
-        let fence_base = ((UNIX_START_MS + self.now_us / 1_000) << FENCE_TIME_SHIFT) | low_bits;
         let (epoch, old) = (self.entries[entry].epoch + 1, &self.entries[entry]);
         let sides = old.sides.iter().map(Side::without_link).collect();
         let redial_us = old.redial_us;
@@ -118,7 +114,7 @@
             last_wake_us: self.now_us,
             redial_us,
             sides,
-            ..Entry::new(self.now(), entry, epoch, fence_base)
+            ..Entry::new(self.now(), entry, epoch, UNIX_START_MS + self.now_us / 1_000)
         };
         self.read_store(entry);
         self.maintain_links(entry);
--- a/crates/node/tests/simulation/upstream.rs
+++ b/crates/node/tests/simulation/upstream.rs
@@ -81,7 +81,7 @@
         Self {
             clock_rate,
             ended: Vec::new(),
-            fence: 0,
+            fence: Fence::default(),
             highest_run: FastMap::default(),
             id: id.into(),
             lease_until_us: 0,
--- a/crates/node/tests/tokens.rs
+++ b/crates/node/tests/tokens.rs
@@ -12,20 +12,23 @@
 
 /// Incarnation of the owner that both entries know and that dies.
 const OWNER: u64 = 9;
-/// Unix time at the start of the entries, in milliseconds, and the low bits of a token below the time.
+/// Unix time at the start of the entries, in milliseconds.
 const UNIX_MS: u64 = 1_790_000_000_000;
-const FENCE_TIME_SHIFT: u32 = 10;
 /// Time since the owner has named its token; below the margin that the entries keep from it.
 const SINCE_CLAIM: Duration = Duration::from_millis(700);
 
+/// A token of an entry of an earlier version: Unix milliseconds with ten random bits.
+fn earlier_token(random_bits: u64) -> Fence {
+    Fence::from((UNIX_MS << 10) | random_bits)
+}
+
 /// The token with which an entry takes over the upstream of the dead owner. The entry is linked with the owner only.
 fn token_of_takeover(incarnation: u64) -> Fence {
     let mut now = Instant::now();
-    let fence_base = (UNIX_MS << FENCE_TIME_SHIFT) | incarnation;
-    let mut engine = Engine::new(now, hello(incarnation), fence_base, incarnation);
+    let mut engine = Engine::new(now, hello(incarnation), UNIX_MS, incarnation);
     engine.handle(now, Input::Entries(Vec::new()));
     engine.handle(now, Input::Mesh(MeshEvent::Up(hello(OWNER))));
-    let claim = OwnedUpstream { fence: (UNIX_MS << FENCE_TIME_SHIFT) | OWNER, upstream: upstream().id };
+    let claim = OwnedUpstream { fence: earlier_token(OWNER), upstream: upstream().id };
     let message = Message::Owned(vec![claim]);
     engine.handle(now, Input::Mesh(MeshEvent::Received { message, peer: OWNER, sent_after: now }));
     engine.handle(now, Input::Upstreams(vec![upstream()]));
@@ -52,6 +55,6 @@
 #[test]
 fn entries_that_know_the_same_token_issue_different_ones() {
     let tokens = [1, 2].map(token_of_takeover);
-    assert!(tokens.iter().all(|token| *token > UNIX_MS << FENCE_TIME_SHIFT), "{tokens:?}");
+    assert!(tokens.iter().all(|token| *token > earlier_token(OWNER)), "{tokens:?}");
     assert_ne!(tokens[0], tokens[1]);
 }
--- a/crates/runs/src/event.rs
+++ b/crates/runs/src/event.rs
@@ -43,8 +43,10 @@
     HomeLost(HomeId),
     /// This entry is to own the upstream.
     Own {
-        /// Lower bound for the fencing token.
+        /// Lower bound for the fencing token, with the holder of this process.
         fence: Fence,
+        /// Upper bound for the fencing token.
+        limit: Fence,
         /// Ignored if the upstream is not registered.
         upstream: UpstreamId,
     },
--- a/crates/runs/src/lib.rs
+++ b/crates/runs/src/lib.rs
@@ -10,7 +10,8 @@
 //!
 //! Three rules prevent two concurrent runs of a task:
 //!
-//! - An upstream rejects orders with a lower fencing token than the highest it has seen. A new owner first raises the
+//! - An upstream rejects orders with a lower fencing token than the highest it has seen, and each process has tokens of
+//!   its own. A new owner first raises the
 //!   token and then stops every run that it did not start itself.
 //! - After a start order without an answer, the owner raises the token and lists the runs. A run that is not in that
 //!   list can no longer start, because its order carries the old token.
@@ -19,7 +20,7 @@
 //! ```
 //! use std::sync::Arc;
 //! use std::time::Duration;
-//! use hinge_runs::{Action, Assignment, Event, HoldReply, Listing, Resources, Runner, UpstreamRecord};
+//! use hinge_runs::{Action, Assignment, Event, Fence, HoldReply, Holder, Listing, Resources, Runner, UpstreamRecord};
 //! use tokio::time::Instant;
 //!
 //! let now = Instant::now();
@@ -36,7 +37,8 @@
 //!     sequence: 1,
 //!     service: "deicing".into(),
 //! }]));
-//! runner.handle(now, Event::Own { fence: 1, upstream: "up-1".into() });
+//! let fence = Fence::at(1_790_000_000_000, Holder::new(7).ok_or("not a holder number")?);
+//! runner.handle(now, Event::Own { fence, limit: fence.raised(1_000), upstream: "up-1".into() });
 //! let Some(Action::Hold(hold)) = runner.drain_actions().find(|action| matches!(action, Action::Hold(_))) else {
 //!     return Err("a new owner lists the runs");
 //! };
@@ -63,6 +65,7 @@
 
 mod ends;
 mod event;
+mod fence;
 mod health;
 mod listing;
 mod load;
@@ -78,9 +81,10 @@
     Action, EndKind, Ended, Event, Hold, HoldReply, Listing, Notice, Rejection, RunProgress, StartOrder,
     StartReply, StopOrder,
 };
+pub use fence::{Fence, Holder};
 pub use runner::Runner;
 pub use types::{
-    Assignment, AssignmentId, Fence, HomeId, Incarnation, LIVENESS_TIMEOUT, Load, LostRun, MAX_TIME, Outcome,
+    Assignment, AssignmentId, HomeId, Incarnation, LIVENESS_TIMEOUT, Load, LostRun, MAX_TIME, Outcome,
     PRIORITY_LEVELS, Resources, RunId, RunNumber, TaskName, TaskReport, UpstreamRecord, bounded_ms,
     priority_index, whole_ms,
 };
--- a/crates/runs/src/listing.rs
+++ b/crates/runs/src/listing.rs
@@ -35,7 +35,7 @@
         match reply {
             HoldReply::Listed(listing) => self.handle_listing(now, hold, &listing),
             HoldReply::Lost => {
-                self.fence_unanswered_renewal(hold);
+                self.fence_unanswered_renewal(now, hold);
                 self.hold_failed(now, hold, false);
             }
             HoldReply::Refused => self.hold_failed(now, hold, true),
--- a/crates/runs/src/orders.rs
+++ b/crates/runs/src/orders.rs
@@ -21,8 +21,8 @@
 const MAX_LOST_HOLDS: u32 = 2;
 /// Delay before the next attempt to take over an upstream that does not answer.
 const TAKEOVER_RETRY: Duration = Duration::from_millis(300);
-/// Added to the fencing token after another owner had a higher one; about 1 s of the time in a token.
-const FENCE_INCREMENT: Fence = 1 << 20;
+/// Steps by which the fencing token is raised after another owner had a higher one; about 1 s of the time in a token.
+const FENCE_INCREMENT: u64 = 32;
 /// Bits by which [`FENCE_INCREMENT`] grows with each takeover in a row that fails because of a higher token: the clock of the
 /// last owner may have been far ahead.
 const FENCE_GROWTH_BITS: u32 = 3;
@@ -34,25 +34,32 @@
 const NO_ROOM_PAUSE: Duration = Duration::from_millis(60);
 
 impl Runner {
-    pub(crate) fn take_ownership(&mut self, now: Instant, id: &UpstreamId, fence: Fence) {
+    /// Takes over an upstream with a token that exceeds all that this process has used there, and takes one over anew that it
+    /// owns under another holder number.
+    pub(crate) fn take_ownership(&mut self, now: Instant, id: &UpstreamId, fence: Fence, limit: Fence) {
         if let Some(upstream) = self.inactive.remove(id) {
             self.upstreams.insert(id.clone(), upstream);
         }
         let Some(upstream) = self.upstreams.get_mut(id) else { return };
+        upstream.fence_limit = limit;
+        let changes_holder = !upstream.fence.has_holder_of(fence);
         match upstream.ownership {
-            Ownership::None => {
-                upstream.fence = fence.max(upstream.fence + 1);
+            _ if changes_holder || upstream.ownership == Ownership::None => {
+                upstream.fence = fence.raised_above(upstream.fence, 0);
                 self.start_takeover(now, id);
             }
             Ownership::Releasing => upstream.ownership = Ownership::Owned,
-            Ownership::Owned | Ownership::Taking => {}
+            Ownership::None | Ownership::Owned | Ownership::Taking => {}
         }
     }
 
     /// Begins to take over the upstream: raises the fencing token and lists the runs.
     pub(crate) fn start_takeover(&mut self, now: Instant, id: &UpstreamId) {
         let Some(upstream) = self.upstreams.get_mut(id) else { return };
-        upstream.fence += 1;
+        if !upstream.raise_fence(upstream.fence) {
+            self.lose_ownership(now, id);
+            return;
+        }
         upstream.ownership = Ownership::Taking;
         upstream.hold_after = now;
         if upstream.holding {
@@ -92,13 +99,16 @@
         }
     }
 
-    /// Gives up an upstream on which another owner has a higher token. That owner stops the runs of this entry.
+    /// Gives up an upstream on which another owner has a higher token, or on which this entry's token has reached its limit. The
+    /// next owner stops the runs of this entry.
     pub(crate) fn lose_ownership(&mut self, now: Instant, id: &UpstreamId) {
         self.end_all_runs(now, id, Outcome::Uncertain, "fenced");
         if let Some(upstream) = self.upstreams.get_mut(id) {
             upstream.ownership = Ownership::None;
             let growth = upstream.failed_takeovers.min(MAX_FENCE_GROWTH) * FENCE_GROWTH_BITS;
-            upstream.fence = upstream.fence.saturating_add(FENCE_INCREMENT << growth);
+            if upstream.fence <= upstream.fence_limit {
+                upstream.fence = upstream.fence.raised(FENCE_INCREMENT << growth);
+            }
             upstream.failed_takeovers += 1;
         }
         self.notice_ownership(id, "lost");
@@ -117,7 +127,7 @@
     }
 
     pub(crate) fn notice_ownership(&mut self, id: &UpstreamId, state: &'static str) {
-        let fence = self.upstreams.get(id).map_or(0, |upstream| upstream.fence);
+        let fence = self.upstreams.get(id).map(|upstream| upstream.fence).unwrap_or_default();
         self.actions.push(Action::Notice(Notice::Owner { fence, state, upstream: id.clone() }));
     }
 
@@ -171,8 +181,9 @@
         if !upstream.is_owned() {
             return;
         }
-        if upstream.fence == start.fence {
-            upstream.fence += 1;
+        if upstream.fence == start.fence && !upstream.raise_fence(start.fence) {
+            self.lose_ownership(now, &start.upstream);
+            return;
         }
         upstream.probe_after = Some(now);
     }
@@ -235,14 +246,17 @@
 
     /// Raises the fencing token after a renewal without an answer. The upstream may execute it seconds later, and the
     /// lease would then last longer than this owner, or its successor, expects.
-    pub(crate) fn fence_unanswered_renewal(&mut self, hold: &Hold) {
+    pub(crate) fn fence_unanswered_renewal(&mut self, now: Instant, hold: &Hold) {
         let Some(upstream) = self.upstreams.get_mut(&hold.upstream) else { return };
         if hold.lease_until_ms.is_none() {
             return;
         }
-        upstream.fence = upstream.fence.max(hold.fence + 1);
-        let (fence, upstream) = (hold.fence, hold.upstream.clone());
-        self.actions.push(Action::Notice(Notice::RenewalLost { fence, upstream }));
+        let was_raised = upstream.raise_fence(hold.fence);
+        let (fence, id) = (hold.fence, &hold.upstream);
+        self.actions.push(Action::Notice(Notice::RenewalLost { fence, upstream: id.clone() }));
+        if !was_raised {
+            self.lose_ownership(now, id);
+        }
     }
 
     /// Handles a hold that failed. Repeated failures pause the upstream; once the lease has expired for certain, its
--- a/crates/runs/src/runner.rs
+++ b/crates/runs/src/runner.rs
@@ -84,7 +84,7 @@
             Event::GuardingServices(services) => self.guarding_services = services,
             Event::HoldEnded { hold, reply } => self.hold_ended(now, &hold, reply),
             Event::HomeLost(home) => self.home_lost(now, home),
-            Event::Own { fence, upstream } => self.take_ownership(now, &upstream, fence),
+            Event::Own { fence, limit, upstream } => self.take_ownership(now, &upstream, fence, limit),
             Event::Recalled { assignment, home } => {
                 self.return_queued(home, assignment);
             }
--- a/crates/runs/src/types.rs
+++ b/crates/runs/src/types.rs
@@ -10,8 +10,6 @@
 
 /// Number of an assignment, unique within its home.
 pub type AssignmentId = u64;
-/// Fencing token of an upstream's owner. The upstream rejects orders with a lower token than the highest it has seen.
-pub type Fence = u64;
 /// Incarnation of an entry in its role as home, which answers the callers of jobs. It also identifies owners and peers.
 pub type HomeId = u64;
 /// Number of a run of a task; increases with each start of the same task.
--- a/crates/runs/src/upstream.rs
+++ b/crates/runs/src/upstream.rs
@@ -104,6 +104,8 @@
     /// Number of times in a row that a higher token has ended the ownership, without a takeover in between.
     pub(crate) failed_takeovers: u32,
     pub(crate) fence: Fence,
+    /// Upper bound of `fence`, as far as it is used in orders.
+    pub(crate) fence_limit: Fence,
     /// Processes before the present one, oldest first.
     former: VecDeque<Incarnation>,
     /// Whether the present process has answered a hold under the present token. Until then the newest record decides which
@@ -148,7 +150,8 @@
             runs_expire_at: now,
             clock: None,
             failed_takeovers: 0,
-            fence: 0,
+            fence: Fence::default(),
+            fence_limit: Fence::default(),
             former: VecDeque::new(),
             has_answered: false,
             unknown_runs: FastSet::default(),
@@ -222,6 +225,16 @@
         }
     }
 
+    /// Raises the token above `other`; false if it would exceed its limit.
+    pub(crate) fn raise_fence(&mut self, other: Fence) -> bool {
+        let raised = self.fence.raised_above(other, 1);
+        let within_limit = raised <= self.fence_limit;
+        if within_limit {
+            self.fence = raised;
+        }
+        within_limit
+    }
+
     /// Records that the present process has answered a hold with the given token.
     pub(crate) fn record_answer(&mut self, fence: Fence) {
         self.has_answered |= fence >= self.fence;
--- a/crates/runs/tests/concurrent_runs.rs
+++ b/crates/runs/tests/concurrent_runs.rs
@@ -6,7 +6,7 @@
 mod support;
 
 use hinge_runs::{Action, Event, HoldReply, Outcome, Rejection, StartReply};
-use support::{FakeUpstream, HOME, Owner, first_hold, first_start, ms, record};
+use support::{FakeUpstream, HOME, Owner, first_hold, first_start, ms, own, record, token};
 
 /// Lets the first assignment's run end and checks that its task was done in a single run.
 fn assert_done_in_one_run(owner: &mut Owner) {
@@ -157,7 +157,7 @@
     let mut second = Owner::new();
     second.upstream = std::mem::replace(&mut first.upstream, FakeUpstream::new());
     second.handle(Event::Release("up-1".into()));
-    second.handle(Event::Own { fence: 100, upstream: "up-1".into() });
+    second.handle(own(token(100), "up-1"));
     let takeover = first_hold(&second.actions());
     let reply = second.upstream.hold(&takeover);
     second.handle(Event::HoldEnded { hold: takeover, reply });
--- a/crates/runs/tests/lost_ownership.rs
+++ b/crates/runs/tests/lost_ownership.rs
@@ -5,10 +5,10 @@
 mod support;
 
 use hinge_runs::{
-    Action, EndKind, Ended, Event, HoldReply, Listing, Notice, Outcome, Rejection, StartOrder, StartReply,
-    UpstreamRecord,
+    Action, EndKind, Ended, Event, Fence, HoldReply, Listing, Notice, Outcome, Rejection, StartOrder,
+    StartReply, UpstreamRecord,
 };
-use support::{Owner, SERVICE, first_hold, first_start, record};
+use support::{Owner, SERVICE, first_hold, first_start, ms, own, record, token};
 
 fn as_start(action: &Action) -> Option<&StartOrder> {
     match action {
@@ -158,7 +158,7 @@
         owner.handle(Event::Upstreams(records));
     }
     owner.actions();
-    owner.handle(Event::Own { fence: 20, upstream: "up-1".into() });
+    owner.handle(own(token(10).raised(10), "up-1"));
     let takeover = first_hold(&owner.actions());
     assert_eq!(&*takeover.address, "up-1:80");
 }
@@ -170,7 +170,7 @@
     const AHEAD_MS: u64 = 60_000;
     const RECOVERY_MS: u64 = 12_000;
     const TAKEOVER_PAUSE_MS: u64 = 3_000;
-    let token = |time_ms: u64| 10 + (time_ms << 10);
+    let token = |time_ms| token(10).raised(Fence::steps(ms(time_ms)));
     let mut owner = Owner::new();
     owner.upstream.fence = token(AHEAD_MS);
     owner.assign(1, "job.0");
@@ -178,7 +178,7 @@
     assert_eq!(owner.runner.owned().count(), 0, "the token of the last owner is higher");
     for time_ms in (TAKEOVER_PAUSE_MS..=RECOVERY_MS).step_by(3_000) {
         owner.advance(TAKEOVER_PAUSE_MS);
-        owner.handle(Event::Own { fence: token(time_ms), upstream: "up-1".into() });
+        owner.handle(own(token(time_ms), "up-1"));
         owner.answer_all();
     }
     assert_eq!(owner.runner.owned().count(), 1);
--- a/crates/runs/tests/outdated_records.rs
+++ b/crates/runs/tests/outdated_records.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use hinge_runs::{Action, Event, Incarnation, Resources, UpstreamRecord};
-use support::{HOME, Owner, SERVICE, record};
+use support::{HOME, Owner, SERVICE, own, record, token};
 
 /// Capacity of the former process; three tasks of 7,000 thousandths of a core fit.
 const LARGE_CPU_MILLIS: u64 = 24_000;
@@ -123,7 +123,7 @@
     owner.handle(Event::Release("up-1".into()));
     owner.answer_all();
     owner.upstream.restart();
-    owner.handle(Event::Own { fence: 1_000, upstream: "up-1".into() });
+    owner.handle(own(token(1_000), "up-1"));
     owner.answer_all();
     owner.list_runs();
     assert_eq!(owner.used_after_three_tasks(), 0);
--- a/crates/runs/tests/overload.rs
+++ b/crates/runs/tests/overload.rs
@@ -9,7 +9,7 @@
 use hinge_runs::{
     Action, Assignment, EndKind, Event, HoldReply, Listing, Outcome, Resources, Runner, StartReply,
 };
-use support::{HOME, assignment, ms, record};
+use support::{HOME, assignment, ms, own, record, token};
 use tokio::time::Instant;
 
 const CORE: u64 = 1_000;
@@ -36,7 +36,7 @@
         };
         owner.handle(Event::Upstreams(upstreams.iter().map(|id| record(id, 1)).collect()));
         for id in upstreams {
-            owner.handle(Event::Own { fence: 1, upstream: (*id).into() });
+            owner.handle(own(token(1), id));
         }
         owner
     }
@@ -218,7 +218,7 @@
     odd.capacity.cpu_millis = 10_000_000;
     owner.unanswered.insert("up-2".to_owned());
     owner.handle(Event::Upstreams(vec![record("up-1", 1), odd]));
-    owner.handle(Event::Own { fence: 1, upstream: "up-2".into() });
+    owner.handle(own(token(1), "up-2"));
     let slots = |owner: &Owner| owner.runner.load(owner.now, &"deicing".into()).slots;
     assert!(slots(&owner) > 0);
     for id in 1..200 {
--- a/crates/runs/tests/settlement.rs
+++ b/crates/runs/tests/settlement.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use hinge_runs::{Action, Event, HoldReply, Outcome, Rejection, StartReply};
-use support::{HOME, Owner, first_hold, first_probe, first_start, ms, record};
+use support::{HOME, Owner, first_hold, first_probe, first_start, ms, own, record, token};
 
 /// Guards against a second start of a task when the answer to the first one is lost but the run exists.
 #[test]
@@ -100,7 +100,7 @@
     let mut second = Owner::new();
     second.upstream = std::mem::replace(&mut first.upstream, support::FakeUpstream::new());
     second.handle(Event::Release("up-1".into()));
-    second.handle(Event::Own { fence: 100, upstream: "up-1".into() });
+    second.handle(own(token(100), "up-1"));
     second.answer_all();
     assert_eq!(second.stops.len(), 1);
     assert!(second.upstream.running.is_empty());
@@ -112,7 +112,7 @@
     let mut owner = Owner::new();
     owner.assign(1, "job.0");
     owner.answer_all();
-    owner.upstream.fence = 1_000;
+    owner.upstream.fence = token(1_000);
     owner.assign(2, "job.1");
     owner.answer_all();
     assert!(!owner.runner.owns(&"up-1".into()));
--- a/crates/runs/tests/simulation/faults.rs
+++ b/crates/runs/tests/simulation/faults.rs
@@ -3,6 +3,8 @@
 use hinge_runs::{Event, Runner};
 use rand::Rng;
 
+use crate::support::own;
+
 use super::{
     Assigned, CANCELLED_RUN_LIMIT_MS, LINK_SILENCE_MS, LOST_OWNER_LIMIT_MS, Message, RESUBMIT_MS, Simulation,
     TAKEOVER_MS, home_id,
@@ -119,7 +121,7 @@
         if silent_ms >= TAKEOVER_MS && !self.processes[owner].taken_over && peer_up {
             self.processes[owner].taken_over = true;
             let fence = self.fence(peer);
-            self.handle(peer, Event::Own { fence, upstream: format!("up-{owner}").into() });
+            self.handle(peer, own(fence, &format!("up-{owner}")));
         }
         if self.processes[owner].frozen_until_ms.is_some_and(|until| self.now_ms >= until) {
             self.resume(owner, silent_ms);
--- a/crates/runs/tests/simulation/mod.rs
+++ b/crates/runs/tests/simulation/mod.rs
@@ -10,13 +10,14 @@
 use std::ops::Range;
 
 use hinge_runs::{
-    Action, Event, Fence, HoldReply, HomeId, Outcome, RunId, Runner, StartReply, TaskReport, UpstreamRecord,
+    Action, Event, Fence, HoldReply, Holder, HomeId, Outcome, RunId, Runner, StartReply, TaskReport,
+    UpstreamRecord,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use tokio::time::Instant;
 
-use crate::support::{FakeUpstream, assignment, ms, record};
+use crate::support::{FakeUpstream, assignment, ms, own, record};
 
 const STEP_MS: u64 = 5;
 const DURATION_MS: u64 = 12_000;
@@ -200,13 +201,14 @@
     }
 
     fn fence(&self, owner: usize) -> Fence {
-        ((self.now_ms + 1) << 10) | owner as u64
+        let number = home_id(owner, self.processes[owner].epoch);
+        Fence::at(self.now_ms, Holder::new(u16::try_from(number).unwrap()).unwrap())
     }
 
     fn start_process(&mut self, owner: usize) {
         self.handle(owner, Event::Upstreams(self.records()));
         let fence = self.fence(owner);
-        self.handle(owner, Event::Own { fence, upstream: format!("up-{owner}").into() });
+        self.handle(owner, own(fence, &format!("up-{owner}")));
     }
 
     fn handle(&mut self, owner: usize, event: Event) {
--- a/crates/runs/tests/support/mod.rs
+++ b/crates/runs/tests/support/mod.rs
@@ -8,8 +8,9 @@
 use std::time::Duration;
 
 use hinge_runs::{
-    Action, Assignment, EndKind, Ended, Event, Fence, Hold, HoldReply, HomeId, Incarnation, Listing, Outcome,
-    Rejection, Resources, RunId, RunProgress, Runner, StartOrder, StartReply, TaskReport, UpstreamRecord,
+    Action, Assignment, EndKind, Ended, Event, Fence, Hold, HoldReply, Holder, HomeId, Incarnation, Listing,
+    Outcome, Rejection, Resources, RunId, RunProgress, Runner, StartOrder, StartReply, TaskReport,
+    UpstreamRecord,
 };
 use tokio::time::Instant;
 
@@ -86,7 +87,7 @@
     pub(crate) fn new() -> Self {
         Self {
             ended: BTreeMap::new(),
-            fence: 0,
+            fence: Fence::default(),
             highest_run: BTreeMap::new(),
             lease_until_ms: 0,
             incarnation: 1,
@@ -217,7 +218,7 @@
             upstream: FakeUpstream::new(),
         };
         owner.handle(Event::Upstreams(vec![record("up-1", 1)]));
-        owner.handle(Event::Own { fence: 10, upstream: "up-1".into() });
+        owner.handle(own(token(10), "up-1"));
         owner.answer_all();
         owner
     }
@@ -324,6 +325,17 @@
     }
 }
 
+/// A token of the holder with the given number, which is also its counter: a higher number gives a higher token.
+pub(crate) fn token(number: u16) -> Fence {
+    const STEP_MS: u64 = 32;
+    Fence::at(u64::from(number) * STEP_MS, Holder::new(number).expect("a holder number"))
+}
+
+/// Lets an entry own an upstream with a token.
+pub(crate) fn own(fence: Fence, upstream: &str) -> Event {
+    Event::Own { fence, limit: Fence::MAX, upstream: upstream.into() }
+}
+
 /// The first start order among actions.
 pub(crate) fn first_start(actions: &[Action]) -> StartOrder {
     let start = actions.iter().find_map(|action| match action {
