Store: claims of numbers by conditional writes

Change: `ConditionalWrites` is the interface of a write that depends on the revision of its key. `NumberClaim` draws a number, writes a record of its process under it on the condition that the key does not exist, renews it daily and reports until when it holds. A record that shows the own process counts as success, since an earlier call may have been executed without an answer; one that was not renewed for 7 days may be replaced; a claim that was not renewed for 5 days has lapsed. Calls that fail are repeated after random delays. Nothing uses it yet.

Ruled out: a lease, which expires while its holder lives and is cut off from the store. The interface is apart from `Keyspace`, whose other clients do not need it.

--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -8,6 +8,8 @@
 //!   writes operators' changes.
 //! - [`Keyspace`] is the interface of a store with range reads, prefix watches and leases. [`Mirror`] keeps a local
 //!   copy of the keys with a prefix, and [`Registration`] keeps a key registered under a lease.
+//! - [`ConditionalWrites`] is the interface of writes that depend on the revision of their key. With it a [`NumberClaim`]
+//!   claims a number that no other process has.
 //! - [`Claims`] records in the store that a definite submission may start, and finds out what may have run of a
 //!   submission whose owner is gone.
 //!
@@ -30,9 +32,12 @@
 mod budget;
 mod claim_record;
 mod claims;
+mod conditional;
 mod http_store;
 mod keyspace;
 mod mirror;
+mod number_claim;
+mod number_record;
 mod proposal;
 mod registration;
 mod store;
@@ -41,9 +46,11 @@
 pub use budget::{Backoff, CallCounts, CallKind, MeteredStore, StoreCounters, TokenBucket};
 pub use claim_record::KEYS_PER_WINDOW;
 pub use claims::{ClaimError, Claims, OrphanEnd};
+pub use conditional::{ConditionalPut, ConditionalWrites};
 pub use http_store::HttpStore;
 pub use keyspace::{Change, Item, Keyspace, KeyspaceError, LeaseId, Page, Revision, WatchResponse};
 pub use mirror::{Connectivity, Mirror, MirrorEvent, MirrorSettings, Snapshot};
+pub use number_claim::{NumberClaim, NumberEvent};
 pub use proposal::ChangeFailure;
 pub use registration::{Registration, RegistrationEvent};
 pub use store::{MAX_VALUE_BYTES, Store, StoreError};
