Entries take upstreams over only with a holder number of their own

Callers see nothing in a calm start: the number is claimed beside the first reads of entries and upstreams. While the store is away at the start of a process, it takes nothing over, and answers its callers as a home. Operators see `HOLDER_CLAIMED`, `HOLDER_UNCONFIRMED` and `HOLDER_LOST` (1650 to 1652).

Cause: two entries that knew the same token of a dead owner, but not each other, took its upstream over with the same next token.

What it still owns under a former number is taken over anew.

The property test fails with tokens that keep the holder of the token that they exceed, and with lapsed numbers that are used on; without the limit of tokens `no_order_carries_a_token_above_the_limit` fails.

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use hinge_jobs::{JobNumber, JobTable};
 use hinge_mesh::{Hello, OwnedUpstream};
-use hinge_runs::{AssignmentId, Event, Holder, HomeId, LostRun, Outcome, Runner, TaskReport, UpstreamRecord};
+use hinge_runs::{AssignmentId, Event, HomeId, LostRun, Outcome, Runner, TaskReport, UpstreamRecord};
 use hinge_wire::{FastMap, FastSet, ServiceId, UpstreamId};
 use tokio::time::Instant;
 
@@ -68,12 +68,9 @@
 
 impl Engine {
     /// Creates the engine of the process that `local` identifies. `started_unix_ms` is the Unix time at `now`, from which its
-    /// fencing tokens grow.
+    /// fencing tokens grow. It takes over no upstream before [`Input::Holder`].
     #[must_use]
     pub fn new(now: Instant, local: Hello, started_unix_ms: u64, seed: u64) -> Self {
-        let mut tokens = Tokens::new(now, started_unix_ms);
-        let number = seed % u64::from(Holder::MAX) + 1;
-        tokens.holder = u16::try_from(number).ok().and_then(Holder::new);
         let mut jobs = JobTable::new(local.incarnation, seed);
         jobs.set_latency(local.incarnation, Duration::ZERO);
         jobs.expect_owners(now + STARTUP_TIME);
@@ -98,7 +95,7 @@
             status_sent: (0, false),
             local_status: StatusTimer::new(now, LOCAL_STATUS_INTERVAL),
             remote_status: StatusTimer::new(now, REMOTE_STATUS_INTERVAL),
-            tokens,
+            tokens: Tokens::new(now, started_unix_ms),
             submissions: FastMap::default(),
             jobs_by_submission: FastMap::default(),
             upstreams: Vec::new(),
@@ -124,6 +121,11 @@
                 self.runner.handle(now, Event::GuardingServices(services));
             }
             Input::HoldEnded { hold, reply } => self.runner.handle(now, Event::HoldEnded { hold, reply }),
+            Input::Holder(claimed) => {
+                self.tokens.claimed = claimed;
+                // The first takeovers must not wait because the number arrives last.
+                self.next_ownership_update = now;
+            }
             Input::Mesh(event) => self.handle_mesh_event(now, event),
             Input::UnresponsivePeers(peers) => self.jobs.set_unresponsive_owners(peers),
             Input::StartEnded { reply, start } => {
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use hinge_jobs::{Answer, JobRequest};
 use hinge_mesh::{MeshEvent, Message};
-use hinge_runs::{Hold, HoldReply, HomeId, StartOrder, StartReply, StopOrder, UpstreamRecord};
+use hinge_runs::{Hold, HoldReply, Holder, HomeId, StartOrder, StartReply, StopOrder, UpstreamRecord};
 use hinge_wire::{FastSet, ServiceId};
 use tokio::time::Instant;
 
@@ -15,6 +15,15 @@
 /// Identifies a submitted job within this process.
 pub type SubmissionId = u64;
 
+/// A number that this process has claimed for its fencing tokens.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ClaimedHolder {
+    /// No other process has this number.
+    pub holder: Holder,
+    /// When the number must not be used any more, unless the claim is renewed.
+    pub until: Instant,
+}
+
 /// An input of [`Engine::handle`](crate::Engine::handle).
 #[derive(Debug)]
 pub enum Input {
@@ -43,6 +52,9 @@
         /// The upstream's reply, or how the call failed.
         reply: HoldReply,
     },
+    /// The holder number of this process was claimed or renewed; none if it was lost. Without one the entry takes over no upstream
+    /// and releases those that it owns.
+    Holder(Option<ClaimedHolder>),
     /// A link to a peer has come up or gone down, or a message has arrived on one.
     Mesh(MeshEvent),
     /// A call of [`UpstreamPort::start`](crate::UpstreamPort::start) has returned.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,7 +8,8 @@
 //!   [`Mesh`](hinge_mesh::Mesh).
 //!
 //! Upstreams are divided evenly among the live entries of their data centre. An entry takes over an upstream only when
-//! no live peer claims it. If two entries disagree, the upstream obeys the one with the higher fencing token.
+//! no live peer claims it, and only while it holds a number that makes its fencing tokens unique. If two entries disagree,
+//! the upstream obeys the one with the higher token.
 
 mod engine;
 mod event;
@@ -23,7 +24,7 @@
 mod tokens;
 
 pub use engine::Engine;
-pub use event::{Input, Output, SubmissionId};
+pub use event::{ClaimedHolder, Input, Output, SubmissionId};
 pub use journal::LogLine;
 pub use metrics::NodeMetrics;
 pub use node::{Node, NodeHandle, NodeSettings, Submitted, SuspendClock, UpstreamPort};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -67,7 +67,7 @@
 pub struct NodeSettings {
     /// Identity that this process announces to its peers.
     pub local: Hello,
-    /// Seed of random choices, and of the holder number in fencing tokens.
+    /// Seed of random choices.
     pub seed: u64,
     /// Unix time at the start of the process in milliseconds; fencing tokens grow from it.
     pub started_unix_ms: u64,
--- a/crates/node/tests/abandoned.rs
+++ b/crates/node/tests/abandoned.rs
@@ -11,9 +11,9 @@
 use hinge_jobs::{JobRequest, QueuePolicy};
 use hinge_node::{Input, Node, NodeHandle, NodeMetrics, NodeSettings, UpstreamPort};
 use hinge_runs::{Hold, HoldReply, Listing, Resources, StartOrder, StartReply, StopOrder};
-use support::{Clock, hello, upstream};
+use support::{Clock, claimed, hello, upstream};
 use tokio::net::TcpListener;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// Time in which the upstream is taken over.
 const TAKEOVER: Duration = Duration::from_secs(1);
@@ -70,6 +70,7 @@
     let metrics = NodeMetrics::new().unwrap();
     let (node, handle) = Node::new(settings, listener, port, Clock::new(), metrics);
     tokio::spawn(node.run());
+    handle.send_input(claimed(Instant::now(), 1)).await;
     handle.send_input(Input::Entries(Vec::new())).await;
     handle.send_input(Input::Upstreams(vec![upstream()])).await;
     sleep(TAKEOVER).await;
--- a/crates/node/tests/cancellation.rs
+++ b/crates/node/tests/cancellation.rs
@@ -7,7 +7,7 @@
 use hinge_mesh::{MeshEvent, Message};
 use hinge_node::{Engine, Input, Output};
 use hinge_runs::{HoldReply, Listing, StartReply};
-use support::{hello, request, upstream};
+use support::{engine, hello, request, upstream};
 use tokio::time::Instant;
 
 const SUBMISSION: u64 = 1;
@@ -54,7 +54,7 @@
 
 /// A home without upstreams and an owner with one, which know each other.
 fn linked_pair(now: Instant) -> (Engine, Engine) {
-    let (mut home, mut owner) = (Engine::new(now, hello(1), 1_000, 1), Engine::new(now, hello(2), 1_000, 2));
+    let (mut home, mut owner) = (engine(now, hello(1), 1), engine(now, hello(2), 2));
     owner.handle(now, Input::Upstreams(vec![upstream()]));
     process_outputs(&mut owner, now);
     home.handle(now, Input::Mesh(MeshEvent::Up(hello(2))));
--- a/crates/node/tests/config.rs
+++ b/crates/node/tests/config.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use hinge_mesh::{MeshEvent, Message, Status};
 use hinge_node::{Engine, Input, Output};
-use support::hello;
+use support::{engine, hello};
 use tokio::time::Instant;
 
 struct Entry {
@@ -21,7 +21,7 @@
     /// An entry with links to `peers` others.
     fn new(peers: u64) -> Self {
         let now = Instant::now();
-        let mut entry = Self { engine: Engine::new(now, hello(1), 1_000, 1), now };
+        let mut entry = Self { engine: engine(now, hello(1), 1), now };
         for peer in 2..2 + peers {
             entry.engine.handle(now, Input::Mesh(MeshEvent::Up(hello(peer))));
         }
--- a/crates/node/tests/crashing_tasks.rs
+++ b/crates/node/tests/crashing_tasks.rs
@@ -14,7 +14,7 @@
     EndKind, Ended, Hold, HoldReply, Listing, Resources, RunId, RunProgress, StartOrder, StartReply,
     UpstreamRecord,
 };
-use support::{entry, hello};
+use support::{engine, entry, hello};
 use tokio::time::Instant;
 
 const SERVICE: &str = "deicing";
@@ -125,7 +125,7 @@
             |_| FakeUpstream { crashed_at_ms: None, ended: Vec::new(), incarnation: 1, running: Vec::new() };
         let mut cluster = Self {
             answers: Vec::new(),
-            entries: (1..=2).map(|number| Engine::new(now, hello(number), 1_000, number)).collect(),
+            entries: (1..=2).map(|number| engine(now, hello(number), number)).collect(),
             inputs: VecDeque::new(),
             linked: false,
             now,
--- a/crates/node/tests/late_messages.rs
+++ b/crates/node/tests/late_messages.rs
@@ -16,7 +16,7 @@
     StopOrder, whole_ms,
 };
 use path::Path;
-use support::{Clock, entry, hello, request, upstream};
+use support::{Clock, claimed, entry, hello, request, upstream};
 use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep};
 
@@ -102,6 +102,7 @@
     let settings = NodeSettings { local, seed, started_unix_ms: 1_767_000_000_000 };
     let (node, handle) = Node::new(settings, listener, runs.clone(), clock, NodeMetrics::new().unwrap());
     tokio::spawn(node.run());
+    handle.send_input(claimed(Instant::now(), seed)).await;
     (handle, address)
 }
 
--- a/crates/node/tests/malformed.rs
+++ b/crates/node/tests/malformed.rs
@@ -18,7 +18,7 @@
 use hinge_wire::UpstreamId;
 use proptest::collection::vec;
 use proptest::prelude::*;
-use support::hello;
+use support::{engine, hello};
 use tokio::time::Instant;
 
 const SERVICE: &str = "deicing";
@@ -250,7 +250,7 @@
 impl Entry {
     fn new() -> Self {
         let now = Instant::now();
-        let engine = Engine::new(now, hello(1), 1_000, 1);
+        let engine = engine(now, hello(1), 1);
         let mut entry = Self { engine, holds: VecDeque::new(), now, starts: VecDeque::new(), submissions: 0 };
         entry.input(Input::Entries(Vec::new()));
         entry.input(Input::Mesh(MeshEvent::Up(hello(PEER))));
--- a/crates/node/tests/ownership.rs
+++ b/crates/node/tests/ownership.rs
@@ -8,7 +8,7 @@
 use hinge_mesh::{MeshEvent, Message, OwnedUpstream};
 use hinge_node::{Engine, Input, Output};
 use hinge_runs::{Fence, Hold, HoldReply, Listing, Resources, UpstreamRecord};
-use support::{entry, hello};
+use support::{engine, entry, hello};
 use tokio::time::Instant;
 
 const UPSTREAMS: usize = 12;
@@ -38,7 +38,7 @@
 impl Entry {
     fn new(number: u64) -> Self {
         let now = Instant::now();
-        let engine = Engine::new(now, hello(number), 1_000, number);
+        let engine = engine(now, hello(number), number);
         Self { engine, fence: Fence::default(), now }
     }
 
--- a/crates/node/tests/panics.rs
+++ b/crates/node/tests/panics.rs
@@ -10,8 +10,9 @@
 
 use hinge_node::{Input, Node, NodeMetrics, NodeSettings, UpstreamPort};
 use hinge_runs::{Hold, HoldReply, Listing, StartOrder, StartReply, StopOrder};
-use support::{Clock, hello, upstream};
+use support::{Clock, claimed, hello, upstream};
 use tokio::net::TcpListener;
+use tokio::time::Instant;
 
 /// Panics in the first holds.
 #[derive(Clone, Default)]
@@ -42,6 +43,7 @@
     let metrics = NodeMetrics::new().unwrap();
     let (node, handle) = Node::new(settings, listener, port.clone(), Clock::new(), metrics);
     tokio::spawn(node.run());
+    handle.send_input(claimed(Instant::now(), 1)).await;
     handle.send_input(Input::Entries(Vec::new())).await;
     handle.send_input(Input::Upstreams(vec![upstream()])).await;
     tokio::time::sleep(Duration::from_secs(5)).await;
--- a/crates/node/tests/recipients.rs
+++ b/crates/node/tests/recipients.rs
@@ -1,11 +1,14 @@
 //! Selection of the peers that receive an entry's loads.
 
+mod support;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use hinge_mesh::{Hello, MeshEvent, Message};
 use hinge_node::{Engine, Input, Output};
 use hinge_runs::{HoldReply, HomeId, Listing, Resources, UpstreamRecord};
+use support::engine;
 use tokio::time::Instant;
 
 const DATA_CENTRES: u64 = 3;
@@ -47,7 +50,7 @@
     /// The entry `number` with links to all others.
     fn linked(number: u64, entries: u64) -> Self {
         let (now, local) = (Instant::now(), hello(number));
-        let engine = Engine::new(now, local.clone(), 1_000, number);
+        let engine = engine(now, local.clone(), number);
         let mut entry = Self { engine, now, sent_slots: BTreeMap::new() };
         entry.input(Input::Upstreams(vec![upstream(&local.data_centre)]));
         for peer in (0..entries).filter(|peer| *peer != number) {
--- a/crates/node/tests/resubmissions.rs
+++ b/crates/node/tests/resubmissions.rs
@@ -5,6 +5,7 @@
 #![allow(clippy::panic, clippy::unwrap_used, reason = "tests")]
 
 mod simulation;
+mod support;
 
 use proptest::prelude::*;
 use simulation::{Counts, Faults, NO_FAULTS, simulate};
--- a/crates/node/tests/simulation/entries.rs
+++ b/crates/node/tests/simulation/entries.rs
@@ -6,6 +6,8 @@
 use rand::Rng;
 use tokio::time::Instant;
 
+use crate::support::claimed;
+
 use super::links::Side;
 use super::orders::Action;
 use super::{ENTRIES, Event, Simulation, UNIX_START_MS};
@@ -116,6 +118,8 @@
             sides,
             ..Entry::new(self.now(), entry, epoch, UNIX_START_MS + self.now_us / 1_000)
         };
+        let (now, incarnation) = (self.now(), self.entries[entry].incarnation);
+        self.entries[entry].engine.handle(now, claimed(now, incarnation));
         self.read_store(entry);
         self.maintain_links(entry);
         self.tick(entry);
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -8,8 +8,8 @@
 
 use hinge_jobs::{JobRequest, QueuePolicy};
 use hinge_mesh::Hello;
-use hinge_node::{EntryRecord, SuspendClock};
-use hinge_runs::{Resources, UpstreamRecord, whole_ms};
+use hinge_node::{ClaimedHolder, Engine, EntryRecord, Input, SuspendClock};
+use hinge_runs::{Holder, Resources, UpstreamRecord, whole_ms};
 use tokio::time::Instant;
 
 /// A clock that advances with the runtime's clock, and counts suspensions, which that clock does not.
@@ -46,6 +46,20 @@
     }
 }
 
+/// The claim of a holder number for longer than any test takes.
+pub(crate) fn claimed(now: Instant, number: u64) -> Input {
+    let until = now + Duration::from_secs(365 * 24 * 60 * 60);
+    let holder = u16::try_from(number).ok().and_then(Holder::new);
+    Input::Holder(holder.map(|holder| ClaimedHolder { holder, until }))
+}
+
+/// An engine whose process has claimed the holder number after `number`, which may be 0.
+pub(crate) fn engine(now: Instant, local: Hello, number: u64) -> Engine {
+    let mut engine = Engine::new(now, local, 1_000, number);
+    engine.handle(now, claimed(now, number + 1));
+    engine
+}
+
 /// The registration of the entry that [`hello`] names.
 pub(crate) fn entry(number: u64) -> EntryRecord {
     EntryRecord {
--- a/crates/node/tests/suspensions.rs
+++ b/crates/node/tests/suspensions.rs
@@ -10,7 +10,7 @@
 use hinge_mesh::{Hello, MeshEvent, Message};
 use hinge_node::{Engine, Input, Output};
 use hinge_runs::{Assignment, Hold, HoldReply, Listing, StartOrder, StartReply};
-use support::{hello, request, upstream};
+use support::{engine, hello, request, upstream};
 use tokio::time::Instant;
 
 const PEER: u64 = 1;
@@ -41,7 +41,7 @@
 impl Entry {
     fn new() -> Self {
         let now = Instant::now();
-        let engine = Engine::new(now, hello(OWN), 1_000, OWN);
+        let engine = engine(now, hello(OWN), OWN);
         let mut entry =
             Self { answers: Vec::new(), engine, holds: Vec::new(), now, starts: Vec::new(), submissions: 0 };
         entry.handle(Input::Upstreams(vec![upstream()]));
--- a/crates/node/tests/void_assignments.rs
+++ b/crates/node/tests/void_assignments.rs
@@ -10,7 +10,7 @@
 use hinge_mesh::{Hello, MeshEvent, Message};
 use hinge_node::{Engine, Input, Output};
 use hinge_runs::{EndKind, Ended, Hold, HoldReply, Listing, RunId, RunProgress, StartReply, StopOrder};
-use support::{hello, request, upstream};
+use support::{engine, hello, request, upstream};
 use tokio::time::Instant;
 
 const HOME: u64 = 1;
@@ -45,9 +45,9 @@
         let mut pair = Self {
             answers: Vec::new(),
             ended: Vec::new(),
-            home: Engine::new(now, home_hello(), 1_000, HOME),
+            home: engine(now, home_hello(), HOME),
             now,
-            owner: Engine::new(now, hello(OWNER), 1_000, OWNER),
+            owner: engine(now, hello(OWNER), OWNER),
             running: Vec::new(),
             started_at: now,
         };
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -112,6 +112,8 @@
     UpstreamAvailable = 1622,
     ///The process of an upstream has answered before its record was read; gives the capacity in the record of the former process.
     RecordOutdated = 1623,
+    ///An upstream lists a run that this owner did not order under its own fencing token: another process gives orders beside it. The token is raised and the run stopped.
+    SecondHolder = 1624,
     ///The connection to a peer is established.
     PeerLinked = 1630,
     ///The connection to a peer is lost; tasks handed over on it are void.
@@ -128,6 +130,12 @@
     LogLinesDropped = 1642,
     ///The process could not listen on an address.
     ListenFailed = 1643,
+    ///This process has claimed a holder number for its fencing tokens, and may take over upstreams.
+    HolderClaimed = 1650,
+    ///A call to claim or renew the holder number failed and is repeated; gives the number, if one is claimed, and the reason.
+    HolderUnconfirmed = 1651,
+    ///The holder number was not renewed for days, or another process has it; this process takes over no upstream until it has another one.
+    HolderLost = 1652,
 }
 impl LogEvent {
     /// All values, in the order of their numbers.
@@ -186,6 +194,7 @@
         Self::UpstreamAvoided,
         Self::UpstreamAvailable,
         Self::RecordOutdated,
+        Self::SecondHolder,
         Self::PeerLinked,
         Self::PeerLost,
         Self::ProcessSuspended,
@@ -194,6 +203,9 @@
         Self::RegistrationLost,
         Self::LogLinesDropped,
         Self::ListenFailed,
+        Self::HolderClaimed,
+        Self::HolderUnconfirmed,
+        Self::HolderLost,
     ];
     /// Number used in messages, logs and tables.
     #[must_use]
@@ -264,6 +276,7 @@
             Self::UpstreamAvoided => "UPSTREAM_AVOIDED",
             Self::UpstreamAvailable => "UPSTREAM_AVAILABLE",
             Self::RecordOutdated => "RECORD_OUTDATED",
+            Self::SecondHolder => "SECOND_HOLDER",
             Self::PeerLinked => "PEER_LINKED",
             Self::PeerLost => "PEER_LOST",
             Self::ProcessSuspended => "PROCESS_SUSPENDED",
@@ -272,6 +285,9 @@
             Self::RegistrationLost => "REGISTRATION_LOST",
             Self::LogLinesDropped => "LOG_LINES_DROPPED",
             Self::ListenFailed => "LISTEN_FAILED",
+            Self::HolderClaimed => "HOLDER_CLAIMED",
+            Self::HolderUnconfirmed => "HOLDER_UNCONFIRMED",
+            Self::HolderLost => "HOLDER_LOST",
         }
     }
 }
@@ -335,6 +351,7 @@
             Self::UpstreamAvoided => "warn",
             Self::UpstreamAvailable => "info",
             Self::RecordOutdated => "warn",
+            Self::SecondHolder => "error",
             Self::PeerLinked => "info",
             Self::PeerLost => "warn",
             Self::ProcessSuspended => "warn",
@@ -343,6 +360,9 @@
             Self::RegistrationLost => "warn",
             Self::LogLinesDropped => "warn",
             Self::ListenFailed => "error",
+            Self::HolderClaimed => "info",
+            Self::HolderUnconfirmed => "warn",
+            Self::HolderLost => "error",
         }
     }
 }
