A run of a second holder is logged, counted and fenced off

Operators see `SECOND_HOLDER` (1624) and `celeryhinge_events_total{event="second_holder"}` when an upstream lists a run that its owner did not order and that its takeover has not found. Before, it was one of the `UNKNOWN_RUN` lines that each takeover may write.

Change: the owner raises its token, stops the run under it, and tells the upstream at once by a probe, so that the other process is rejected. Runs that the takeover has found, and own runs that were given up, are no such sign; a late answer that still lists the former is none either.

Seen on the way: an owner that has been replaced unseen, or is still releasing, raises its token after a lost renewal above that of its successor and has the upstream back.

--- a/crates/node/src/journal.rs
+++ b/crates/node/src/journal.rs
@@ -136,6 +136,10 @@
         RunNotice::RenewalLost { fence, upstream } => {
             (LogEvent::RenewalLost, json!({ "fence": fence, "upstream": upstream }))
         }
+        RunNotice::SecondHolder { fence, run, upstream } => (
+            LogEvent::SecondHolder,
+            json!({ "fence": fence, "run": run.run, "task": run.task, "upstream": upstream }),
+        ),
         RunNotice::Stalled { done_percent, run, run_time, upstream } => (
             LogEvent::RunStalled,
             json!({
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -133,6 +133,7 @@
                 self.events.with_label_values(&["record_outdated"]).inc();
             }
             RunNotice::RenewalLost { .. } => self.events.with_label_values(&["renewal_lost"]).inc(),
+            RunNotice::SecondHolder { .. } => self.events.with_label_values(&["second_holder"]).inc(),
             RunNotice::Stalled { .. } => self.events.with_label_values(&["run_stalled"]).inc(),
             RunNotice::StartRejected { reason, .. } => {
                 self.rejected_starts.with_label_values(&[reason]).inc();
--- a/crates/runs/src/event.rs
+++ b/crates/runs/src/event.rs
@@ -309,6 +309,16 @@
         /// Upstream that the hold was for.
         upstream: UpstreamId,
     },
+    /// An upstream lists a run that this entry did not order, although it obeys this entry's token. The run is stopped under a
+    /// raised one.
+    SecondHolder {
+        /// Fencing token under which the run was listed.
+        fence: Fence,
+        /// Run that another process has started.
+        run: RunId,
+        /// Upstream of the run.
+        upstream: UpstreamId,
+    },
     /// A run makes too little progress and is stopped.
     Stalled {
         /// Completed share of the work, in percent.
--- a/crates/runs/src/listing.rs
+++ b/crates/runs/src/listing.rs
@@ -67,10 +67,12 @@
         upstream.lost_holds = 0;
         upstream.record_clock(now, listing.clock_ms);
         upstream.acknowledged_end = upstream.acknowledged_end.max(hold.last_end);
-        if upstream.ownership == Ownership::Taking {
+        let completes_takeover = upstream.ownership == Ownership::Taking;
+        if completes_takeover {
             if hold.fence < upstream.fence {
                 return;
             }
+            upstream.taken_with = hold.fence;
             upstream.ownership = Ownership::Owned;
             upstream.failed_takeovers = 0;
             self.notice_ownership(id, "owned");
@@ -78,7 +80,7 @@
         for end in &listing.ended {
             self.run_ended(now, id, end);
         }
-        self.reconcile_runs(now, hold, listing);
+        self.reconcile_runs(now, hold, listing, completes_takeover);
         if let Some(upstream) = self.upstreams.get_mut(id) {
             upstream.restarted = false;
         }
@@ -126,7 +128,7 @@
     /// Compares the listed runs with the known ones. Runs that never started are queued again, runs that have vanished are
     /// reported as interrupted, and unknown runs are stopped. After a restart of the upstream a run without a confirmation
     /// counts as vanished: the earlier process may have started it.
-    fn reconcile_runs(&mut self, now: Instant, hold: &Hold, listing: &Listing) {
+    fn reconcile_runs(&mut self, now: Instant, hold: &Hold, listing: &Listing, completes_takeover: bool) {
         let id = &hold.upstream;
         let running: FastSet<&RunId> = listing.running.iter().map(|running| &running.run).collect();
         let Some(upstream) = self.upstreams.get_mut(id) else { return };
@@ -157,7 +159,11 @@
             .map(|run_id| (*run_id).clone())
             .collect();
         upstream.unknown_runs = unknown.iter().cloned().collect();
+        if completes_takeover {
+            upstream.foreign_runs.clone_from(&upstream.unknown_runs);
+        }
         self.notice_surviving_runs(id, &unknown);
+        self.check_second_holder(now, hold, &unknown);
         for run_id in never_started {
             let number = run_id.run;
             self.requeue(now, id, &run_id, number);
@@ -178,6 +184,34 @@
         self.check_progress(now, id, &listing.running);
     }
 
+    /// Looks for runs of a second owner among those that this entry does not know. The takeover has found all runs of earlier owners,
+    /// and the upstream has rejected their orders since. So another process orders under an equal token, or has taken the upstream
+    /// over before this entry raised its own token above that of the other, or the upstream does not compare tokens. The raised
+    /// token, which a probe tells the upstream, fences an owner that does not know of this one.
+    fn check_second_holder(&mut self, now: Instant, hold: &Hold, unknown: &[RunId]) {
+        let id = &hold.upstream;
+        let Some(upstream) = self.upstreams.get_mut(id).filter(|upstream| hold.fence >= upstream.taken_with)
+        else {
+            return;
+        };
+        let is_foreign = |run: &&RunId| self.recent_ends.get(run).is_none();
+        let mut found = false;
+        for run in unknown.iter().filter(is_foreign) {
+            if upstream.foreign_runs.insert(run.clone()) {
+                found = true;
+                let (fence, run, upstream) = (hold.fence, run.clone(), id.clone());
+                self.actions.push(Action::Notice(Notice::SecondHolder { fence, run, upstream }));
+            }
+        }
+        if !found {
+            return;
+        }
+        upstream.probe_after = Some(now);
+        if !upstream.raise_fence(hold.fence) {
+            self.lose_ownership(now, id);
+        }
+    }
+
     /// Logs the listed runs that this owner has counted as ended too early.
     fn notice_surviving_runs(&mut self, id: &UpstreamId, runs: &[RunId]) {
         for run in runs {
--- a/crates/runs/src/upstream.rs
+++ b/crates/runs/src/upstream.rs
@@ -104,6 +104,8 @@
     /// Number of times in a row that a higher token has ended the ownership, without a takeover in between.
     pub(crate) failed_takeovers: u32,
     pub(crate) fence: Fence,
+    /// Token under which the last takeover was completed.
+    pub(crate) taken_with: Fence,
     /// Upper bound of `fence`, as far as it is used in orders.
     pub(crate) fence_limit: Fence,
     /// Processes before the present one, oldest first.
@@ -111,6 +113,8 @@
     /// Whether the present process has answered a hold under the present token. Until then the newest record decides which
     /// process is the present one.
     has_answered: bool,
+    /// Runs of other owners since the last takeover: those that it has found, and those logged as of a second holder.
+    pub(crate) foreign_runs: FastSet<RunId>,
     /// Listed runs that this entry did not start; stop orders were sent for them.
     pub(crate) unknown_runs: FastSet<RunId>,
     pub(crate) health: Health,
@@ -152,8 +156,10 @@
             failed_takeovers: 0,
             fence: Fence::default(),
             fence_limit: Fence::default(),
+            taken_with: Fence::default(),
             former: VecDeque::new(),
             has_answered: false,
+            foreign_runs: FastSet::default(),
             unknown_runs: FastSet::default(),
             health: Health::default(),
             holding: false,
--- a/crates/runs/tests/interleavings.rs
+++ b/crates/runs/tests/interleavings.rs
@@ -60,6 +60,13 @@
         simulate(seed, Faults { late_renewals: true, short_delays: true, ..LONG_RUNS });
     }
 
+    /// Guards against two owners of an upstream that do not see each other and raise their tokens in turn: it obeys only one of them
+    /// at a time.
+    #[test]
+    fn no_task_runs_twice_when_entries_do_not_see_each_other(seed in any::<u64>()) {
+        simulate(seed, Faults { blind_takeovers: true, ..LONG_RUNS });
+    }
+
     /// Guards against a start order for an earlier process of an upstream that its next process executes, after the task
     /// was started elsewhere.
     #[test]
--- a/crates/runs/tests/simulation/faults.rs
+++ b/crates/runs/tests/simulation/faults.rs
@@ -75,6 +75,18 @@
         }
     }
 
+    /// Lets each process that runs take over the same upstream, above its last token.
+    pub(super) fn take_over_blindly(&mut self) {
+        let id = format!("up-{}", self.rng.random_range(0..2));
+        let known = self.upstreams[&id].fence;
+        for owner in 0..2 {
+            if self.processes[owner].silent_since_ms.is_none() {
+                let fence = self.fence(owner).raised_above(known, 1);
+                self.handle(owner, own(fence, &id));
+            }
+        }
+    }
+
     /// Kills a process, which restarts later in a new epoch, or freezes it.
     pub(super) fn kill_or_freeze(&mut self, owner: usize, killed: bool) {
         let now_ms = self.now_ms;
--- a/crates/runs/tests/simulation/mod.rs
+++ b/crates/runs/tests/simulation/mod.rs
@@ -45,6 +45,8 @@
 pub(crate) struct Faults {
     /// Homes cancel tasks whose job fails, and callers resubmit their jobs as soon as they have an answer.
     pub(crate) answers: bool,
+    /// Processes that do not see each other take over the same upstream, whose last token both know.
+    pub(crate) blind_takeovers: bool,
     /// Callers disconnect and resubmit their jobs.
     pub(crate) disconnects: bool,
     /// The lease of a late hold counts from its arrival.
@@ -65,6 +67,7 @@
 
 pub(crate) const LONG_RUNS: Faults = Faults {
     answers: false,
+    blind_takeovers: false,
     disconnects: false,
     late_renewals: false,
     link_losses: true,
@@ -371,6 +374,9 @@
             let killed = self.rng.random_bool(0.5);
             self.kill_or_freeze(owner, killed);
         }
+        if self.faults.blind_takeovers && self.rng.random_bool(0.004) {
+            self.take_over_blindly();
+        }
         if self.faults.restarts && self.rng.random_bool(0.001) {
             self.crash_upstream();
         }
--- a/crates/runs/tests/support/mod.rs
+++ b/crates/runs/tests/support/mod.rs
@@ -70,7 +70,7 @@
 }
 
 /// An upstream with the platform's documented behaviour: fencing tokens, one lease for all runs, numbered ends.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct FakeUpstream {
     pub(crate) ended: BTreeMap<u64, (RunId, EndKind)>,
     pub(crate) fence: Fence,
