--- a/crates/node/tests/evacuation.rs
+++ b/crates/node/tests/evacuation.rs
@@ -13,7 +13,7 @@
     HoldReply, Listing, Load, Outcome, Resources, RunProgress, StartOrder, StartReply, TaskReport,
     UpstreamRecord,
 };
-use support::{hello, request, upstream};
+use support::{engine, hello, request, upstream};
 use tokio::time::Instant;
 
 const PEER: u64 = 2;
@@ -50,7 +50,7 @@
         let mut entry = Self {
             adopted: 0,
             answers: Vec::new(),
-            engine: Engine::new(now, hello(1), 1_000, 1),
+            engine: engine(now, hello(1), 1),
             metrics: Vec::new(),
             now,
             sent: Vec::new(),
--- a/crates/node/tests/malformed.rs
+++ b/crates/node/tests/malformed.rs
@@ -12,13 +12,13 @@
 use hinge_mesh::{Evacuation, MeshEvent, Message, OwnedUpstream, ServiceLoad, Status};
 use hinge_node::{Engine, Input, Output};
 use hinge_runs::{
-    Assignment, EndKind, Ended, Hold, HoldReply, Listing, Load, LostRun, Outcome, Rejection, Resources,
-    RunId, RunProgress, StartOrder, StartReply, TaskReport, UpstreamRecord,
+    Assignment, EndKind, Ended, Fence, Hold, HoldReply, Listing, Load, LostRun, Outcome, Rejection,
+    Resources, RunId, RunProgress, StartOrder, StartReply, TaskReport, UpstreamRecord,
 };
 use hinge_wire::{DataCentreId, UpstreamId};
 use proptest::collection::vec;
 use proptest::prelude::*;
-use support::hello;
+use support::{engine, hello};
 use tokio::time::Instant;
 
 const SERVICE: &str = "deicing";
@@ -145,7 +145,7 @@
         3 => status().prop_map(Message::Status),
         1 => number().prop_map(|version| Message::Config { body: "{".into(), version }),
         1 => (number(), 0..3u32).prop_map(|(fence, number)| {
-            Message::Owned(vec![OwnedUpstream { fence, upstream: format!("up-{number}").into() }])
+            Message::Owned(vec![OwnedUpstream { fence: Fence::from(fence), upstream: format!("up-{number}").into() }])
         }),
         1 => number().prop_map(Message::Acknowledge),
         1 => Just(Message::ConfigRequest),
@@ -271,7 +271,7 @@
 impl Entry {
     fn new() -> Self {
         let now = Instant::now();
-        let engine = Engine::new(now, hello(1), 1_000, 1);
+        let engine = engine(now, hello(1), 1);
         let mut entry = Self { engine, holds: VecDeque::new(), now, starts: VecDeque::new(), submissions: 0 };
         entry.input(Input::Entries(Vec::new()));
         entry.input(Input::Mesh(MeshEvent::Up(hello(PEER))));
--- a/crates/node/tests/ownership.rs
+++ b/crates/node/tests/ownership.rs
@@ -7,8 +7,8 @@
 
 use hinge_mesh::{Hello, MeshEvent, Message, OwnedUpstream};
 use hinge_node::{Engine, Input, Output};
-use hinge_runs::{Hold, HoldReply, Listing, Resources, UpstreamRecord};
-use support::{entry, hello};
+use hinge_runs::{Fence, Hold, HoldReply, Listing, Resources, UpstreamRecord};
+use support::{engine, entry, hello};
 use tokio::time::Instant;
 
 const UPSTREAMS: usize = 12;
@@ -32,15 +32,15 @@
 struct Entry {
     engine: Engine,
     /// Highest fencing token of the holds so far.
-    fence: u64,
+    fence: Fence,
     now: Instant,
 }
 
 impl Entry {
     fn new(number: u64) -> Self {
         let now = Instant::now();
-        let engine = Engine::new(now, hello(number), 1_000, number);
-        Self { engine, fence: 0, now }
+        let engine = engine(now, hello(number), number);
+        Self { engine, fence: Fence::default(), now }
     }
 
     fn input(&mut self, input: Input) {
@@ -93,10 +93,10 @@
     }
 
     fn peer_owns(&mut self, peer: u64, upstreams: &[UpstreamRecord]) {
-        self.peer_owns_with(1, peer, upstreams);
+        self.peer_owns_with(Fence::from(1), peer, upstreams);
     }
 
-    fn peer_owns_with(&mut self, fence: u64, peer: u64, upstreams: &[UpstreamRecord]) {
+    fn peer_owns_with(&mut self, fence: Fence, peer: u64, upstreams: &[UpstreamRecord]) {
         let owned =
             upstreams.iter().map(|owned| OwnedUpstream { fence, upstream: owned.id.clone() }).collect();
         self.input(Input::Mesh(MeshEvent::Received {
@@ -129,14 +129,14 @@
 /// Guards against upstreams without an owner for as long as the clock of their dead owner was ahead, although it was known.
 #[test]
 fn the_token_of_a_dead_owner_whose_clock_was_ahead_is_exceeded_at_once() {
-    const AHEAD: u64 = 60_000 << 10;
+    let ahead = Fence::from(60_000 << 10);
     let mut entry = linked_pair();
     let others = not_owned(&entry);
-    entry.peer_owns_with(AHEAD, 2, &others);
+    entry.peer_owns_with(ahead, 2, &others);
     entry.unlink(2, false);
     entry.wait(1_000);
     assert_eq!(entry.owned().len(), UPSTREAMS);
-    assert!(entry.fence > AHEAD, "{}", entry.fence);
+    assert!(entry.fence > ahead, "{}", entry.fence);
 }
 
 /// Guards against an uneven division, in which an entry owns all upstreams or none.
@@ -293,8 +293,8 @@
 /// Number of upstreams that entry 1 owns beside six entries of a small processor share, of 48 upstreams.
 fn owned_beside_small_entries(cpu_millis: u32, small_cpu_millis: u32) -> usize {
     let now = Instant::now();
-    let engine = Engine::new(now, Hello { cpu_millis, ..hello(1) }, 1_000, 1);
-    let mut large = Entry { engine, fence: 0, now };
+    let engine = engine(now, Hello { cpu_millis, ..hello(1) }, 1);
+    let mut large = Entry { engine, fence: Fence::default(), now };
     for number in 2..8 {
         let small = Hello { cpu_millis: small_cpu_millis, ..hello(number) };
         large.input(Input::Mesh(MeshEvent::Up(small)));
--- a/crates/node/tests/support/runs.rs
+++ b/crates/node/tests/support/runs.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep};
 
-use crate::support::Clock;
+use crate::support::{Clock, claimed};
 
 /// An upstream whose tasks run until they are stopped.
 #[derive(Clone)]
@@ -102,5 +102,6 @@
     let settings = NodeSettings { local, seed, started_unix_ms: 1_767_000_000_000 };
     let (node, handle) = Node::new(settings, listener, runs.clone(), clock, metrics);
     tokio::spawn(node.run());
+    handle.send_input(claimed(Instant::now(), seed)).await;
     (handle, address)
 }
--- a/crates/runs/src/event.rs
+++ b/crates/runs/src/event.rs
@@ -46,8 +46,10 @@
     HomeLost(HomeId),
     /// This entry is to own the upstream.
     Own {
-        /// Lower bound for the fencing token.
+        /// Lower bound for the fencing token, with the holder of this process.
         fence: Fence,
+        /// Upper bound for the fencing token.
+        limit: Fence,
         /// Ignored if the upstream is not registered.
         upstream: UpstreamId,
     },
@@ -310,6 +312,16 @@
         /// Upstream that the hold was for.
         upstream: UpstreamId,
     },
+    /// An upstream lists a run that this entry did not order, although it obeys this entry's token. The run is stopped under a
+    /// raised one.
+    SecondHolder {
+        /// Fencing token under which the run was listed.
+        fence: Fence,
+        /// Run that another process has started.
+        run: RunId,
+        /// Upstream of the run.
+        upstream: UpstreamId,
+    },
     /// A run makes too little progress and is stopped.
     Stalled {
         /// Completed share of the work, in percent.
--- a/crates/runs/src/upstream.rs
+++ b/crates/runs/src/upstream.rs
@@ -106,11 +106,17 @@
     /// Number of times in a row that a higher token has ended the ownership, without a takeover in between.
     pub(crate) failed_takeovers: u32,
     pub(crate) fence: Fence,
+    /// Token under which the last takeover was completed.
+    pub(crate) taken_with: Fence,
+    /// Upper bound of `fence`, as far as it is used in orders.
+    pub(crate) fence_limit: Fence,
     /// Processes before the present one, oldest first.
     former: VecDeque<Incarnation>,
     /// Whether the present process has answered a hold under the present token. Until then the newest record decides which
     /// process is the present one.
     has_answered: bool,
+    /// Runs of other owners since the last takeover: those that it has found, and those logged as of a second holder.
+    pub(crate) foreign_runs: FastSet<RunId>,
     /// Listed runs that this entry did not start; stop orders were sent for them.
     pub(crate) unknown_runs: FastSet<RunId>,
     pub(crate) health: Health,
@@ -151,9 +157,12 @@
             clock: None,
             coldness: Coldness::new(now, &record),
             failed_takeovers: 0,
-            fence: 0,
+            fence: Fence::default(),
+            fence_limit: Fence::default(),
+            taken_with: Fence::default(),
             former: VecDeque::new(),
             has_answered: false,
+            foreign_runs: FastSet::default(),
             unknown_runs: FastSet::default(),
             health: Health::default(),
             holding: false,
@@ -226,6 +235,16 @@
         }
     }
 
+    /// Raises the token above `other`; false if it would exceed its limit.
+    pub(crate) fn raise_fence(&mut self, other: Fence) -> bool {
+        let raised = self.fence.raised_above(other, 1);
+        let within_limit = raised <= self.fence_limit;
+        if within_limit {
+            self.fence = raised;
+        }
+        within_limit
+    }
+
     /// Records that the present process has answered a hold with the given token.
     pub(crate) fn record_answer(&mut self, fence: Fence) {
         self.has_answered |= fence >= self.fence;
--- a/crates/runs/tests/evacuation.rs
+++ b/crates/runs/tests/evacuation.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use hinge_runs::{Action, ClosedDataCentres, Event, HoldReply, Outcome, StartReply, UpstreamRecord};
-use support::{HOME, Owner, SERVICE, assignment, first_probe, first_start, record};
+use support::{HOME, Owner, SERVICE, assignment, first_probe, first_start, own, record, token};
 
 fn closed(data_centres: &[&str]) -> Event {
     let closed = data_centres.iter().map(|data_centre| (*data_centre).into()).collect();
@@ -21,7 +21,7 @@
         let mut owner = Self::new();
         let second = UpstreamRecord { data_centre: "dc2".into(), ..record("up-2", 1) };
         owner.handle(Event::Upstreams(vec![record("up-1", 1), second]));
-        owner.handle(Event::Own { fence: 10, upstream: "up-2".into() });
+        owner.handle(own(token(10), "up-2"));
         owner.answer_all();
         owner
     }
--- a/crates/runs/tests/simulation/faults.rs
+++ b/crates/runs/tests/simulation/faults.rs
@@ -3,6 +3,8 @@
 use hinge_runs::{Event, Runner};
 use rand::Rng;
 
+use crate::support::own;
+
 use super::{
     Assigned, CANCELLED_RUN_LIMIT_MS, LINK_SILENCE_MS, LOST_OWNER_LIMIT_MS, Message, RESUBMIT_MS, Simulation,
     TAKEOVER_MS, home_id,
@@ -73,6 +75,18 @@
         }
     }
 
+    /// Lets each process that runs take over the same upstream, above its last token.
+    pub(super) fn take_over_blindly(&mut self) {
+        let id = format!("up-{}", self.rng.random_range(0..2));
+        let known = self.upstreams[&id].fence;
+        for owner in 0..2 {
+            if self.processes[owner].silent_since_ms.is_none() {
+                let fence = self.fence(owner).raised_above(known, 1);
+                self.handle(owner, own(fence, &id));
+            }
+        }
+    }
+
     /// Kills a process, which restarts later in a new epoch, or freezes it.
     pub(super) fn kill_or_freeze(&mut self, owner: usize, killed: bool) {
         let now_ms = self.now_ms;
@@ -119,7 +133,7 @@
         if silent_ms >= TAKEOVER_MS && !self.processes[owner].taken_over && peer_up {
             self.processes[owner].taken_over = true;
             let fence = self.fence(peer);
-            self.handle(peer, Event::Own { fence, upstream: format!("up-{owner}").into() });
+            self.handle(peer, own(fence, &format!("up-{owner}")));
         }
         if self.processes[owner].frozen_until_ms.is_some_and(|until| self.now_ms >= until) {
             self.resume(owner, silent_ms);
--- a/crates/runs/tests/simulation/mod.rs
+++ b/crates/runs/tests/simulation/mod.rs
@@ -10,13 +10,14 @@
 use std::ops::Range;
 
 use hinge_runs::{
-    Action, Event, Fence, HoldReply, HomeId, Outcome, RunId, Runner, StartReply, TaskReport, UpstreamRecord,
+    Action, Event, Fence, HoldReply, Holder, HomeId, Outcome, RunId, Runner, StartReply, TaskReport,
+    UpstreamRecord,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use tokio::time::Instant;
 
-use crate::support::{FakeUpstream, assignment, ms, record};
+use crate::support::{FakeUpstream, assignment, ms, own, record};
 
 const STEP_MS: u64 = 5;
 const DURATION_MS: u64 = 12_000;
@@ -44,6 +45,8 @@
 pub(crate) struct Faults {
     /// Homes cancel tasks whose job fails, and callers resubmit their jobs as soon as they have an answer.
     pub(crate) answers: bool,
+    /// Processes that do not see each other take over the same upstream, whose last token both know.
+    pub(crate) blind_takeovers: bool,
     /// Callers disconnect and resubmit their jobs.
     pub(crate) disconnects: bool,
     /// The lease of a late hold counts from its arrival.
@@ -64,6 +67,7 @@
 
 pub(crate) const LONG_RUNS: Faults = Faults {
     answers: false,
+    blind_takeovers: false,
     disconnects: false,
     late_renewals: false,
     link_losses: true,
@@ -200,13 +204,14 @@
     }
 
     fn fence(&self, owner: usize) -> Fence {
-        ((self.now_ms + 1) << 10) | owner as u64
+        let number = home_id(owner, self.processes[owner].epoch);
+        Fence::at(self.now_ms, Holder::new(u16::try_from(number).unwrap()).unwrap())
     }
 
     fn start_process(&mut self, owner: usize) {
         self.handle(owner, Event::Upstreams(self.records()));
         let fence = self.fence(owner);
-        self.handle(owner, Event::Own { fence, upstream: format!("up-{owner}").into() });
+        self.handle(owner, own(fence, &format!("up-{owner}")));
     }
 
     fn handle(&mut self, owner: usize, event: Event) {
@@ -369,6 +374,9 @@
             let killed = self.rng.random_bool(0.5);
             self.kill_or_freeze(owner, killed);
         }
+        if self.faults.blind_takeovers && self.rng.random_bool(0.004) {
+            self.take_over_blindly();
+        }
         if self.faults.restarts && self.rng.random_bool(0.001) {
             self.crash_upstream();
         }
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -112,6 +112,8 @@
     UpstreamAvailable = 1622,
     ///The process of an upstream has answered before its record was read; gives the capacity in the record of the former process.
     RecordOutdated = 1623,
+    ///An upstream lists a run that this owner did not order under its own fencing token: another process gives orders beside it. The token is raised and the run stopped.
+    SecondHolder = 1624,
     ///The connection to a peer is established.
     PeerLinked = 1630,
     ///The connection to a peer is lost; tasks handed over on it are void.
@@ -128,10 +130,16 @@
     LogLinesDropped = 1642,
     ///The process could not listen on an address.
     ListenFailed = 1643,
+    ///This process has claimed a holder number for its fencing tokens, and may take over upstreams.
+    HolderClaimed = 1650,
+    ///A call to claim or renew the holder number failed and is repeated; gives the number, if one is claimed, and the reason.
+    HolderUnconfirmed = 1651,
+    ///The holder number was not renewed for days, or another process has it; this process takes over no upstream until it has another one.
+    HolderLost = 1652,
     ///This entry has learnt from the store or a peer that a data centre is evacuated or taken back; gives the revision and the runs on its own upstreams there.
-    EvacuationChanged = 1650,
+    EvacuationChanged = 1653,
     ///A peer reports that it knows a data centre as evacuated or taken back; gives the revision.
-    EvacuationAdopted = 1651,
+    EvacuationAdopted = 1654,
 }
 impl LogEvent {
     /// All values, in the order of their numbers.
@@ -190,6 +198,7 @@
         Self::UpstreamAvoided,
         Self::UpstreamAvailable,
         Self::RecordOutdated,
+        Self::SecondHolder,
         Self::PeerLinked,
         Self::PeerLost,
         Self::ProcessSuspended,
@@ -198,6 +207,9 @@
         Self::RegistrationLost,
         Self::LogLinesDropped,
         Self::ListenFailed,
+        Self::HolderClaimed,
+        Self::HolderUnconfirmed,
+        Self::HolderLost,
         Self::EvacuationChanged,
         Self::EvacuationAdopted,
     ];
@@ -270,6 +282,7 @@
             Self::UpstreamAvoided => "UPSTREAM_AVOIDED",
             Self::UpstreamAvailable => "UPSTREAM_AVAILABLE",
             Self::RecordOutdated => "RECORD_OUTDATED",
+            Self::SecondHolder => "SECOND_HOLDER",
             Self::PeerLinked => "PEER_LINKED",
             Self::PeerLost => "PEER_LOST",
             Self::ProcessSuspended => "PROCESS_SUSPENDED",
@@ -278,6 +291,9 @@
             Self::RegistrationLost => "REGISTRATION_LOST",
             Self::LogLinesDropped => "LOG_LINES_DROPPED",
             Self::ListenFailed => "LISTEN_FAILED",
+            Self::HolderClaimed => "HOLDER_CLAIMED",
+            Self::HolderUnconfirmed => "HOLDER_UNCONFIRMED",
+            Self::HolderLost => "HOLDER_LOST",
             Self::EvacuationChanged => "EVACUATION_CHANGED",
             Self::EvacuationAdopted => "EVACUATION_ADOPTED",
         }
@@ -343,6 +359,7 @@
             Self::UpstreamAvoided => "warn",
             Self::UpstreamAvailable => "info",
             Self::RecordOutdated => "warn",
+            Self::SecondHolder => "error",
             Self::PeerLinked => "info",
             Self::PeerLost => "warn",
             Self::ProcessSuspended => "warn",
@@ -351,6 +368,9 @@
             Self::RegistrationLost => "warn",
             Self::LogLinesDropped => "warn",
             Self::ListenFailed => "error",
+            Self::HolderClaimed => "info",
+            Self::HolderUnconfirmed => "warn",
+            Self::HolderLost => "error",
             Self::EvacuationChanged => "info",
             Self::EvacuationAdopted => "info",
         }
