Tests: crowds of clients that hold unfinished requests open

Each test starts a real hinge-platform or hinge-entry whose settings grant 48 MB and 500 descriptors (200 of them for files), opens 400 connections of one shape, and checks that the process lives, that its peak memory and open descriptors stay within the grant, and that an ordinary request is answered while the crowd is connected.

--- a/crates/celeryhinge/tests/support/mod.rs
+++ b/crates/celeryhinge/tests/support/mod.rs
@@ -35,8 +35,18 @@
 impl Process {
     /// Starts a binary and waits until it prints the line `listening <address> ...`.
     pub(crate) fn start(binary: &str, arguments: &[String]) -> Self {
+        Self::start_with_variables(binary, arguments, &[])
+    }
+
+    /// Like `start`, with environment variables.
+    pub(crate) fn start_with_variables(
+        binary: &str,
+        arguments: &[String],
+        variables: &[(&str, String)],
+    ) -> Self {
         let mut child = Command::new(binary_path(binary))
             .args(arguments)
+            .envs(variables.iter().map(|(name, value)| (name, value)))
             .stdout(Stdio::piped())
             .stderr(Stdio::null())
             .spawn()
@@ -116,6 +126,11 @@
 
     /// Starts an entry that uses the given store and the list of the platform.
     pub(crate) fn start_entry_at_store(&self, instance: &str, store: SocketAddr, extra: &[&str]) -> Process {
+        Process::start("hinge-entry", &self.entry_arguments(instance, store, extra))
+    }
+
+    /// Arguments of an entry that uses the given store and the list of the platform.
+    pub(crate) fn entry_arguments(&self, instance: &str, store: SocketAddr, extra: &[&str]) -> Vec<String> {
         let platform = self.platform.address().to_string();
         let mut arguments = strings(&[
             "--instance",
@@ -134,7 +149,7 @@
             "100",
         ]);
         arguments.extend(strings(extra));
-        Process::start("hinge-entry", &arguments)
+        arguments
     }
 
     /// Publishes a list that shows all processes as live.
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -6,6 +6,8 @@
 //! - [`serve`] serves any of them, or a [`Platform`] of store and list, over HTTP/1.1. The binary `hinge-fakes` does
 //!   so in a process of its own.
 //!
+//! [`Crowd`] is a crowd of clients with unfinished requests, and [`Usage`] shows what a process uses meanwhile.
+//!
 //! Faults are set by `POST /control` with [`StoreControl`], [`ListControl`] or [`UpstreamFaults`], or by
 //! [`FakeStore::control`], [`FakeList::control`] and [`FakeUpstream::set_faults`]. `GET /counts` of the store returns
 //! [`StoreCounts`], `GET /starts` of an upstream [`StartsReply`].
@@ -28,6 +30,7 @@
 //! # }
 //! ```
 
+mod crowd;
 mod http;
 mod list;
 mod platform;
@@ -36,7 +39,9 @@
 mod store_server;
 mod upstream;
 mod upstream_server;
+mod usage;
 
+pub use crate::crowd::{Crowd, CrowdRequest, Shape, status_of, status_of_page};
 pub use crate::http::{ConnectionClosed, Handler, ResponseBody, ServerHandle, serve};
 pub use list::{FakeList, ListControl};
 pub use platform::Platform;
@@ -46,3 +51,4 @@
     FakeUpstream, StartRecord, StartedTask, StartsReply, TaskCall, TaskEnd, TaskPayload, UpstreamFaults,
     UpstreamOptions,
 };
+pub use usage::Usage;
