Budget for what an entry holds for its clients; callers and pages of the platform

Cause: nothing bounded the sum of what connections hold, and the whole body of a job was kept until its answer.

Bodies in several pieces are copied into blocks against the budget; the largest and slowest is shed.

--- /dev/null
+++ b/crates/budget/src/budget.rs
@@ -0,0 +1,248 @@
+//! The budget of a process: bytes and connections, and what is given up when they are used up.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use hinge_wire::FastMap;
+use tokio::time::Instant;
+
+use crate::connection::ConnectionState;
+use crate::shed_log::{Cause, ShedCounts, ShedLog};
+use crate::{Connection, Grant};
+
+/// Bytes that a connection occupies besides its read buffer.
+const CONNECTION_BYTES: usize = 8 * 1_024;
+
+/// Identifies a listener within its budget.
+pub(crate) type ListenerId = usize;
+
+#[derive(Debug, Default)]
+struct Registry {
+    connections: FastMap<u64, Arc<ConnectionState>>,
+    next_number: u64,
+    /// Number of open connections by listener.
+    open: Vec<usize>,
+}
+
+impl Registry {
+    fn remove(&mut self, number: u64) -> Option<Arc<ConnectionState>> {
+        let state = self.connections.remove(&number)?;
+        self.open[state.listener] -= 1;
+        Some(state)
+    }
+}
+
+#[derive(Debug)]
+struct Inner {
+    held_bytes: AtomicUsize,
+    max_bytes: usize,
+    /// Locked when a connection is opened or closed, and when the budget is used up.
+    registry: Mutex<Registry>,
+    shed: ShedLog,
+}
+
+/// What the process may hold for clients; clones share it.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    inner: Arc<Inner>,
+}
+
+/// What is held for clients at present.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Usage {
+    /// Number of open connections.
+    pub connections: usize,
+    /// Bytes of connections, unfinished bodies and requests in progress.
+    pub held_bytes: usize,
+    /// Largest value of `held_bytes`.
+    pub max_bytes: usize,
+    /// What was given up since the start of the process.
+    pub shed: ShedCounts,
+}
+
+impl Budget {
+    /// Creates the budget of a process.
+    #[must_use]
+    pub fn new(grant: Grant) -> Self {
+        let inner = Inner {
+            held_bytes: AtomicUsize::new(0),
+            max_bytes: grant.client_bytes(),
+            registry: Mutex::default(),
+            shed: ShedLog::default(),
+        };
+        Self { inner: Arc::new(inner) }
+    }
+
+    /// Adds a listener with at most `max_connections` connections. For a new one, a connection may be closed whose last
+    /// complete request was answered more than `min_idle` ago.
+    #[must_use]
+    pub fn listener(&self, max_connections: usize, min_idle: Duration) -> Listener {
+        let mut registry = self.registry();
+        registry.open.push(0);
+        Listener { budget: self.clone(), id: registry.open.len() - 1, max_connections, min_idle }
+    }
+
+    /// Counts `bytes` until the result is dropped. None if that is too much although all unfinished bodies were shed.
+    #[must_use]
+    pub fn hold(&self, bytes: usize) -> Option<Held> {
+        if self.take(bytes, None) {
+            return Some(Held { budget: self.clone(), bytes });
+        }
+        self.record(Cause::Request);
+        None
+    }
+
+    /// What is held at present.
+    #[must_use]
+    pub fn usage(&self) -> Usage {
+        Usage {
+            connections: self.registry().connections.len(),
+            held_bytes: self.held_bytes(),
+            max_bytes: self.inner.max_bytes,
+            shed: self.inner.shed.counts(),
+        }
+    }
+
+    fn held_bytes(&self) -> usize {
+        self.inner.held_bytes.load(Ordering::Relaxed)
+    }
+
+    fn registry(&self) -> MutexGuard<'_, Registry> {
+        self.inner.registry.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn record(&self, cause: Cause) {
+        self.inner.shed.record(cause, self.held_bytes());
+    }
+
+    /// Takes bytes, for the unfinished body of `own` if there is one. Sheds unfinished bodies if too much is held. Returns
+    /// false if none is left, or if the one of `own` is to be shed.
+    pub(crate) fn take(&self, bytes: usize, own: Option<&Arc<ConnectionState>>) -> bool {
+        self.try_take(bytes) || self.take_with_room(bytes, own)
+    }
+
+    pub(crate) fn give_back(&self, bytes: usize) {
+        self.inner.held_bytes.fetch_sub(bytes, Ordering::Relaxed);
+    }
+
+    fn try_take(&self, bytes: usize) -> bool {
+        let held = self.inner.held_bytes.fetch_add(bytes, Ordering::Relaxed).saturating_add(bytes);
+        if held > self.inner.max_bytes {
+            self.give_back(bytes);
+            return false;
+        }
+        true
+    }
+
+    fn take_with_room(&self, bytes: usize, own: Option<&Arc<ConnectionState>>) -> bool {
+        let registry = self.registry();
+        while !self.try_take(bytes) {
+            let now = Instant::now();
+            let weighed =
+                registry.connections.values().filter_map(|state| Some((state.body_weight(now)?, state)));
+            let victim = weighed.max_by_key(|(weight, _)| *weight).map(|(_, state)| state);
+            let Some(victim) = victim.or(own) else { return false };
+            self.record(Cause::Body);
+            // The bytes of the own body are given back with the others.
+            self.give_back(victim.shed_body());
+            if own.is_some_and(|own| Arc::ptr_eq(own, victim)) {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Ends the count of a connection, unless it was counted as closed before.
+    pub(crate) fn remove(&self, number: u64) {
+        if let Some(state) = self.registry().remove(number) {
+            self.give_back(state.bytes);
+        }
+    }
+}
+
+/// Bytes that are counted until this is dropped.
+#[derive(Debug)]
+pub struct Held {
+    budget: Budget,
+    bytes: usize,
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.budget.give_back(self.bytes);
+    }
+}
+
+/// A listener whose connections count towards the budget.
+#[derive(Clone, Debug)]
+pub struct Listener {
+    budget: Budget,
+    id: ListenerId,
+    max_connections: usize,
+    min_idle: Duration,
+}
+
+impl Listener {
+    /// Admits a new connection whose read buffer has at most `buffer_bytes`. If there are too many, another one is closed: one
+    /// that has never sent a complete request, opened first, or else the one without a complete request for longest. None if
+    /// no connection can be closed; the new one is to be refused.
+    ///
+    /// The connection that is closed still has its descriptor until its task has run.
+    #[must_use]
+    pub fn admit(&self, buffer_bytes: usize) -> Option<Connection> {
+        let bytes = buffer_bytes + CONNECTION_BYTES;
+        if !self.make_room() || !self.take_bytes(bytes) {
+            self.budget.record(Cause::Refused);
+            return None;
+        }
+        let state = Arc::new(ConnectionState::new(self.id, bytes));
+        let mut registry = self.budget.registry();
+        let number = registry.next_number;
+        registry.next_number += 1;
+        registry.open[self.id] += 1;
+        registry.connections.insert(number, state.clone());
+        drop(registry);
+        Some(Connection::new(self.budget.clone(), number, state))
+    }
+
+    /// Closes connections while there are as many as allowed.
+    fn make_room(&self) -> bool {
+        loop {
+            let open = self.budget.registry().open[self.id];
+            if open < self.max_connections {
+                return true;
+            }
+            if !self.close_one() {
+                return false;
+            }
+        }
+    }
+
+    /// Takes the bytes of a new connection; closes connections if no unfinished body is left to be shed.
+    fn take_bytes(&self, bytes: usize) -> bool {
+        while !self.budget.take(bytes, None) {
+            if !self.close_one() {
+                return false;
+            }
+        }
+        true
+    }
+
+    fn close_one(&self) -> bool {
+        let now = Instant::now();
+        let mut registry = self.budget.registry();
+        let own = registry.connections.iter().filter(|(_, state)| state.listener == self.id);
+        let ranked =
+            own.filter_map(|(number, state)| Some((state.dispensability(now, self.min_idle)?, *number)));
+        let Some((_, number)) = ranked.max() else { return false };
+        let closed = registry.remove(number);
+        drop(registry);
+        if let Some(state) = closed {
+            self.budget.give_back(state.bytes + state.shed_body());
+            state.close();
+        }
+        self.budget.record(Cause::Closed);
+        true
+    }
+}
--- /dev/null
+++ b/crates/budget/src/connection.rs
@@ -0,0 +1,185 @@
+//! An open connection, as far as the budget is concerned.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::blocks::Blocks;
+use crate::budget::{Budget, ListenerId};
+
+/// Value of `completed_ms` before the first complete request.
+const NEVER: u64 = u64::MAX;
+
+/// State of a connection that other connections look at when the budget is used up.
+#[derive(Debug)]
+pub(crate) struct ConnectionState {
+    /// Whether a complete request is being answered.
+    answering: AtomicBool,
+    pub(crate) bytes: usize,
+    close: Notify,
+    /// When the last complete request was read or answered, in milliseconds after `opened_at`.
+    completed_ms: AtomicU64,
+    pub(crate) listener: ListenerId,
+    opened_at: Instant,
+    shed: Notify,
+    /// The unfinished body; none if there is none or it was shed.
+    unfinished: Mutex<Option<Blocks>>,
+}
+
+/// How willingly a connection is closed for a new one; the largest value first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) struct Dispensability {
+    /// It has never sent a complete request.
+    is_new: bool,
+    /// Time since the last complete request, or since it was opened.
+    unused: Duration,
+}
+
+impl ConnectionState {
+    pub(crate) fn new(listener: ListenerId, bytes: usize) -> Self {
+        Self {
+            answering: AtomicBool::new(false),
+            bytes,
+            close: Notify::new(),
+            completed_ms: AtomicU64::new(NEVER),
+            listener,
+            opened_at: Instant::now(),
+            shed: Notify::new(),
+            unfinished: Mutex::new(None),
+        }
+    }
+
+    /// Has the connection closed by its own task.
+    pub(crate) fn close(&self) {
+        self.close.notify_one();
+    }
+
+    /// None if the connection must stay open: its request is being answered, or was `min_idle` ago or less.
+    pub(crate) fn dispensability(&self, now: Instant, min_idle: Duration) -> Option<Dispensability> {
+        if self.answering.load(Ordering::Acquire) {
+            return None;
+        }
+        let open = now.duration_since(self.opened_at);
+        match self.completed_ms.load(Ordering::Acquire) {
+            NEVER => Some(Dispensability { is_new: true, unused: open }),
+            completed_ms => {
+                let unused = open.saturating_sub(Duration::from_millis(completed_ms));
+                (unused > min_idle).then_some(Dispensability { is_new: false, unused })
+            }
+        }
+    }
+
+    /// Weight of the unfinished body; none if it holds nothing.
+    pub(crate) fn body_weight(&self, now: Instant) -> Option<u128> {
+        let unfinished = self.unfinished();
+        unfinished.as_ref().filter(|blocks| blocks.capacity_bytes() > 0).map(|blocks| blocks.weight(now))
+    }
+
+    /// Frees the unfinished body and tells its reader. Returns the number of bytes that it held.
+    pub(crate) fn shed_body(&self) -> usize {
+        let Some(blocks) = self.unfinished().take() else { return 0 };
+        self.shed.notify_one();
+        blocks.capacity_bytes()
+    }
+
+    /// Never locked while the lock of the budget is being waited for, which is held when this is locked by others.
+    fn unfinished(&self) -> MutexGuard<'_, Option<Blocks>> {
+        self.unfinished.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn record_complete_request(&self) {
+        let completed_ms = u64::try_from(self.opened_at.elapsed().as_millis()).unwrap_or(NEVER - 1);
+        self.completed_ms.store(completed_ms, Ordering::Release);
+    }
+}
+
+/// An open connection; dropping it makes room for another one.
+#[derive(Debug)]
+pub struct Connection {
+    budget: Budget,
+    number: u64,
+    state: Arc<ConnectionState>,
+}
+
+impl Connection {
+    pub(crate) fn new(budget: Budget, number: u64, state: Arc<ConnectionState>) -> Self {
+        Self { budget, number, state }
+    }
+
+    /// Waits until the connection is to be closed, to make room for another one.
+    pub async fn closed(&self) {
+        self.state.close.notified().await;
+    }
+
+    /// Notes that a complete request was read. The connection is not closed until the guard is dropped.
+    #[must_use]
+    pub fn answering(&self) -> Answering<'_> {
+        self.state.record_complete_request();
+        self.state.answering.store(true, Ordering::Release);
+        Answering { state: &self.state }
+    }
+
+    /// Waits until the unfinished body was shed.
+    pub(crate) async fn shed(&self) {
+        self.state.shed.notified().await;
+    }
+
+    pub(crate) fn begin_body(&self) {
+        *self.state.unfinished() = Some(Blocks::new(Instant::now()));
+    }
+
+    /// Appends to the unfinished body. Returns false if it was shed, by another connection or for this piece.
+    pub(crate) fn extend_body(&self, mut piece: &[u8]) -> bool {
+        loop {
+            let block_bytes = {
+                let mut unfinished = self.state.unfinished();
+                let Some(blocks) = unfinished.as_mut() else { return false };
+                piece = blocks.fill(piece);
+                if piece.is_empty() {
+                    return true;
+                }
+                blocks.next_block_bytes(piece)
+            };
+            if !self.budget.take(block_bytes, Some(&self.state)) {
+                return false;
+            }
+            match self.state.unfinished().as_mut() {
+                Some(blocks) => blocks.add_block(block_bytes),
+                // Shed meanwhile.
+                None => {
+                    self.budget.give_back(block_bytes);
+                    return false;
+                }
+            }
+        }
+    }
+
+    /// Ends the unfinished body, and returns its blocks unless it was shed.
+    pub(crate) fn take_body(&self) -> Option<Blocks> {
+        let blocks = self.state.unfinished().take()?;
+        self.budget.give_back(blocks.capacity_bytes());
+        Some(blocks)
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.budget.remove(self.number);
+    }
+}
+
+/// Keeps a connection open while its request is being answered.
+#[derive(Debug)]
+pub struct Answering<'a> {
+    state: &'a ConnectionState,
+}
+
+impl Drop for Answering<'_> {
+    fn drop(&mut self) {
+        self.state.record_complete_request();
+        self.state.answering.store(false, Ordering::Release);
+    }
+}
--- /dev/null
+++ b/crates/budget/src/lib.rs
@@ -0,0 +1,24 @@
+//! Limits of a process on what it holds for the clients of its listeners.
+//!
+//! [`Grant`] is what the machine gives the process. The [`Budget`] of the process is derived from it and shared by its
+//! listeners. It counts bytes and connections:
+//!
+//! - [`Listener::admit`] admits a connection, and closes another one if there are too many;
+//! - [`read_body`] reads a body, piece by piece against the budget; if it is used up, the largest and slowest unfinished body
+//!   of the process is shed;
+//! - [`Budget::hold`] counts what a request occupies until it is answered.
+//!
+//! A body that arrives in one piece takes no lock and no allocation.
+
+mod blocks;
+mod body;
+mod budget;
+mod connection;
+mod grant;
+mod shed_log;
+
+pub use body::{BodyError, read_body};
+pub use budget::{Budget, Held, Listener, Usage};
+pub use connection::{Answering, Connection};
+pub use grant::Grant;
+pub use shed_log::ShedCounts;
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -128,6 +128,8 @@
     LogLinesDropped = 1642,
     ///The process could not listen on an address.
     ListenFailed = 1643,
+    ///The memory or the connections for clients are used up; gives the numbers of unfinished bodies and requests that were refused and of connections that were closed or refused since the start.
+    RequestsShed = 1650,
 }
 impl LogEvent {
     /// All values, in the order of their numbers.
@@ -194,6 +196,7 @@
         Self::RegistrationLost,
         Self::LogLinesDropped,
         Self::ListenFailed,
+        Self::RequestsShed,
     ];
     /// Number used in messages, logs and tables.
     #[must_use]
@@ -272,6 +275,7 @@
             Self::RegistrationLost => "REGISTRATION_LOST",
             Self::LogLinesDropped => "LOG_LINES_DROPPED",
             Self::ListenFailed => "LISTEN_FAILED",
+            Self::RequestsShed => "REQUESTS_SHED",
         }
     }
 }
@@ -343,6 +347,7 @@
             Self::RegistrationLost => "warn",
             Self::LogLinesDropped => "warn",
             Self::ListenFailed => "error",
+            Self::RequestsShed => "warn",
         }
     }
 }
