--- a/crates/budget/src/budget.rs
+++ b/crates/budget/src/budget.rs
@@ -26,6 +26,15 @@
 }
 
 impl Registry {
+    /// Returns the number of the connection.
+    fn add(&mut self, state: Arc<ConnectionState>) -> u64 {
+        let number = self.next_number;
+        self.next_number += 1;
+        self.open[state.listener] += 1;
+        self.connections.insert(number, state);
+        number
+    }
+
     fn remove(&mut self, number: u64) -> Option<Arc<ConnectionState>> {
         let state = self.connections.remove(&number)?;
         self.open[state.listener] -= 1;
@@ -187,46 +196,24 @@
     /// Admits a new connection whose read buffer has at most `buffer_bytes`. If there are too many, another one is closed: one
     /// that has never sent a complete request, opened first, or else the one without a complete request for longest. None if
     /// no connection can be closed; the new one is to be refused.
-    ///
-    /// The connection that is closed still has its descriptor until its task has run.
     #[must_use]
     pub fn admit(&self, buffer_bytes: usize) -> Option<Connection> {
         let bytes = buffer_bytes + CONNECTION_BYTES;
-        if !self.make_room() || !self.take_bytes(bytes) {
-            self.budget.record(Cause::Refused);
-            return None;
-        }
-        let state = Arc::new(ConnectionState::new(self.id, bytes));
-        let mut registry = self.budget.registry();
-        let number = registry.next_number;
-        registry.next_number += 1;
-        registry.open[self.id] += 1;
-        registry.connections.insert(number, state.clone());
-        drop(registry);
-        Some(Connection::new(self.budget.clone(), number, state))
-    }
-
-    /// Closes connections while there are as many as allowed.
-    fn make_room(&self) -> bool {
-        loop {
-            let open = self.budget.registry().open[self.id];
-            if open < self.max_connections {
-                return true;
-            }
+        let mut replaces_another = false;
+        while self.is_full() || !self.budget.take(bytes, None) {
             if !self.close_one() {
-                return false;
+                self.budget.record(Cause::Refused);
+                return None;
             }
+            replaces_another = true;
         }
+        let state = Arc::new(ConnectionState::new(self.id, bytes));
+        let number = self.budget.registry().add(state.clone());
+        Some(Connection::new(self.budget.clone(), number, replaces_another, state))
     }
 
-    /// Takes the bytes of a new connection; closes connections if no unfinished body is left to be shed.
-    fn take_bytes(&self, bytes: usize) -> bool {
-        while !self.budget.take(bytes, None) {
-            if !self.close_one() {
-                return false;
-            }
-        }
-        true
+    fn is_full(&self) -> bool {
+        self.budget.registry().open[self.id] >= self.max_connections
     }
 
     fn close_one(&self) -> bool {
--- a/crates/budget/src/connection.rs
+++ b/crates/budget/src/connection.rs
@@ -101,12 +101,25 @@
 pub struct Connection {
     budget: Budget,
     number: u64,
+    replaces_another: bool,
     state: Arc<ConnectionState>,
 }
 
 impl Connection {
-    pub(crate) fn new(budget: Budget, number: u64, state: Arc<ConnectionState>) -> Self {
-        Self { budget, number, state }
+    pub(crate) fn new(
+        budget: Budget,
+        number: u64,
+        replaces_another: bool,
+        state: Arc<ConnectionState>,
+    ) -> Self {
+        Self { budget, number, replaces_another, state }
+    }
+
+    /// Whether another connection is being closed for this one. It has its descriptor until its task has run, for which the
+    /// task that accepts connections should yield.
+    #[must_use]
+    pub fn replaces_another(&self) -> bool {
+        self.replaces_another
     }
 
     /// Waits until the connection is to be closed, to make room for another one.
