Mesh: bounds for peers that do not identify themselves or do not acknowledge

Operators see nothing of it while peers are entries. Cause: a connection that had not identified itself could announce a message of 2 MB, their number had no limit, and all messages that a peer did not acknowledge were kept for as long as its connection lasted.

unidentified_peers_stay_within_the_limits and messages_that_are_never_acknowledged_are_not_all_kept failed before.

--- a/crates/mesh/src/connection.rs
+++ b/crates/mesh/src/connection.rs
@@ -13,16 +13,23 @@
 use crate::link::{self, LinkError, Reader, SILENCE_LIMIT, Writer};
 use crate::mesh::{Claim, MeshEvent, Shared};
 use crate::session::Session;
+use crate::unidentified::Identifying;
 use crate::{Hello, LinkId, Message, Resume};
 
 /// Time that a link lasts without a connection, so that a reset voids nothing.
 const RESUME_WINDOW: Duration = Duration::from_millis(150);
 
-/// Runs a connection until it ends. Returns true if its link now waits for another connection.
-pub(crate) async fn run_connection(stream: TcpStream, shared: &Arc<Shared>, dialled: bool) -> bool {
+/// Runs a connection until it ends; `identifying` is present if the peer has dialled. Returns true if its link now waits for
+/// another connection.
+pub(crate) async fn run_connection(
+    stream: TcpStream,
+    shared: &Arc<Shared>,
+    identifying: Option<Identifying>,
+) -> bool {
     let opened_at = Instant::now();
-    let opened = timeout(SILENCE_LIMIT, link::open(stream, &shared.local, dialled)).await;
-    let Ok(Ok((mut hello, mut reader, mut writer))) = opened else { return false };
+    let Some((mut hello, mut reader, mut writer)) = open(stream, shared, identifying).await else {
+        return false;
+    };
     hello.resumable &= shared.local.resumable;
     hello.timestamps &= shared.local.timestamps;
     let Some(claim) = claim_link(hello, opened_at, shared, &mut reader, &mut writer).await else {
@@ -47,6 +54,20 @@
     true
 }
 
+/// Opens a connection. None if it fails, takes too long, or is closed for another one that has not identified itself.
+async fn open(
+    stream: TcpStream,
+    shared: &Shared,
+    identifying: Option<Identifying>,
+) -> Option<(Hello, Reader, Writer)> {
+    let opening = timeout(SILENCE_LIMIT, link::open(stream, &shared.local, identifying.is_none()));
+    let Some(identifying) = identifying else { return opening.await.ok()?.ok() };
+    tokio::select! {
+        opened = opening => opened.ok()?.ok(),
+        () = identifying.closed() => None,
+    }
+}
+
 /// The link that a new connection carries: an earlier one if both sides can continue it, else a new one. None if the
 /// connection fails before that is agreed.
 async fn claim_link(
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -21,6 +21,7 @@
 mod mesh;
 mod message;
 mod session;
+mod unidentified;
 
 pub use link::{HEARTBEAT_INTERVAL, SILENCE_LIMIT};
 pub use liveness::{Liveness, TimestampAhead, Timestamps};
--- a/crates/mesh/src/link.rs
+++ b/crates/mesh/src/link.rs
@@ -29,6 +29,8 @@
 const TIMESTAMP_INTERVAL: Duration = Duration::from_millis(50);
 /// Maximum size of a message. The largest messages contain a configuration of at most 1 MB.
 const MAX_FRAME_BYTES: usize = 2 * 1024 * 1024;
+/// Maximum size of the first message, by which a peer identifies itself.
+const MAX_HELLO_BYTES: usize = 16 * 1024;
 /// Maximum number of messages between two flushes.
 const WRITE_BATCH: usize = 32;
 
@@ -71,8 +73,8 @@
     echoed: Option<(u64, Instant)>,
 }
 
-fn codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
+fn codec(max_frame_bytes: usize) -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(max_frame_bytes).new_codec()
 }
 
 /// Splits a connection and exchanges [`Message::Hello`] with the peer.
@@ -83,11 +85,14 @@
 ) -> Result<(Hello, Reader, Writer), LinkError> {
     stream.set_nodelay(true)?;
     let (read, write) = stream.into_split();
-    let mut reader = Reader { frames: FramedRead::new(read, codec()), dialled };
-    let mut writer = Writer { frames: FramedWrite::new(write, codec()), echoed: None };
+    let mut reader = Reader { frames: FramedRead::new(read, codec(MAX_HELLO_BYTES)), dialled };
+    let mut writer = Writer { frames: FramedWrite::new(write, codec(MAX_FRAME_BYTES)), echoed: None };
     writer.write(&Message::Hello(local.clone())).await?;
     match reader.next().await? {
-        Message::Hello(hello) => Ok((hello, reader, writer)),
+        Message::Hello(hello) => {
+            reader.frames.decoder_mut().set_max_frame_length(MAX_FRAME_BYTES);
+            Ok((hello, reader, writer))
+        }
         _ => Err(LinkError::NoHello),
     }
 }
--- a/crates/mesh/src/mesh.rs
+++ b/crates/mesh/src/mesh.rs
@@ -9,12 +9,13 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::error::TrySendError;
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, yield_now};
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::connection::run_connection;
 use crate::link::{LinkError, SILENCE_LIMIT};
 use crate::session::{Queued, Session};
+use crate::unidentified::Unidentified;
 use crate::{Hello, LinkId, Message};
 
 /// Delay before a peer without a link is dialled again.
@@ -272,11 +273,17 @@
 }
 
 async fn accept_connections(listener: TcpListener, shared: Arc<Shared>) {
+    let unidentified = Arc::new(Unidentified::default());
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 let shared = shared.clone();
-                tokio::spawn(async move { run_connection(stream, &shared, false).await });
+                let (identifying, replaces_another) = unidentified.add();
+                tokio::spawn(async move { run_connection(stream, &shared, Some(identifying)).await });
+                // The one that is being closed has its descriptor until its task has run.
+                if replaces_another {
+                    yield_now().await;
+                }
             }
             Err(_) => sleep(ACCEPT_BACKOFF).await,
         }
@@ -290,7 +297,7 @@
             Ok(Ok(stream)) => {
                 // A task of its own, because this one is aborted when the peer gets another address.
                 let shared = shared.clone();
-                let connection = tokio::spawn(async move { run_connection(stream, &shared, true).await });
+                let connection = tokio::spawn(async move { run_connection(stream, &shared, None).await });
                 if connection.await.unwrap_or(false) {
                     continue;
                 }
--- a/crates/mesh/src/session.rs
+++ b/crates/mesh/src/session.rs
@@ -20,6 +20,8 @@
 /// Maximum number of messages that are kept for a new connection. A link whose peer acknowledges less does not outlive
 /// its connection.
 const MAX_UNACKNOWLEDGED: usize = 4_096;
+/// Maximum size of all messages that are kept. The largest message has 2 MB.
+const MAX_UNACKNOWLEDGED_BYTES: usize = 4 * 1_024 * 1_024;
 
 /// A link between two processes, with or without a connection.
 pub(crate) struct Session {
@@ -42,7 +44,14 @@
 
 impl Session {
     pub(crate) fn new(id: LinkId, peer: Hello, epoch: Instant, queue: mpsc::Receiver<Queued>) -> Self {
-        let outgoing = Outgoing { first: 0, queue, reported: 0, unacknowledged: VecDeque::new() };
+        let outgoing = Outgoing {
+            dropped: 0,
+            first: 0,
+            kept_bytes: 0,
+            queue,
+            reported: 0,
+            unacknowledged: VecDeque::new(),
+        };
         Self {
             connection: watch::Sender::new(1),
             id,
@@ -84,22 +93,28 @@
 
 /// Messages on their way to the peer.
 pub(crate) struct Outgoing {
+    /// Number of messages sent up to the last one that was dropped although the peer had not acknowledged it.
+    dropped: u64,
     pub(crate) queue: mpsc::Receiver<Queued>,
     /// Number of messages sent before the first one in `unacknowledged`.
     first: u64,
+    /// Size of all messages in `unacknowledged`.
+    kept_bytes: usize,
     /// Number of received messages that the peer was last told about.
     reported: u64,
-    /// Encoded messages that the peer has not acknowledged, oldest first.
+    /// Encoded messages that the peer has not acknowledged, oldest first; only the newest ones if they are too many.
     unacknowledged: VecDeque<Bytes>,
 }
 
 impl Outgoing {
-    /// Encodes a message, and keeps it until the peer has acknowledged it.
+    /// Encodes a message, and keeps it until the peer has acknowledged it or too much is kept.
     pub(crate) fn encode(&mut self, session: &Session, message: &Message) -> Result<Bytes, CodecError> {
         let frame = Bytes::from(to_msgpack(message)?);
         if session.peer.resumable {
+            self.kept_bytes += frame.len();
             self.unacknowledged.push_back(frame.clone());
             self.discard(session.acknowledged.load(Ordering::Acquire));
+            self.discard_excess();
         }
         Ok(frame)
     }
@@ -117,7 +132,7 @@
 
     /// Whether a new connection can still continue the link.
     pub(crate) fn is_resumable(&self, session: &Session) -> bool {
-        session.peer.resumable && self.unacknowledged.len() <= MAX_UNACKNOWLEDGED
+        session.peer.resumable && self.dropped <= session.acknowledged.load(Ordering::Acquire)
     }
 
     /// Messages to send again to a peer that has received `received` messages; none if the count cannot be right.
@@ -131,8 +146,23 @@
     }
 
     fn discard(&mut self, received: u64) {
-        while self.first < received && self.unacknowledged.pop_front().is_some() {
-            self.first += 1;
+        while self.first < received && self.drop_first() {}
+    }
+
+    /// Drops the oldest messages while too much is kept. The link then does not outlive its connection until the peer has
+    /// acknowledged them.
+    fn discard_excess(&mut self) {
+        while self.unacknowledged.len() > MAX_UNACKNOWLEDGED || self.kept_bytes > MAX_UNACKNOWLEDGED_BYTES {
+            self.drop_first();
+            self.dropped = self.first;
         }
     }
+
+    /// Returns false if there is none.
+    fn drop_first(&mut self) -> bool {
+        let Some(frame) = self.unacknowledged.pop_front() else { return false };
+        self.kept_bytes -= frame.len();
+        self.first += 1;
+        true
+    }
 }
