Entry daemon: the same budget for callers, peers and operators

Callers see: an incomplete body may be refused with OVERLOADED (503), Retry-After and a closed connection; at the limit of connections the oldest without a complete request is closed before a new one is refused. Operators get the settings memory_mb (2,048) and max_descriptors (65,536), whose defaults leave max_connections the limit of connections, the event REQUESTS_SHED and the counters bodies_shed, connections_shed, connections_refused and requests_shed.

Cause: 4,096 connections for each listener with 4 MB each, and bodies that were kept until their submissions were answered.

Change: both listeners admit connections and read bodies against the budget of the process; bodies are dropped once they are decoded. Blocks are used again by all threads.

--- a/crates/budget/src/blocks.rs
+++ b/crates/budget/src/blocks.rs
@@ -5,7 +5,7 @@
 /// Size of the first block, unless more is known to follow.
 const MIN_BLOCK_BYTES: usize = 1_024;
 /// Size of the largest blocks. Blocks of few sizes leave little unused memory between them when they are freed.
-const MAX_BLOCK_BYTES: usize = 16 * 1_024;
+pub(crate) const MAX_BLOCK_BYTES: usize = 16 * 1_024;
 
 /// Received bytes of a body. Small pieces are copied into one block, so that they hold no more memory than their bytes.
 #[derive(Debug)]
@@ -45,13 +45,17 @@
         piece.len().max(twice_the_last).min(MAX_BLOCK_BYTES)
     }
 
-    pub(crate) fn add_block(&mut self, size_bytes: usize) {
-        self.blocks.push(Vec::with_capacity(size_bytes));
-        self.capacity_bytes += size_bytes;
+    pub(crate) fn add_block(&mut self, block: Vec<u8>) {
+        self.capacity_bytes += block.capacity();
+        self.blocks.push(block);
     }
 
     /// The whole body.
-    pub(crate) fn concat(self) -> Vec<u8> {
+    pub(crate) fn concat(&self) -> Vec<u8> {
         self.blocks.concat()
     }
+
+    pub(crate) fn into_blocks(self) -> Vec<Vec<u8>> {
+        self.blocks
+    }
 }
--- a/crates/budget/src/body.rs
+++ b/crates/budget/src/body.rs
@@ -102,13 +102,12 @@
     }
 
     fn finish(self) -> Result<Bytes, BodyError> {
-        let blocks = self.connection.take_body().ok_or(BodyError::Shed)?;
-        Ok(Bytes::from(blocks.concat()))
+        self.connection.finish_body().map(Bytes::from).ok_or(BodyError::Shed)
     }
 }
 
 impl Drop for Unfinished<'_> {
     fn drop(&mut self) {
-        self.connection.take_body();
+        self.connection.give_up_body();
     }
 }
--- a/crates/budget/src/budget.rs
+++ b/crates/budget/src/budget.rs
@@ -7,7 +7,9 @@
 use hinge_wire::FastMap;
 use tokio::time::Instant;
 
+use crate::blocks::Blocks;
 use crate::connection::ConnectionState;
+use crate::pool::Pool;
 use crate::shed_log::{Cause, ShedCounts, ShedLog};
 use crate::{Connection, Grant};
 
@@ -46,6 +48,8 @@
 struct Inner {
     held_bytes: AtomicUsize,
     max_bytes: usize,
+    /// Unused blocks; present if several threads use the budget.
+    pool: Option<Pool>,
     /// Locked when a connection is opened or closed, and when the budget is used up.
     registry: Mutex<Registry>,
     shed: ShedLog,
@@ -71,12 +75,24 @@
 }
 
 impl Budget {
-    /// Creates the budget of a process.
+    /// Creates the budget of a process that serves its clients on one thread.
     #[must_use]
     pub fn new(grant: Grant) -> Self {
+        Self::with_pool(grant, None)
+    }
+
+    /// Creates the budget of a process that serves its clients on several threads. Blocks of bodies stay with the process
+    /// and are used again.
+    #[must_use]
+    pub fn for_threads(grant: Grant) -> Self {
+        Self::with_pool(grant, Some(Pool::default()))
+    }
+
+    fn with_pool(grant: Grant, pool: Option<Pool>) -> Self {
         let inner = Inner {
             held_bytes: AtomicUsize::new(0),
             max_bytes: grant.client_bytes(),
+            pool,
             registry: Mutex::default(),
             shed: ShedLog::default(),
         };
@@ -131,6 +147,30 @@
         self.try_take(bytes) || self.take_with_room(bytes, own)
     }
 
+    /// Takes a block for the unfinished body of `own`.
+    pub(crate) fn take_block(&self, size_bytes: usize, own: &Arc<ConnectionState>) -> Option<Vec<u8>> {
+        let unused = self.inner.pool.as_ref().and_then(|pool| pool.take(size_bytes));
+        if self.take(size_bytes, Some(own)) {
+            return Some(unused.unwrap_or_else(|| Vec::with_capacity(size_bytes)));
+        }
+        if let (Some(pool), Some(unused)) = (&self.inner.pool, unused) {
+            pool.put(unused);
+        }
+        None
+    }
+
+    pub(crate) fn give_back_blocks(&self, blocks: impl IntoIterator<Item = Vec<u8>>) {
+        let blocks = blocks.into_iter().inspect(|block| self.give_back(block.capacity()));
+        match &self.inner.pool {
+            Some(pool) => blocks.for_each(|block| pool.put(block)),
+            None => blocks.for_each(drop),
+        }
+    }
+
+    fn shed_body(&self, state: &ConnectionState) {
+        self.give_back_blocks(state.shed_body().into_iter().flat_map(Blocks::into_blocks));
+    }
+
     pub(crate) fn give_back(&self, bytes: usize) {
         self.inner.held_bytes.fetch_sub(bytes, Ordering::Relaxed);
     }
@@ -154,7 +194,7 @@
             let Some(victim) = victim.or(own) else { return false };
             self.record(Cause::Body);
             // The bytes of the own body are given back with the others.
-            self.give_back(victim.shed_body());
+            self.shed_body(victim);
             if own.is_some_and(|own| Arc::ptr_eq(own, victim)) {
                 return false;
             }
@@ -226,7 +266,8 @@
         let closed = registry.remove(number);
         drop(registry);
         if let Some(state) = closed {
-            self.budget.give_back(state.bytes + state.shed_body());
+            self.budget.give_back(state.bytes);
+            self.budget.shed_body(&state);
             state.close();
         }
         self.budget.record(Cause::Closed);
--- a/crates/budget/src/connection.rs
+++ b/crates/budget/src/connection.rs
@@ -78,11 +78,11 @@
         unfinished.as_ref().filter(|blocks| blocks.capacity_bytes() > 0).map(|blocks| blocks.weight(now))
     }
 
-    /// Frees the unfinished body and tells its reader. Returns the number of bytes that it held.
-    pub(crate) fn shed_body(&self) -> usize {
-        let Some(blocks) = self.unfinished().take() else { return 0 };
+    /// Takes the unfinished body away and tells its reader.
+    pub(crate) fn shed_body(&self) -> Option<Blocks> {
+        let blocks = self.unfinished().take()?;
         self.shed.notify_one();
-        blocks.capacity_bytes()
+        Some(blocks)
     }
 
     /// Never locked while the lock of the budget is being waited for, which is held when this is locked by others.
@@ -156,25 +156,31 @@
                 }
                 blocks.next_block_bytes(piece)
             };
-            if !self.budget.take(block_bytes, Some(&self.state)) {
-                return false;
-            }
+            let Some(block) = self.budget.take_block(block_bytes, &self.state) else { return false };
             match self.state.unfinished().as_mut() {
-                Some(blocks) => blocks.add_block(block_bytes),
+                Some(blocks) => blocks.add_block(block),
                 // Shed meanwhile.
                 None => {
-                    self.budget.give_back(block_bytes);
+                    self.budget.give_back_blocks([block]);
                     return false;
                 }
             }
         }
     }
 
-    /// Ends the unfinished body, and returns its blocks unless it was shed.
-    pub(crate) fn take_body(&self) -> Option<Blocks> {
+    /// Ends the unfinished body, and returns it unless it was shed.
+    pub(crate) fn finish_body(&self) -> Option<Vec<u8>> {
         let blocks = self.state.unfinished().take()?;
-        self.budget.give_back(blocks.capacity_bytes());
-        Some(blocks)
+        let body = blocks.concat();
+        self.budget.give_back_blocks(blocks.into_blocks());
+        Some(body)
+    }
+
+    /// Ends the unfinished body, if there is one.
+    pub(crate) fn give_up_body(&self) {
+        // Taken in a statement of its own, so that its lock is free.
+        let blocks = self.state.unfinished().take();
+        self.budget.give_back_blocks(blocks.into_iter().flat_map(Blocks::into_blocks));
     }
 }
 
--- a/crates/budget/src/lib.rs
+++ b/crates/budget/src/lib.rs
@@ -15,6 +15,7 @@
 mod budget;
 mod connection;
 mod grant;
+mod pool;
 mod shed_log;
 
 pub use body::{BodyError, read_body};
--- a/crates/conf/src/entry.rs
+++ b/crates/conf/src/entry.rs
@@ -116,10 +116,14 @@
     pub listen: SocketAddr,
     /// Least severe level that is logged.
     pub log_level: LogLevel,
+    /// Memory that the machine grants to this process, in megabytes.
+    pub memory_mb: usize,
     /// Largest request body accepted, in bytes.
     pub max_body_bytes: usize,
     /// Largest number of open connections per listener.
     pub max_connections: usize,
+    /// Descriptors that the machine grants to this process.
+    pub max_descriptors: usize,
     /// Largest request header section accepted, in bytes.
     pub max_header_bytes: usize,
     /// Largest task result accepted from an upstream, in bytes.
@@ -162,8 +166,10 @@
             list: read.remote("list")?,
             listen: read.listen("listen")?,
             log_level: read.log_level("log_level")?,
+            memory_mb: read.size("memory_mb")?,
             max_body_bytes: read.size("max_body_bytes")?,
             max_connections: read.size("max_connections")?,
+            max_descriptors: read.size("max_descriptors")?,
             max_header_bytes: read.size("max_header_bytes")?,
             max_result_bytes: read.size("max_result_bytes")?,
             max_wait: read.millis("max_wait_ms")?,
--- a/crates/conf/src/flags.rs
+++ b/crates/conf/src/flags.rs
@@ -41,9 +41,15 @@
     ///largest request header section accepted.
     #[argh(option)]
     pub max_header_bytes: Option<String>,
-    ///open connections accepted per listener; further ones are refused.
+    ///open connections accepted per listener; for a further one, the oldest without a complete request is closed, or one that has been idle for 3 s, and else it is refused.
     #[argh(option)]
     pub max_connections: Option<String>,
+    ///memory that the machine grants to this process. 13/16 of what it has beyond 16 MB may be held for connections and requests; beyond that the largest and slowest incomplete request bodies are refused first.
+    #[argh(option)]
+    pub memory_mb: Option<String>,
+    ///file descriptors that the machine grants to this process. Without the 200 that are reserved for files, 6/16 are for callers and 3/16 for peers and operators, if that is less than `max_connections`.
+    #[argh(option)]
+    pub max_descriptors: Option<String>,
     ///time after which an idle connection or an incomplete request is closed.
     #[argh(option)]
     pub idle_timeout_ms: Option<String>,
@@ -90,6 +96,8 @@
             "max_body_bytes" => self.max_body_bytes.as_deref(),
             "max_header_bytes" => self.max_header_bytes.as_deref(),
             "max_connections" => self.max_connections.as_deref(),
+            "memory_mb" => self.memory_mb.as_deref(),
+            "max_descriptors" => self.max_descriptors.as_deref(),
             "idle_timeout_ms" => self.idle_timeout_ms.as_deref(),
             "max_wait_ms" => self.max_wait_ms.as_deref(),
             "max_result_bytes" => self.max_result_bytes.as_deref(),
@@ -192,6 +200,24 @@
         default: Some("4096"),
         unit: "connections",
     },
+    FlagSpec {
+        name: "memory_mb",
+        kind: FlagKind::Integer {
+            min: 32,
+            max: 1048576,
+        },
+        default: Some("2048"),
+        unit: "MB",
+    },
+    FlagSpec {
+        name: "max_descriptors",
+        kind: FlagKind::Integer {
+            min: 256,
+            max: 1048576,
+        },
+        default: Some("65536"),
+        unit: "descriptors",
+    },
     FlagSpec {
         name: "idle_timeout_ms",
         kind: FlagKind::Integer {
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use hinge_obs::Metrics;
 use hinge_wire::{CancelRequest, KeysReply, KeysRequest, LogEvent, ResultCode, Submission, from_json};
 use hyper::{Method, StatusCode};
@@ -30,7 +31,7 @@
         let shared = &self.0;
         let result = match (request.parts.method.clone(), request.parts.uri.path()) {
             (Method::POST, "/v1/keys") => issue_keys(shared, &request.body),
-            (Method::POST, "/v1/submissions") => submit(shared, &request.body).await,
+            (Method::POST, "/v1/submissions") => submit(shared, request.body).await,
             (Method::POST, "/v1/cancellations") => cancel(shared, &request.body).await,
             (Method::GET, "/healthz") => Ok(Encoding::Json.response(StatusCode::OK, &"ok")),
             (Method::GET, "/readyz") => Ok(readiness(shared)),
@@ -89,8 +90,10 @@
     Ok(Encoding::Json.response(StatusCode::OK, &reply))
 }
 
-async fn submit(shared: &Arc<Shared>, body: &[u8]) -> Result<HttpResponse, Rejection> {
-    let submission: Submission = from_json(body)?;
+async fn submit(shared: &Arc<Shared>, body: Bytes) -> Result<HttpResponse, Rejection> {
+    let submission: Submission = from_json(&body)?;
+    // The submission has what it needs of the body.
+    drop(body);
     let status = shared.submit(submission).await?;
     Ok(submission_response(&status))
 }
--- a/crates/entry/src/counters.rs
+++ b/crates/entry/src/counters.rs
@@ -2,12 +2,15 @@
 
 use std::sync::Arc;
 
+use hinge_budget::ShedCounts;
+
 use crate::shared::Shared;
 
 /// Counter values that were already added to the metrics.
 #[derive(Default)]
 pub(crate) struct Counters {
     dropped_ends: u64,
+    shed: ShedCounts,
     store_calls: u64,
     wasted_messages: u64,
 }
@@ -21,6 +24,11 @@
         count_new(shared, "store_calls", store_calls, &mut self.store_calls);
         count_new(shared, "task_ends_dropped", dropped_ends, &mut self.dropped_ends);
         count_new(shared, "wasted_messages", wasted_messages, &mut self.wasted_messages);
+        let shed = shared.budget.usage().shed;
+        count_new(shared, "bodies_shed", shed.bodies, &mut self.shed.bodies);
+        count_new(shared, "connections_shed", shed.closed, &mut self.shed.closed);
+        count_new(shared, "connections_refused", shed.refused, &mut self.shed.refused);
+        count_new(shared, "requests_shed", shed.requests, &mut self.shed.requests);
     }
 }
 
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use hinge_budget::{Budget, Grant};
 use hinge_conf::{EntrySettings, Policy};
 use hinge_dispatch::{Dispatcher, Origin};
 use hinge_member::Members;
@@ -104,11 +105,14 @@
         let shared = Arc::new(Shared::new(build_parts(settings)?));
         let (stop_servers, stop) = watch::channel(false);
         let mut servers = JoinSet::new();
-        let limits = server_limits(&shared.settings);
-        servers.spawn(serve(listener, CallerHandler(shared.clone()), limits, stop.clone()));
+        let grant = grant(&shared.settings);
+        let budget = shared.budget.clone();
+        let limits = server_limits(&shared.settings, grant.caller_connections());
+        servers.spawn(serve(listener, CallerHandler(shared.clone()), limits, budget.clone(), stop.clone()));
         // A submission can be larger in MessagePack than in the caller's JSON, which may omit fields.
+        let limits = server_limits(&shared.settings, grant.peer_connections());
         let limits = ServerLimits { max_body_bytes: limits.max_body_bytes.saturating_mul(2), ..limits };
-        servers.spawn(serve(peer_listener, PeerHandler(shared.clone()), limits, stop));
+        servers.spawn(serve(peer_listener, PeerHandler(shared.clone()), limits, budget, stop));
         let tasks = spawn_loops(&shared);
         let incarnation = format!("{:016x}", shared.incarnation);
         hinge_obs::emit(LogEvent::Started, &Started { address, incarnation, peer_address });
@@ -199,6 +203,7 @@
         .map(|address| HttpStore::new(address, settings.connect_timeout, settings.peer_timeout));
     let config = ConfigSync::new(store.clone(), origin.data_centre.clone(), seed).with_report(log_sync);
     Ok(SharedParts {
+        budget: Budget::for_threads(grant(&settings)),
         claims: Claims::new(store, config.counters(), &policy, seed),
         config: Arc::new(config),
         connections: Connections::new(Limits {
@@ -235,11 +240,17 @@
     hinge_obs::emit(event.log_event(), &SyncDetails::new(event));
 }
 
-fn server_limits(settings: &EntrySettings) -> ServerLimits {
+/// What the machine grants to the process.
+fn grant(settings: &EntrySettings) -> Grant {
+    Grant { max_descriptors: settings.max_descriptors, memory_mb: settings.memory_mb }
+}
+
+/// Limits of a listener that has `max_connections` of the descriptors.
+fn server_limits(settings: &EntrySettings, max_connections: usize) -> ServerLimits {
     ServerLimits {
         idle_timeout: settings.idle_timeout,
         max_body_bytes: settings.max_body_bytes,
-        max_connections: settings.max_connections,
+        max_connections: settings.max_connections.min(max_connections),
         max_header_bytes: settings.max_header_bytes,
     }
 }
--- a/crates/entry/src/peer_server.rs
+++ b/crates/entry/src/peer_server.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hinge_dispatch::Event;
 use hinge_obs::Metrics;
 use hinge_wire::{
@@ -35,7 +36,7 @@
             return operators::handle(shared, &request).await;
         }
         let result = match check_version(&request) {
-            Ok(()) => route(shared, &request).await,
+            Ok(()) => route(shared, request).await,
             Err(rejection) => Err(rejection),
         };
         result.unwrap_or_else(|rejection| {
@@ -54,14 +55,14 @@
     }
 }
 
-async fn route(shared: &Arc<Shared>, request: &BufferedRequest) -> Result<HttpResponse, Rejection> {
+async fn route(shared: &Arc<Shared>, request: BufferedRequest) -> Result<HttpResponse, Rejection> {
     if request.parts.method != Method::POST {
         return Err(ResultCode::MethodNotAllowed.into());
     }
     let body = &request.body;
     match request.parts.uri.path() {
         "/peer/v1/heartbeat" => heartbeat(shared, body),
-        "/peer/v1/forward" => forward(shared, body).await,
+        "/peer/v1/forward" => forward(shared, request.body).await,
         "/peer/v1/lookup" => lookup(shared, body).await,
         "/peer/v1/cancel" => cancel(shared, body),
         "/peer/v1/loan" => loan(shared, body),
@@ -104,8 +105,10 @@
     ok(&reply)
 }
 
-async fn forward(shared: &Arc<Shared>, body: &[u8]) -> Result<HttpResponse, Rejection> {
-    let request: ForwardRequest = from_msgpack(body)?;
+async fn forward(shared: &Arc<Shared>, body: Bytes) -> Result<HttpResponse, Rejection> {
+    let request: ForwardRequest = from_msgpack(&body)?;
+    // The submission has what it needs of the body.
+    drop(body);
     check_incarnation(shared, request.target_incarnation)?;
     let key = parse_key(request.submission.key.as_deref().unwrap_or_default())?;
     check_incarnation(shared, key.incarnation)?;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -8,19 +8,21 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hinge_budget::{BodyError, Budget, Connection, Listener, read_body};
 use hinge_obs::Metrics;
 use hinge_wire::{LogEvent, ResultCode};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::Request;
 use hyper::body::{Body, Incoming};
+use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
+use rand::Rng;
 use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
-use tokio::task::JoinSet;
+use tokio::task::{JoinSet, yield_now};
 use tokio::time::{sleep, timeout};
 
 use crate::reply::{Encoding, HttpResponse, Rejection};
@@ -29,6 +31,10 @@
 /// Delay after a failed accept, so that a shortage of file descriptors does not cause a busy loop.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
+/// Time since the last response on a connection before it may be closed for a new one.
+const MIN_IDLE: Duration = Duration::from_secs(3);
+/// Range of `Retry-After` if the memory for requests is used up, so that callers do not all come back at once.
+const SHED_RETRY_S: std::ops::RangeInclusive<u64> = 1..=3;
 /// Maximum number of connections over the limit that are being rejected with a response at the same time.
 const MAX_CONCURRENT_REJECTIONS: usize = 64;
 /// Time in which such a connection must send its request and receive the response.
@@ -70,10 +76,11 @@
 
 /// The open connections of a listener; dropping it closes them.
 struct Connections<H> {
+    budget: Budget,
     graceful: GracefulShutdown,
     handler: H,
     limits: ServerLimits,
-    permits: Arc<Semaphore>,
+    listener: Listener,
     rejections: Arc<Semaphore>,
     tasks: JoinSet<()>,
 }
@@ -83,13 +90,15 @@
     listener: TcpListener,
     handler: H,
     limits: ServerLimits,
+    budget: Budget,
     mut stop: watch::Receiver<bool>,
 ) {
     let mut connections = Connections {
+        listener: budget.listener(limits.max_connections, MIN_IDLE),
+        budget,
         graceful: GracefulShutdown::new(),
         handler,
         limits,
-        permits: Arc::new(Semaphore::new(limits.max_connections)),
         rejections: Arc::new(Semaphore::new(MAX_CONCURRENT_REJECTIONS)),
         tasks: JoinSet::new(),
     };
@@ -97,7 +106,10 @@
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, peer)) => connections.accept(stream, peer),
+                Ok((stream, peer)) => if connections.accept(stream, peer) {
+                    // The one that is being closed has its descriptor until its task has run.
+                    yield_now().await;
+                },
                 Err(_) => sleep(ACCEPT_BACKOFF).await,
             },
             Some(_) = connections.tasks.join_next() => {}
@@ -109,11 +121,13 @@
 }
 
 impl<H: Handler> Connections<H> {
-    fn accept(&mut self, stream: TcpStream, peer: SocketAddr) {
+    /// Returns true if another connection is being closed for the new one.
+    fn accept(&mut self, stream: TcpStream, peer: SocketAddr) -> bool {
         let _ = stream.set_nodelay(true);
-        if let Ok(permit) = self.permits.clone().try_acquire_owned() {
-            self.serve(stream, peer, permit);
-            return;
+        if let Some(connection) = self.listener.admit(self.limits.max_header_bytes) {
+            let replaces_another = connection.replaces_another();
+            self.serve(stream, peer, connection);
+            return replaces_another;
         }
         // Without a permit for a rejection, the connection is closed without a response.
         match self.rejections.clone().try_acquire_owned() {
@@ -122,25 +136,31 @@
             }
             Err(_) => self.handler.metrics().count(ResultCode::TooManyConnections.name(), 1),
         }
+        false
     }
 
-    fn serve(&mut self, stream: TcpStream, peer: SocketAddr, permit: OwnedSemaphorePermit) {
-        let (handler, limits) = (self.handler.clone(), self.limits);
+    fn serve(&mut self, stream: TcpStream, peer: SocketAddr, admitted: Connection) {
+        let (budget, handler, limits) = (self.budget.clone(), self.handler.clone(), self.limits);
+        let admitted = Arc::new(admitted);
+        let connection = admitted.clone();
         let service = service_fn(move |request| {
-            let handler = handler.clone();
-            async move { Ok::<_, Infallible>(respond(request, &handler, limits).await) }
+            let (budget, connection, handler) = (budget.clone(), connection.clone(), handler.clone());
+            async move { Ok::<_, Infallible>(respond(request, &handler, limits, &budget, &connection).await) }
         });
         let stream = WriteLimit::new(stream, limits.idle_timeout);
         let connection = builder(limits).serve_connection(TokioIo::new(stream), service);
         let connection = self.graceful.watch(connection);
         let handler = self.handler.clone();
         self.tasks.spawn(async move {
-            if let Err(error) = connection.await {
+            let served = tokio::select! {
+                served = connection => served,
+                () = admitted.closed() => return,
+            };
+            if let Err(error) = served {
                 handler.metrics().count("connections_failed", 1);
                 let details = ConnectionFailed { error: error.to_string(), peer };
                 hinge_obs::emit(LogEvent::ConnectionFailed, &details);
             }
-            drop(permit);
         });
     }
 }
@@ -154,28 +174,57 @@
     builder
 }
 
-async fn respond<H: Handler>(request: Request<Incoming>, handler: &H, limits: ServerLimits) -> HttpResponse {
+async fn respond<H: Handler>(
+    request: Request<Incoming>,
+    handler: &H,
+    limits: ServerLimits,
+    budget: &Budget,
+    connection: &Connection,
+) -> HttpResponse {
     let (parts, body) = request.into_parts();
-    match read_body(body, limits).await {
-        Ok(body) => handler.handle(BufferedRequest { body, parts }).await,
-        Err(rejection) => handler.reject(parts.uri.path(), &rejection),
-    }
+    let body = match read_limited(body, limits, connection).await {
+        Ok(body) => body,
+        Err(Refusal::Rejected(rejection)) => return handler.reject(parts.uri.path(), &rejection),
+        Err(Refusal::Shed) => return shed(handler, parts.uri.path()),
+    };
+    let _answering = connection.answering();
+    // What is decoded from the body occupies as much, about, until the response.
+    let Some(_held) = budget.hold(body.len()) else { return shed(handler, parts.uri.path()) };
+    handler.handle(BufferedRequest { body, parts }).await
+}
+
+/// The response to a request for which there is no memory. It closes the connection, on which the rest of a body may follow.
+fn shed<H: Handler>(handler: &H, path: &str) -> HttpResponse {
+    let rejection = Rejection::new(ResultCode::Overloaded, BodyError::Shed.to_string());
+    let mut response = handler.reject(path, &rejection);
+    let retry_after_s = rand::rng().random_range(SHED_RETRY_S);
+    response.headers_mut().insert(RETRY_AFTER, retry_after_s.into());
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
 }
 
-async fn read_body(body: Incoming, limits: ServerLimits) -> Result<Bytes, Rejection> {
+/// Reason why a body was not read.
+enum Refusal {
+    Rejected(Rejection),
+    Shed,
+}
+
+async fn read_limited(
+    body: Incoming,
+    limits: ServerLimits,
+    connection: &Connection,
+) -> Result<Bytes, Refusal> {
     let max_bytes = limits.max_body_bytes;
-    let too_large =
-        || Rejection::new(ResultCode::TooLarge, format!("the body is larger than {max_bytes} bytes"));
+    let rejected = |code, message: String| Err(Refusal::Rejected(Rejection::new(code, message)));
     if body.size_hint().lower() > max_bytes as u64 {
-        return Err(too_large());
+        return rejected(ResultCode::TooLarge, BodyError::TooLarge { max_bytes }.to_string());
     }
-    match timeout(limits.idle_timeout, Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
-        Ok(Err(error)) => {
-            Err(Rejection::new(ResultCode::Malformed, format!("cannot read the body: {error}")))
-        }
-        Err(_) => Err(Rejection::new(ResultCode::Malformed, "the body did not arrive in time")),
+    match timeout(limits.idle_timeout, read_body(body, connection, max_bytes)).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyError::Shed)) => Err(Refusal::Shed),
+        Ok(Err(error @ BodyError::TooLarge { .. })) => rejected(ResultCode::TooLarge, error.to_string()),
+        Ok(Err(error @ BodyError::Incomplete(_))) => rejected(ResultCode::Malformed, error.to_string()),
+        Err(_) => rejected(ResultCode::Malformed, "the body did not arrive in time".to_owned()),
     }
 }
 
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
+use hinge_budget::Budget;
 use hinge_conf::EntrySettings;
 use hinge_dispatch::{Action, Dispatcher, Event, Start};
 use hinge_member::Members;
@@ -28,6 +29,7 @@
 
 pub(crate) struct Shared {
     pub(crate) addresses: Mutex<UpstreamAddresses>,
+    pub(crate) budget: Budget,
     pub(crate) claims: Claims<PlatformStore>,
     pub(crate) config: Arc<ConfigSync<PlatformStore>>,
     pub(crate) connections: Connections,
@@ -54,6 +56,7 @@
 
 /// Components from which [`Shared`] is built.
 pub(crate) struct SharedParts {
+    pub(crate) budget: Budget,
     pub(crate) claims: Claims<PlatformStore>,
     pub(crate) config: Arc<ConfigSync<PlatformStore>>,
     pub(crate) connections: Connections,
@@ -68,6 +71,7 @@
     pub(crate) fn new(parts: SharedParts) -> Self {
         Self {
             addresses: Mutex::default(),
+            budget: parts.budget,
             claims: parts.claims,
             config: parts.config,
             connections: parts.connections,
