--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -24,6 +24,7 @@
 mod rest;
 mod session;
 mod stats;
+mod unidentified;
 
 pub use link::{HEARTBEAT_INTERVAL, SILENCE_LIMIT};
 pub use liveness::{Liveness, TimestampAhead, Timestamps};
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -140,6 +140,8 @@
     EvacuationChanged = 1653,
     ///A peer reports that it knows a data centre as evacuated or taken back; gives the revision.
     EvacuationAdopted = 1654,
+    ///The memory or the connections for clients are used up; gives the numbers of unfinished bodies and requests that were refused and of connections that were closed or refused since the start.
+    RequestsShed = 1655,
 }
 impl LogEvent {
     /// All values, in the order of their numbers.
@@ -212,6 +214,7 @@
         Self::HolderLost,
         Self::EvacuationChanged,
         Self::EvacuationAdopted,
+        Self::RequestsShed,
     ];
     /// Number used in messages, logs and tables.
     #[must_use]
@@ -296,6 +299,7 @@
             Self::HolderLost => "HOLDER_LOST",
             Self::EvacuationChanged => "EVACUATION_CHANGED",
             Self::EvacuationAdopted => "EVACUATION_ADOPTED",
+            Self::RequestsShed => "REQUESTS_SHED",
         }
     }
 }
@@ -373,6 +377,7 @@
             Self::HolderLost => "error",
             Self::EvacuationChanged => "info",
             Self::EvacuationAdopted => "info",
+            Self::RequestsShed => "warn",
         }
     }
 }
