--- a/crates/conf/src/document.rs
+++ b/crates/conf/src/document.rs
@@ -3,11 +3,12 @@
 use std::collections::BTreeMap;
 
 use hinge_wire::{
-    ConfigDocument, ConfigException, DataCentreId, FastMap, FastSet, ResultCode, Scope, ScopeKind,
-    SettingValue, TeamId, is_valid_id, to_json,
+    ConfigDocument, ConfigException, DataCentreId, FastMap, FastSet, OperationRecord, ResultCode, Scope,
+    ScopeKind, SettingValue, TeamId, is_valid_id, to_json,
 };
 use thiserror::Error;
 
+use crate::limits::{self, Contradiction, Place, places};
 use crate::{POLICY, Policy, PolicyKind, PolicySpec};
 
 /// Version of the document format that this build reads and writes.
@@ -21,7 +22,7 @@
 /// Longest author name, in bytes.
 pub const MAX_AUTHOR_BYTES: usize = 64;
 
-const QUOTA: &str = "team_quota_per_s";
+pub(crate) const QUOTA: &str = "team_quota_per_s";
 const WEIGHT: &str = "team_weight";
 
 /// Reason why a configuration document is not valid.
@@ -128,28 +129,29 @@
 ///
 /// Fails on the first part of the document that is not valid.
 pub fn validate(document: &ConfigDocument) -> Result<(), DocumentError> {
-    if document.format_version != FORMAT_VERSION {
-        let version = document.format_version.to_string();
-        return Err(DocumentError::field("format_version", &version, FORMAT_VERSION.to_string()));
-    }
-    check_size(document)?;
-    for (setting, value) in &document.defaults {
-        check_value(setting, value)?;
-    }
-    let mut scopes = FastSet::default();
-    for exception in &document.exceptions {
-        check_exception(exception)?;
-        let Scope { kind, name } = &exception.scope;
-        if !scopes.insert((*kind, name, &exception.setting)) {
-            return Err(DocumentError::field("scope", name, "one exception per scope and setting"));
-        }
-    }
-    for (team, quota) in &document.team_quotas_per_s {
-        check_id("team", team)?;
-        check_value(QUOTA, &SettingValue::Number(*quota))?;
+    rejections(document).into_iter().next().map_or(Ok(()), |rejection| Err(rejection.error))
+}
+
+/// Reason why a document is rejected, and the path of the field.
+pub(crate) struct Rejection {
+    pub(crate) error: DocumentError,
+    pub(crate) path: String,
+}
+
+/// Returns all reasons why a document is rejected. The contradictions are left out if there are others, because they
+/// are computed from values in their ranges.
+pub(crate) fn rejections(document: &ConfigDocument) -> Vec<Rejection> {
+    let format =
+        check_version(document).map_err(|error| Rejection { error, path: "format_version".to_owned() });
+    let size = check_size(document).map_err(|error| Rejection { error, path: "document".to_owned() });
+    if let Err(rejection) = format.and(size) {
+        return vec![rejection];
     }
-    check_operations(document)?;
-    check_consistency(document)
+    let mut rejections = rejected_defaults(document);
+    rejections.extend(rejected_exceptions(document));
+    rejections.extend(rejected_quotas(document));
+    rejections.extend(rejected_operations(document));
+    if rejections.is_empty() { contradictions(document) } else { rejections }
 }
 
 /// Resolves the fleet defaults and exceptions for one data centre.
@@ -180,7 +182,7 @@
     resolved
 }
 
-fn fleet_policy(document: &ConfigDocument) -> Policy {
+pub(crate) fn fleet_policy(document: &ConfigDocument) -> Policy {
     let mut policy = Policy::default();
     for (setting, value) in &document.defaults {
         policy.set(setting, value);
@@ -188,6 +190,15 @@
     policy
 }
 
+/// Returns the fleet default of a setting; `None` if no setting has this name.
+pub(crate) fn setting_default(document: &ConfigDocument, setting: &str) -> Option<SettingValue> {
+    let built_in = || match find_spec(setting).ok()?.kind {
+        PolicyKind::Flag { default } => Some(SettingValue::Flag(default)),
+        PolicyKind::Number { default, .. } => Some(SettingValue::Number(default)),
+    };
+    document.defaults.get(setting).cloned().or_else(built_in)
+}
+
 fn find_spec(setting: &str) -> Result<&'static PolicySpec, DocumentError> {
     let unknown = || DocumentError::UnknownSetting(setting.chars().take(80).collect());
     POLICY.iter().find(|spec| spec.name == setting).ok_or_else(unknown)
@@ -237,24 +248,80 @@
     check_text("reason", reason, MAX_REASON_BYTES)
 }
 
-fn check_operations(document: &ConfigDocument) -> Result<(), DocumentError> {
+fn rejected_defaults(document: &ConfigDocument) -> Vec<Rejection> {
+    let reject = |(setting, value): (&String, &SettingValue)| {
+        let error = check_value(setting, value).err()?;
+        Some(Rejection { error, path: format!("defaults.{setting}") })
+    };
+    document.defaults.iter().filter_map(reject).collect()
+}
+
+fn rejected_exceptions(document: &ConfigDocument) -> Vec<Rejection> {
+    let mut scopes = FastSet::default();
+    let mut check = |exception| {
+        check_exception(exception)?;
+        let ConfigException { scope: Scope { kind, name }, setting, .. } = exception;
+        if scopes.insert((*kind, name, setting)) {
+            return Ok(());
+        }
+        Err(DocumentError::field("scope", name, "one exception per scope and setting"))
+    };
+    let reject = |(index, exception)| {
+        let error = check(exception).err()?;
+        let path = format!("exceptions[{index}].{}", exception_field(&error));
+        Some(Rejection { error, path })
+    };
+    document.exceptions.iter().enumerate().filter_map(reject).collect()
+}
+
+/// Name of the field of an exception that an error is about.
+const fn exception_field(error: &DocumentError) -> &'static str {
+    match error {
+        DocumentError::InvalidField { field, .. } => field,
+        DocumentError::InvalidValue { .. } => "value",
+        DocumentError::ScopeNotAllowed { .. } => "scope",
+        _ => "setting",
+    }
+}
+
+fn rejected_quotas(document: &ConfigDocument) -> Vec<Rejection> {
+    let reject = |(team, quota): (&String, &u64)| {
+        let value = check_value(QUOTA, &SettingValue::Number(*quota));
+        let error = check_id("team", team).and(value).err()?;
+        Some(Rejection { error, path: format!("team_quotas_per_s.{team}") })
+    };
+    document.team_quotas_per_s.iter().filter_map(reject).collect()
+}
+
+fn rejected_operations<'a>(document: &'a ConfigDocument) -> Vec<Rejection> {
     let count = document.operations.len();
     if count > MAX_OPERATIONS {
-        return Err(DocumentError::field(
-            "operations",
-            &count.to_string(),
-            format!("at most {MAX_OPERATIONS}"),
-        ));
+        let allowed = format!("at most {MAX_OPERATIONS}");
+        let error = DocumentError::field("operations", &count.to_string(), allowed);
+        return vec![Rejection { error, path: "operations".to_owned() }];
     }
     let mut ids = FastSet::default();
-    for operation in &document.operations {
+    let mut check = |operation: &'a OperationRecord| {
         check_id("operation_id", &operation.operation_id)?;
         check_text("author", &operation.author, MAX_AUTHOR_BYTES)?;
-        if !ids.insert(&operation.operation_id) {
-            return Err(DocumentError::field("operation_id", &operation.operation_id, "each id once"));
+        if ids.insert(&operation.operation_id) {
+            return Ok(());
         }
+        Err(DocumentError::field("operation_id", &operation.operation_id, "each id once"))
+    };
+    let reject = |(index, operation)| {
+        let error = check(operation).err()?;
+        Some(Rejection { error, path: format!("operations[{index}]") })
+    };
+    document.operations.iter().enumerate().filter_map(reject).collect()
+}
+
+fn check_version(document: &ConfigDocument) -> Result<(), DocumentError> {
+    if document.format_version == FORMAT_VERSION {
+        return Ok(());
     }
-    Ok(())
+    let version = document.format_version.to_string();
+    Err(DocumentError::field("format_version", &version, FORMAT_VERSION.to_string()))
 }
 
 fn check_size(document: &ConfigDocument) -> Result<(), DocumentError> {
@@ -263,41 +330,14 @@
 }
 
 /// Checks the fleet defaults and the settings of every data centre that has an exception for contradictions.
-fn check_consistency(document: &ConfigDocument) -> Result<(), DocumentError> {
-    let fleet = fleet_policy(document);
-    let mut policies: BTreeMap<&str, Policy> = BTreeMap::new();
-    for exception in
-        document.exceptions.iter().filter(|exception| exception.scope.kind == ScopeKind::DataCentre)
-    {
-        let policy = policies.entry(&exception.scope.name).or_insert_with(|| fleet.clone());
-        policy.set(&exception.setting, &exception.value);
-    }
-    check_policy("fleet defaults", &fleet)?;
-    policies.iter().try_for_each(|(name, policy)| check_policy(&format!("data centre {name}"), policy))
-}
-
-fn check_policy(place: &str, policy: &Policy) -> Result<(), DocumentError> {
-    let fail = |message| Err(DocumentError::Inconsistent { message, place: place.to_owned() });
-    let shares = policy.urgent_share_percent
-        + policy.booking_share_percent
-        + policy.query_share_percent
-        + policy.batch_share_percent;
-    if shares > 100 {
-        return fail(format!("the shares of all classes sum to {shares} percent; allowed: at most 100"));
-    }
-    if policy.suspect_after_ms > policy.dead_after_ms {
-        return fail("suspect_after_ms is above dead_after_ms".to_owned());
-    }
-    if policy.eject_base_ms > policy.eject_limit_ms {
-        return fail("eject_base_ms is above eject_limit_ms".to_owned());
-    }
-    // A tombstone must exist until a resumed owner can no longer start the task. Leases are shared until half of their
-    // time to live is over, so a record may live for only half of it.
-    let last_start_ms = policy.key_validity_ms + policy.max_deadline_ms;
-    if policy.claim_ttl_ms < 2 * last_start_ms {
-        return fail(format!(
-            "claim_ttl_ms is below twice key_validity_ms + max_deadline_ms ({last_start_ms})"
-        ));
-    }
-    Ok(())
+fn contradictions(document: &ConfigDocument) -> Vec<Rejection> {
+    let reject = |place: Place<'_>| {
+        let reject = |Contradiction { message, settings }| {
+            let path = place.path(document, &settings)?;
+            let error = DocumentError::Inconsistent { message, place: place.to_string() };
+            Some(Rejection { error, path })
+        };
+        limits::rejected(&place.policy).into_iter().filter_map(reject).collect::<Vec<_>>()
+    };
+    places(document).into_iter().flat_map(reject).collect()
 }
