hingectl: check-config checks a document before it is sent

Operators see: `hingectl check-config FILE [--against FILE]` shows errors, entries without effect, limits that contradict each other, and the differences from the document in force. It exits with 0, 1 (warnings) or 2 (errors). Cause: what is wrong with a document was shown only after it was sent, one error at a time. Ruled out: an endpoint of the entry for the check, which would need a fleet; data centres from the entry's members, since an entry knows only those of its own data centre, so `--data-centre` names them; the memory is `--memory-mb`, since it is a process setting. Change: the command reads the files or asks the entry and prints what `hinge-conf` finds. `Exit` has two more variants that share the codes 1 and 2, so the code is now a method instead of the discriminant.

--- a/crates/celeryhinge/src/bin/hingectl.rs
+++ b/crates/celeryhinge/src/bin/hingectl.rs
@@ -6,7 +6,7 @@
 use hinge_ctl::{Exit, run};
 
 fn main() -> ExitCode {
-    ExitCode::from(run_command() as u8)
+    ExitCode::from(run_command().code())
 }
 
 fn run_command() -> Exit {
--- a/crates/conf/tests/check.rs
+++ b/crates/conf/tests/check.rs
@@ -182,3 +182,14 @@
     let fleet = Fleet { data_centres: vec!["dc1".into()], memory_bytes: Some(120 << 20) };
     assert_eq!(check(&empty_document(), &fleet), []);
 }
+
+/// Guards against an example for operators that the check objects to.
+#[test]
+fn the_document_of_the_operators_page_has_no_findings() {
+    let page = include_str!("../../../docs/operators-cli.md");
+    let example = page.split("```json\n").nth(1).and_then(|rest| rest.split("```").next()).unwrap();
+    let document = decode(example.as_bytes()).unwrap();
+    let fleet = Fleet { data_centres: vec!["dc1".into(), "dc2".into()], memory_bytes: Some(120 << 20) };
+    assert_eq!(check(&document, &fleet), []);
+    assert!(!document.exceptions.is_empty() && !document.team_quotas_per_s.is_empty());
+}
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -1,6 +1,7 @@
 //! Commands and options of the command line.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use argh::FromArgs;
 use hinge_wire::{Change, Scope, ScopeKind, SettingValue, is_valid_id};
@@ -24,6 +25,7 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 pub(crate) enum Command {
+    CheckConfig(CheckConfigArgs),
     Config(ConfigArgs),
     Drain(DrainArgs),
     Instances(InstancesArgs),
@@ -31,6 +33,24 @@
     Upstreams(UpstreamsArgs),
 }
 
+/// Checks a configuration document before it is sent and compares it with the one in force.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "check-config")]
+pub(crate) struct CheckConfigArgs {
+    /// file with the document, as JSON
+    #[argh(positional)]
+    pub(crate) file: PathBuf,
+    /// file with the document to compare with; that of the entry when absent
+    #[argh(option)]
+    pub(crate) against: Option<PathBuf>,
+    /// id of a data centre, repeated for each one; with it, exceptions for others are found
+    #[argh(option, from_str_fn(id))]
+    pub(crate) data_centre: Vec<String>,
+    /// memory of the smallest entry in MB; with it, limits beyond it are found
+    #[argh(option)]
+    pub(crate) memory_mb: Option<u64>,
+}
+
 /// Shows or changes the configuration.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "config")]
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -14,7 +14,7 @@
 use crate::args::{Command, ConfigArgs};
 use crate::call::{CallError, EntryClient, Reply};
 use crate::exit::{Exit, Failure, Repeat};
-use crate::table;
+use crate::{check, table};
 
 /// Number of attempts to make a change, all with the same operation id.
 const MAX_CHANGE_ATTEMPTS: usize = 3;
@@ -24,16 +24,17 @@
 /// does not prove that the change was not applied.
 const RECORDED_OPERATIONS: u64 = 64;
 
-/// Output of a command, as JSON and as text.
+/// Output of a command, as JSON and as text, and how it ended.
 pub(crate) struct Output {
+    pub(crate) exit: Exit,
     pub(crate) json: Vec<u8>,
     pub(crate) text: String,
 }
 
 impl Output {
-    fn new(reply: &impl Serialize, text: String) -> Result<Self, Failure> {
+    pub(crate) fn new(reply: &impl Serialize, text: String) -> Result<Self, Failure> {
         let json = to_json(reply).map_err(|error| Failure::new(Exit::Rejected, error.to_string()))?;
-        Ok(Self { json, text })
+        Ok(Self { exit: Exit::Ok, json, text })
     }
 }
 
@@ -44,9 +45,10 @@
     author: Option<String>,
 ) -> Result<Output, Failure> {
     match command {
+        Command::CheckConfig(args) => check::execute(&client, args).await,
         Command::Config(config) => match change_request(config, author)? {
             None => {
-                let reply: ConfigReply = read(&client, "/admin/v1/config").await?;
+                let reply = read_config(&client).await?;
                 Output::new(&reply, table::config(&reply))
             }
             Some(request) => change(&client, config, request).await,
@@ -96,7 +98,7 @@
     mut request: ChangeRequest,
 ) -> Result<Output, Failure> {
     if config.expect_revision.is_none() {
-        request.expect_revision = read::<ConfigReply>(client, "/admin/v1/config").await?.revision;
+        request.expect_revision = read_config(client).await?.revision;
     }
     // A given operation id belongs to an earlier attempt, which may have been applied.
     let mut may_be_applied = config.operation_id.is_some();
@@ -148,6 +150,11 @@
     decode(client, &reply).map_err(|error| Failure::from_write_error(&error))
 }
 
+/// Reads the configuration in force at the entry.
+pub(crate) async fn read_config(client: &EntryClient) -> Result<ConfigReply, Failure> {
+    read(client, "/admin/v1/config").await
+}
+
 async fn read<T: DeserializeOwned>(client: &EntryClient, path: &str) -> Result<T, Failure> {
     let reply =
         client.call(Method::GET, path, Vec::new()).await.map_err(|error| Failure::from_read_error(&error))?;
--- a/crates/ctl/src/exit.rs
+++ b/crates/ctl/src/exit.rs
@@ -5,23 +5,41 @@
 
 use crate::call::CallError;
 
-/// How a command ended. The discriminant is the exit code of `hingectl`, see `docs/operators-cli.md`.
+/// How a command ended; see `docs/operators-cli.md`.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
-#[repr(u8)]
 #[serde(rename_all = "snake_case")]
 pub enum Exit {
     /// The command succeeded.
-    Ok = 0,
+    Ok,
     /// The entry rejected the command; nothing was changed.
-    Rejected = 1,
+    Rejected,
     /// The command line is invalid; nothing was sent.
-    Usage = 2,
+    Usage,
     /// Another change of the configuration came first; nothing was changed.
-    Conflict = 3,
+    Conflict,
     /// The entry or the platform's store could not be reached; nothing was changed.
-    Unreachable = 4,
+    Unreachable,
     /// The outcome is unknown: the command may have taken effect.
-    Unsettled = 5,
+    Unsettled,
+    /// A configuration check has warnings but no errors.
+    Warnings,
+    /// A configuration check has errors.
+    Errors,
+}
+
+impl Exit {
+    /// Exit code of `hingectl`. A check uses the codes 1 and 2 too, as linters do.
+    #[must_use]
+    pub const fn code(self) -> u8 {
+        match self {
+            Self::Ok => 0,
+            Self::Rejected | Self::Warnings => 1,
+            Self::Usage | Self::Errors => 2,
+            Self::Conflict => 3,
+            Self::Unreachable => 4,
+            Self::Unsettled => 5,
+        }
+    }
 }
 
 /// A failed command; printed as its message or, with `--json`, as JSON.
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -19,6 +19,7 @@
 
 mod args;
 mod call;
+mod check;
 mod commands;
 mod exit;
 mod table;
@@ -63,7 +64,7 @@
         Ok(output) => {
             let _ =
                 if args.json { write_line(out, &output.json) } else { out.write_all(output.text.as_bytes()) };
-            Exit::Ok
+            output.exit
         }
         Err(failure) => {
             report(&failure, args.json, out, err);
--- a/crates/ctl/src/table.rs
+++ b/crates/ctl/src/table.rs
@@ -1,7 +1,10 @@
 //! Replies as tables with aligned columns.
 
+use hinge_conf::{Difference, Finding, Severity};
 use hinge_wire::{ConfigDocument, ConfigReply, MemberInfo, RevisionsReply, UpstreamsReply};
 
+use crate::check::Report;
+
 /// Number of applied changes that `config show` lists.
 const LISTED_OPERATIONS: usize = 10;
 
@@ -67,6 +70,29 @@
     format!("\n{}", table(&header, &rows))
 }
 
+pub(crate) fn report(report: &Report) -> String {
+    let findings = report.findings.iter().map(|Finding { message, path, severity }| {
+        let severity = match severity {
+            Severity::Error => "error",
+            Severity::Warning => "warning",
+        };
+        vec![severity.to_owned(), path.clone(), message.clone()]
+    });
+    let value = |value: &Option<String>| value.clone().unwrap_or_else(|| "-".to_owned());
+    let differences = report
+        .differences
+        .iter()
+        .map(|Difference { after, before, path }| vec![path.clone(), value(before), value(after)]);
+    let count = |count: usize, noun: &str| format!("{count} {noun}{}", if count == 1 { "" } else { "s" });
+    [
+        count(report.findings.len(), "finding"),
+        format!(", {}\n", count(report.differences.len(), "difference")),
+        section("SEVERITY", &["FIELD", "MESSAGE"], findings.collect()),
+        section("DIFFERENCE", &["IN FORCE", "NEW"], differences.collect()),
+    ]
+    .concat()
+}
+
 pub(crate) fn revisions(reply: &RevisionsReply) -> String {
     let row = |member: &MemberInfo| {
         let behind = reply.latest_revision.saturating_sub(member.config_revision);
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -144,6 +144,9 @@
         "config --operation-id a/b --expect-revision 1 set-quota maps 5",
         "revisions --behind x",
         "drain",
+        "check-config",
+        "check-config no-such-file",
+        "check-config no-such-file --data-centre a.b",
     ] {
         let result = run_command(args, &[("200 OK", "{}")]).await;
         assert_eq!(result.exit, Exit::Usage, "{args}: {}", result.err);
@@ -175,3 +178,53 @@
     assert_eq!(failed.out, "{\"exit\":\"rejected\",\"message\":\"INVALID_FIELD (102): m\"}\n");
     assert_eq!(run_command("drain e2", &[("200 OK", "")]).await.out, "e2 is draining\n");
 }
+
+/// The reply without the control character in a reason, for which its document would be rejected.
+fn valid_config() -> String {
+    CONFIG.replace("\\u001b[2J ", "")
+}
+
+/// Writes a document to a file of the test and returns its path.
+fn document_file(name: &str, text: &str) -> String {
+    let path = format!("{}/{name}", env!("CARGO_TARGET_TMPDIR"));
+    std::fs::write(&path, text).expect("file");
+    path
+}
+
+/// Guards against wrong exit codes of a check, and against findings about the valid document in force.
+#[tokio::test]
+async fn checks_exit_by_their_most_severe_finding() {
+    let valid = document_file("valid.json", &valid_config());
+    let doubtful = document_file(
+        "doubtful.json",
+        &valid_config().replace("\"max_attempts\":2", "\"urgent_max_wait_ms\":6000"),
+    );
+    let invalid = document_file("invalid.json", &valid_config().replace("\"maps\":70", "\"maps\":7000000"));
+    let broken = document_file("broken.json", "{");
+    let cases = [
+        (&valid, Exit::Ok, 0, "0 findings, 0 differences\n"),
+        (&doubtful, Exit::Warnings, 1, "warning   defaults.urgent_max_wait_ms"),
+        (&invalid, Exit::Errors, 2, "team_quotas_per_s.maps  70        7000000\n"),
+        (&broken, Exit::Errors, 2, "1 finding, 0 differences\n"),
+    ];
+    for (file, exit, code, text) in cases {
+        let result = run_command(&format!("check-config {file}"), &[("200 OK", &valid_config())]).await;
+        assert_eq!((result.exit, result.exit.code()), (exit, code), "{file}: {}", result.err);
+        assert!(result.out.contains(text), "{file}: {}", result.out);
+    }
+    assert_eq!(run_command(&format!("check-config {valid}"), &[]).await.exit, Exit::Unreachable);
+}
+
+/// Guards against a comparison with a file that calls an entry, and against output that programs cannot read.
+#[tokio::test]
+async fn checks_against_a_file_call_no_entry() {
+    let old = document_file("old.json", &valid_config());
+    let new = document_file("new.json", &valid_config().replace("\"max_attempts\":2", "\"max_attempts\":4"));
+    let result = run_command(&format!("--json check-config {new} --against {old}"), &[]).await;
+    let expected = r#"{"differences":[{"after":"4","before":"2","path":"defaults.max_attempts"}],"exit":"ok","findings":[]}"#;
+    assert_eq!((result.out.trim_end(), result.exit), (expected, Exit::Ok), "{}", result.err);
+    assert!(result.requests.is_empty(), "{:?}", result.requests);
+    let broken = document_file("broken-old.json", "{");
+    let result = run_command(&format!("check-config {new} --against {broken}"), &[]).await;
+    assert_eq!(result.exit, Exit::Usage, "{}", result.err);
+}
