--- a/crates/mesh/tests/scale.rs
+++ b/crates/mesh/tests/scale.rs
@@ -150,7 +150,7 @@
     assert_eq!(lost, 29);
 }
 
-/// Guards against an entry that is declared dead on hearsay alone.
+/// Guards against an entry that is declared dead only because a peer suspects it.
 #[tokio::test(start_paused = true)]
 async fn a_suspected_entry_that_answers_stays_linked() {
     let mut entries = site(identities(30), &watch::Sender::new(true)).await;
