Node: usual names for changes of state that peers are told of

News, StatusNews and suspend_evacuations did not say what they hold or do: suspend_evacuations suspends starts. The gauges of an evacuation stood in two lists that had to keep the same order.

--- a/crates/node/src/evacuation_metrics.rs
+++ b/crates/node/src/evacuation_metrics.rs
@@ -34,29 +34,27 @@
 
     /// Replaces all gauges.
     pub(crate) fn set(&self, reports: &[EvacuationReport]) {
-        let gauges = [
+        for gauge in [
             &self.agreeing_peers,
             &self.cold_upstreams,
             &self.evacuated_seconds,
             &self.other_peers,
             &self.revision,
             &self.running,
-        ];
-        for gauge in gauges {
+        ] {
             gauge.reset();
         }
         for report in reports {
             // An evacuation that has just begun differs from one that has ended.
             let evacuated_seconds = report.evacuated_for.map_or(0, |time| time.as_secs().max(1));
-            let values = [
-                to_u64(report.agreeing_peers),
-                to_u64(report.cold_upstreams),
-                evacuated_seconds,
-                to_u64(report.other_peers),
-                report.revision,
-                to_u64(report.running),
-            ];
-            for (gauge, value) in gauges.into_iter().zip(values) {
+            for (gauge, value) in [
+                (&self.agreeing_peers, to_u64(report.agreeing_peers)),
+                (&self.cold_upstreams, to_u64(report.cold_upstreams)),
+                (&self.evacuated_seconds, evacuated_seconds),
+                (&self.other_peers, to_u64(report.other_peers)),
+                (&self.revision, report.revision),
+                (&self.running, to_u64(report.running)),
+            ] {
                 let gauge = gauge.with_label_values(&[&*report.data_centre]);
                 gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
             }
--- a/crates/node/src/evacuation_news.rs
+++ b/crates/node/src/evacuation_updates.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use crate::journal::LogLine;
-use crate::outbox::News;
+use crate::outbox::Changes;
 use crate::{Engine, Output};
 
 /// State of a data centre that is or was evacuated, as this entry sees it.
@@ -52,16 +52,16 @@
         self.adopt_evacuations(now, &changed, Some(id));
         if self.evacuations.contradicts(&states) {
             // The peer has missed a change that this entry learnt of together with the one before, and did not send on.
-            let news = News { evacuations: self.evacuations.states(), lost_runs: Vec::new() };
+            let changes = Changes { evacuations: self.evacuations.states(), lost_runs: Vec::new() };
             let loads = self.loads.clone();
-            self.send_status(id, &loads, news);
+            self.send_status(id, &loads, changes);
         }
         let Some(peer) = self.peers.get_mut(id) else { return };
         let was_evacuated = |data_centre: &DataCentreId| {
             peer.evacuations.iter().any(|known| known.data_centre == *data_centre && known.evacuated)
         };
-        let news = states.iter().filter(|state| state.evacuated != was_evacuated(&state.data_centre));
-        let adopted = news.map(|state| LogLine::EvacuationAdopted {
+        let new = states.iter().filter(|state| state.evacuated != was_evacuated(&state.data_centre));
+        let adopted = new.map(|state| LogLine::EvacuationAdopted {
             instance: peer.instance.clone(),
             state: state.clone(),
         });
@@ -97,8 +97,8 @@
     }
 
     /// Starts no task for a short time after a suspension unless the state is received again.
-    pub(crate) fn suspend_evacuations(&mut self, now: Instant) {
-        self.evacuations.suspended(now);
+    pub(crate) fn mark_evacuations_outdated(&mut self, now: Instant) {
+        self.evacuations.mark_outdated(now);
         self.close_data_centres(now);
     }
 
--- a/crates/node/src/evacuations.rs
+++ b/crates/node/src/evacuations.rs
@@ -37,7 +37,7 @@
     Disabled,
     /// Nothing was received since the start of the process.
     Unknown,
-    /// The process was suspended; the known states hold again from this time on, or with the next news.
+    /// The process was suspended; the known states hold again from this time on, or when the store or a peer sends them.
     Outdated(Instant),
     Known,
 }
@@ -163,7 +163,7 @@
     }
 
     /// Records that the process was suspended, so that the state may have changed unnoticed.
-    pub(crate) fn suspended(&mut self, now: Instant) {
+    pub(crate) fn mark_outdated(&mut self, now: Instant) {
         if self.knowledge == Knowledge::Known {
             self.knowledge = Knowledge::Outdated(now + RECHECK_TIME);
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,14 +7,14 @@
 //! - [`Node`] drives an engine and executes its outputs through an [`UpstreamPort`] and a
 //!   [`Mesh`](hinge_mesh::Mesh).
 //!
-//! Upstreams are divided evenly among the live entries of their data centre. An entry takes over an upstream only when
-//! no live peer claims it, and only while it holds a number that makes its fencing tokens unique. If two entries disagree,
-//! the upstream obeys the one with the higher token.
+//! Upstreams are divided among the live entries of their data centre by their shares of a processor, and evenly while a
+//! share is not known. An entry takes over an upstream only when no live peer claims it, and only while it holds a number
+//! that makes its fencing tokens unique. If two entries disagree, the upstream obeys the one with the higher token.
 
 mod engine;
 mod entry_weights;
 mod evacuation_metrics;
-mod evacuation_news;
+mod evacuation_updates;
 mod evacuations;
 mod event;
 mod journal;
@@ -28,7 +28,7 @@
 mod tokens;
 
 pub use engine::Engine;
-pub use evacuation_news::EvacuationReport;
+pub use evacuation_updates::EvacuationReport;
 pub use event::{ClaimedHolder, Input, Output, SubmissionId};
 pub use journal::LogLine;
 pub use metrics::NodeMetrics;
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use crate::journal::LogLine;
-use crate::outbox::News;
+use crate::outbox::Changes;
 use crate::{Engine, Output};
 
 /// Time that the store gets to deliver a configuration that a peer already has, before the peer is asked for it.
@@ -55,7 +55,7 @@
         let loads = self.loads.clone();
         let lost_runs: Vec<_> = self.jobs.own_lost_runs(now).cloned().collect();
         let evacuations = self.evacuations.states();
-        self.send_status(peer, &loads, News { evacuations, lost_runs });
+        self.send_status(peer, &loads, Changes { evacuations, lost_runs });
     }
 
     /// Discards what was sent over a lost link: assignments in either direction become void, as they do at the peer.
@@ -84,7 +84,7 @@
         }
         self.outputs.push(Output::ResetLinks);
         self.jobs.suspended(now);
-        self.suspend_evacuations(now);
+        self.mark_evacuations_outdated(now);
         // Together, so that no queued task starts before all upstreams are given up.
         let events = linked.into_iter().map(Event::HomeLost).chain([Event::Suspended]);
         self.runner.handle_all(now, events);
--- a/crates/node/src/outbox.rs
+++ b/crates/node/src/outbox.rs
@@ -38,9 +38,9 @@
     }
 }
 
-/// Parts of a status that are sent only when there is something new.
+/// Parts of a status that are sent only when they have changed.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct News {
+pub(crate) struct Changes {
     pub(crate) evacuations: Option<Vec<Evacuation>>,
     pub(crate) lost_runs: Vec<LostRun>,
 }
@@ -78,13 +78,13 @@
     }
 }
 
-/// What a status has to say other than loads.
+/// Peers that must be told of a change of this entry's state other than its loads.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum StatusNews {
-    /// Every linked peer must know.
-    ForAll,
-    /// The recipients of loads must know.
-    ForRecipients,
+enum StateRecipients {
+    /// Every linked peer.
+    All,
+    /// The recipients of loads.
+    OfLoads,
     None,
 }
 
@@ -124,7 +124,7 @@
     }
 
     pub(crate) fn send_messages(&mut self, now: Instant) {
-        self.send_news();
+        self.send_changes();
         let outboxes = std::mem::take(&mut self.outboxes);
         let mut recipients = Vec::new();
         for (peer, outbox) in outboxes {
@@ -143,34 +143,34 @@
             recipients.push(peer);
         }
         let loads = self.loads.clone();
-        let news = self.status_news();
+        let recipients_of_state = self.state_recipients();
         let due_near = self.local_status.due(now, &loads);
         let due_far = self.remote_status.due(now, &loads);
-        match news {
-            StatusNews::ForAll => recipients.extend(self.peers.linked().map(|(peer, _)| peer)),
-            StatusNews::ForRecipients => recipients.extend(self.linked_recipients(true, true)),
-            StatusNews::None => recipients.extend(self.linked_recipients(due_near, due_far)),
+        match recipients_of_state {
+            StateRecipients::All => recipients.extend(self.peers.linked().map(|(peer, _)| peer)),
+            StateRecipients::OfLoads => recipients.extend(self.linked_recipients(true, true)),
+            StateRecipients::None => recipients.extend(self.linked_recipients(due_near, due_far)),
         }
         recipients.extend(self.busy_peers(now));
         recipients.sort_unstable();
         recipients.dedup();
         for peer in recipients {
-            self.send_status(peer, &loads, News::default());
+            self.send_status(peer, &loads, Changes::default());
         }
     }
 
     /// Who must be told of what has changed in the state of this entry since the last call, other than loads. In a large data
     /// centre a new version of the configuration is not told to all: the store delivers it, and an entry that the store leaves
     /// behind hears of it from those that send it their loads.
-    fn status_news(&mut self) -> StatusNews {
+    fn state_recipients(&mut self) -> StateRecipients {
         let state = (self.config_version(), self.local.draining);
         let before = std::mem::replace(&mut self.status_sent, state);
         if before == state {
-            return StatusNews::None;
+            return StateRecipients::None;
         }
         let near = self.peers.linked().filter(|(_, peer)| peer.data_centre == self.local.data_centre);
         let is_large = near.count() > FULL_MESH_PEERS;
-        if is_large && before.1 == state.1 { StatusNews::ForRecipients } else { StatusNews::ForAll }
+        if is_large && before.1 == state.1 { StateRecipients::OfLoads } else { StateRecipients::All }
     }
 
     /// Linked recipients of loads in this entry's data centre, in others, or both.
@@ -187,17 +187,17 @@
 
     /// Tells all linked peers of the runs that were lost since the last call, and of changed evacuations. Must precede the
     /// reports about them.
-    fn send_news(&mut self) {
+    fn send_changes(&mut self) {
         let changed = std::mem::take(&mut self.evacuations_changed);
         if self.lost_runs.is_empty() && !changed {
             return;
         }
         let evacuations = if changed { self.evacuations.states() } else { None };
-        let news = News { evacuations, lost_runs: std::mem::take(&mut self.lost_runs) };
+        let changes = Changes { evacuations, lost_runs: std::mem::take(&mut self.lost_runs) };
         let loads = self.loads.clone();
         let linked: Vec<_> = self.peers.linked().map(|(peer, _)| peer).collect();
         for peer in linked {
-            self.send_status(peer, &loads, news.clone());
+            self.send_status(peer, &loads, changes.clone());
         }
     }
 
@@ -233,20 +233,20 @@
         let loads = self.loads.clone();
         let changed: Vec<_> = before.symmetric_difference(&self.load_recipients).copied().collect();
         for peer in changed {
-            self.send_status(peer, &loads, News::default());
+            self.send_status(peer, &loads, Changes::default());
         }
     }
 
     /// Sends the status of this entry to a peer. Peers that are not recipients of loads see no free slots, so they
     /// assign no tasks to this entry.
-    pub(crate) fn send_status(&mut self, peer: HomeId, loads: &[ServiceLoad], news: News) {
+    pub(crate) fn send_status(&mut self, peer: HomeId, loads: &[ServiceLoad], changes: Changes) {
         self.local_status.note_unscheduled(loads);
         self.remote_status.note_unscheduled(loads);
         let last_assignment = self.peers.get_mut(peer).map_or(0, |peer| peer.last_assignment);
         let loads = if self.load_recipients.contains(&peer) { loads.to_vec() } else { without_slots(loads) };
         let config_version = self.config_version();
         let draining = self.local.draining;
-        let News { evacuations, lost_runs } = news;
+        let Changes { evacuations, lost_runs } = changes;
         let status = Status { config_version, draining, last_assignment, loads, lost_runs, evacuations };
         self.send(peer, Message::Status(status));
     }
--- a/crates/node/src/recipients.rs
+++ b/crates/node/src/recipients.rs
@@ -14,8 +14,8 @@
 /// Maximum number of recipients in other data centres. Fewer than local ones: tasks go there only when this entry's
 /// data centre is full.
 const REMOTE_PEERS: usize = 8;
-
-/// Maximum number of recipients in evacuated data centres. Bounds the messages of a small data centre that is left over.
+/// Maximum number of recipients in evacuated data centres. Bounds the messages of each entry when few entries are outside
+/// of them.
 const MAX_EVACUATED_PEERS: usize = 40;
 
 /// A linked peer that may be chosen as a recipient.
--- a/crates/node/tests/evacuation.rs
+++ b/crates/node/tests/evacuation.rs
@@ -374,7 +374,7 @@
 }
 
 /// Guards against a start after a suspension during which the data centre was evacuated, and against a process that waits for
-/// news for good.
+/// the state for good.
 #[test]
 fn a_suspended_process_waits_for_the_state() {
     let mut entry = Entry::informed(&[], 10);
