--- a/crates/node/tests/tokens.rs
+++ b/crates/node/tests/tokens.rs
@@ -126,7 +126,7 @@
 
 /// What happens to one process.
 #[derive(Clone, Debug)]
-enum Course {
+enum Step {
     /// All holds in flight are answered.
     Answered(HoldReply),
     /// No call in flight is answered.
@@ -141,18 +141,18 @@
     Submitted,
 }
 
-fn course() -> impl Strategy<Value = Course> {
+fn step() -> impl Strategy<Value = Step> {
     let listed = HoldReply::Listed(Listing { clock_ms: 1_000, ..Listing::default() });
     let days = (-20..20_i64).prop_map(|days| days * DAY_MS.cast_signed());
     let ahead_ms = prop_oneof![3 => -1..=1_i64, 3 => -3_600_000..3_600_000_i64, 2 => days];
     prop_oneof![
-        3 => Just(Course::Answered(listed)),
-        2 => Just(Course::Answered(HoldReply::Rejected(Rejection::Fenced))),
-        3 => Just(Course::Lost),
-        3 => any::<Index>().prop_map(Course::OwnerDies),
-        1 => Just(Course::Renewed),
-        2 => ahead_ms.prop_map(|ahead_ms| Course::Restarted { ahead_ms }),
-        1 => Just(Course::Submitted),
+        3 => Just(Step::Answered(listed)),
+        2 => Just(Step::Answered(HoldReply::Rejected(Rejection::Fenced))),
+        3 => Just(Step::Lost),
+        3 => any::<Index>().prop_map(Step::OwnerDies),
+        1 => Just(Step::Renewed),
+        2 => ahead_ms.prop_map(|ahead_ms| Step::Restarted { ahead_ms }),
+        1 => Just(Step::Submitted),
     ]
 }
 
@@ -226,17 +226,17 @@
         process
     }
 
-    fn apply(&mut self, index: usize, course: Course) {
+    fn apply(&mut self, index: usize, step: Step) {
         let now = self.now;
         let process = &mut self.processes[index];
         let engine = &mut process.engine;
-        match course {
-            Course::Answered(reply) => {
+        match step {
+            Step::Answered(reply) => {
                 for hold in std::mem::take(&mut process.holds) {
                     engine.handle(now, Input::HoldEnded { hold, reply: reply.clone() });
                 }
             }
-            Course::Lost => {
+            Step::Lost => {
                 for start in std::mem::take(&mut process.starts) {
                     engine.handle(now, Input::StartEnded { reply: StartReply::Lost, start });
                 }
@@ -244,14 +244,14 @@
                     engine.handle(now, Input::HoldEnded { hold, reply: HoldReply::Lost });
                 }
             }
-            Course::OwnerDies(token) => {
+            Step::OwnerDies(token) => {
                 let recent: Vec<_> = self.order.iter().rev().take(3).collect();
                 if !recent.is_empty() {
                     link_owner(engine, now, **token.get(&recent));
                     owner_dies(engine, now);
                 }
             }
-            Course::Renewed => {
+            Step::Renewed => {
                 let today = process.today(now);
                 let record = process.number.and_then(|number| self.records.get_mut(&number));
                 if let Some((day, id)) = record
@@ -262,8 +262,8 @@
                     process.claim(now);
                 }
             }
-            Course::Restarted { ahead_ms } => self.processes[index] = self.start(ahead_ms),
-            Course::Submitted => {
+            Step::Restarted { ahead_ms } => self.processes[index] = self.start(ahead_ms),
+            Step::Submitted => {
                 let (request, submission) = (Box::new(request(SINCE_CLAIM, 1)), self.next_id);
                 self.next_id += 1;
                 engine.handle(now, Input::Submit { request, submission });
@@ -307,11 +307,11 @@
     /// within a millisecond, steps of the clock, and numbers that were used before.
     #[test]
     fn no_token_is_issued_by_two_processes(
-        events in vec((any::<Index>(), course(), time_ms()), 1..150),
+        events in vec((any::<Index>(), step(), time_ms()), 1..150),
     ) {
         let mut world = World::new();
-        for (process, course, time_ms) in events {
-            world.apply(process.index(world.processes.len()), course);
+        for (process, step, time_ms) in events {
+            world.apply(process.index(world.processes.len()), step);
             world.collect_tokens()?;
             world.now += Duration::from_millis(time_ms);
             world.collect_tokens()?;
