--- a/crates/budget/src/body.rs
+++ b/crates/budget/src/body.rs
@@ -47,7 +47,7 @@
     loop {
         let piece = tokio::select! {
             biased;
-            () = connection.shed() => return Err(BodyError::Shed),
+            () = connection.body_shed() => return Err(BodyError::Shed),
             piece = pieces.next() => piece?,
         };
         match piece {
--- a/crates/budget/src/budget.rs
+++ b/crates/budget/src/budget.rs
@@ -260,8 +260,7 @@
         let now = Instant::now();
         let mut registry = self.budget.registry();
         let own = registry.connections.iter().filter(|(_, state)| state.listener == self.id);
-        let ranked =
-            own.filter_map(|(number, state)| Some((state.dispensability(now, self.min_idle)?, *number)));
+        let ranked = own.filter_map(|(number, state)| Some((state.close_rank(now, self.min_idle)?, *number)));
         let Some((_, number)) = ranked.max() else { return false };
         let closed = registry.remove(number);
         drop(registry);
--- a/crates/budget/src/connection.rs
+++ b/crates/budget/src/connection.rs
@@ -29,9 +29,9 @@
     unfinished: Mutex<Option<Blocks>>,
 }
 
-/// How willingly a connection is closed for a new one; the largest value first.
+/// Rank of a connection among those that may be closed for a new one; the highest is closed first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub(crate) struct Dispensability {
+pub(crate) struct CloseRank {
     /// It has never sent a complete request.
     is_new: bool,
     /// Time since the last complete request, or since it was opened.
@@ -58,16 +58,16 @@
     }
 
     /// None if the connection must stay open: its request is being answered, or was `min_idle` ago or less.
-    pub(crate) fn dispensability(&self, now: Instant, min_idle: Duration) -> Option<Dispensability> {
+    pub(crate) fn close_rank(&self, now: Instant, min_idle: Duration) -> Option<CloseRank> {
         if self.answering.load(Ordering::Acquire) {
             return None;
         }
         let open = now.duration_since(self.opened_at);
         match self.completed_ms.load(Ordering::Acquire) {
-            NEVER => Some(Dispensability { is_new: true, unused: open }),
+            NEVER => Some(CloseRank { is_new: true, unused: open }),
             completed_ms => {
                 let unused = open.saturating_sub(Duration::from_millis(completed_ms));
-                (unused > min_idle).then_some(Dispensability { is_new: false, unused })
+                (unused > min_idle).then_some(CloseRank { is_new: false, unused })
             }
         }
     }
@@ -123,7 +123,7 @@
     }
 
     /// Waits until the connection is to be closed, to make room for another one.
-    pub async fn closed(&self) {
+    pub async fn close_requested(&self) {
         self.state.close.notified().await;
     }
 
@@ -136,7 +136,7 @@
     }
 
     /// Waits until the unfinished body was shed.
-    pub(crate) async fn shed(&self) {
+    pub(crate) async fn body_shed(&self) {
         self.state.shed.notified().await;
     }
 
--- a/crates/budget/tests/shedding.rs
+++ b/crates/budget/tests/shedding.rs
@@ -192,7 +192,8 @@
     advance(Duration::from_millis(1)).await;
     let newer = listener.admit(BUFFER_BYTES).unwrap();
     advance(Duration::from_millis(1)).await;
-    let is_closed = async |connection: &Connection| timeout(MIN_IDLE, connection.closed()).await.is_ok();
+    let is_closed =
+        async |connection: &Connection| timeout(MIN_IDLE, connection.close_requested()).await.is_ok();
 
     let third = listener.admit(BUFFER_BYTES).unwrap();
     assert!(is_closed(&older).await && !is_closed(&newer).await && !is_closed(&idle).await);
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -154,7 +154,7 @@
         self.tasks.spawn(async move {
             let served = tokio::select! {
                 served = connection => served,
-                () = admitted.closed() => return,
+                () = admitted.close_requested() => return,
             };
             if let Err(error) = served {
                 handler.metrics().count("connections_failed", 1);
@@ -188,7 +188,7 @@
         Err(Refusal::Shed) => return shed(handler, parts.uri.path()),
     };
     let _answering = connection.answering();
-    // What is decoded from the body occupies as much, about, until the response.
+    // Until the response, what is decoded from the body occupies about as much memory as the body.
     let Some(_held) = budget.hold(body.len()) else { return shed(handler, parts.uri.path()) };
     handler.handle(BufferedRequest { body, parts }).await
 }
--- a/crates/mesh/src/connection.rs
+++ b/crates/mesh/src/connection.rs
@@ -67,7 +67,7 @@
     let Some(identifying) = identifying else { return opening.await.ok()?.ok() };
     tokio::select! {
         opened = opening => opened.ok()?.ok(),
-        () = identifying.closed() => None,
+        () = identifying.close_requested() => None,
     }
 }
 
--- a/crates/mesh/src/unidentified.rs
+++ b/crates/mesh/src/unidentified.rs
@@ -42,7 +42,7 @@
 
 impl Identifying {
     /// Waits until the connection is to be closed, to make room for another one.
-    pub(crate) async fn closed(&self) {
+    pub(crate) async fn close_requested(&self) {
         self.close.notified().await;
     }
 }
