--- a/crates/mesh/src/link.rs
+++ b/crates/mesh/src/link.rs
@@ -218,27 +218,33 @@
             if Instant::now() >= session.liveness().alive_until() {
                 return Err(LinkError::NotAlive);
             }
-            let rest;
-            let is_heartbeat = batch.is_empty();
-            let frames = if is_heartbeat {
-                let pending = session.take_pending();
-                let timestamps = self.next_timestamps(session, pending.check);
-                rest = timestamps.rest();
-                let mut frames = self.heartbeat_frames(session, outgoing, timestamps)?;
-                if !pending.suspects.is_empty() {
-                    frames.push(to_msgpack(&Message::Suspect(pending.suspects))?.into());
-                }
-                frames
+            heartbeat_at = if batch.is_empty() {
+                let rest = self.write_heartbeat(session, outgoing).await?;
+                session.align_heartbeat(Instant::now() + rest.heartbeat_interval())
             } else {
-                rest = Rest::Awake;
-                self.message_frames(session, outgoing, &batch).await?
+                let frames = self.message_frames(session, outgoing, &batch).await?;
+                self.write_frames(frames).await?;
+                Instant::now() + HEARTBEAT_INTERVAL
             };
-            self.write_frames(frames).await?;
-            let due_at = Instant::now() + rest.heartbeat_interval();
-            heartbeat_at = if is_heartbeat { session.align_heartbeat(due_at) } else { due_at };
         }
     }
 
+    /// Writes a heartbeat with the pending suspicions, and returns how the link rests from now on.
+    async fn write_heartbeat(
+        &mut self,
+        session: &Session,
+        outgoing: &mut Outgoing,
+    ) -> Result<Rest, LinkError> {
+        let pending = session.take_pending();
+        let timestamps = self.next_timestamps(session, pending.check);
+        let mut frames = self.heartbeat_frames(session, outgoing, timestamps)?;
+        if !pending.suspects.is_empty() {
+            frames.push(to_msgpack(&Message::Suspect(pending.suspects))?.into());
+        }
+        self.write_frames(frames).await?;
+        Ok(timestamps.rest())
+    }
+
     /// The time stamps of a heartbeat. With `check` they ask for an answer if the link rests, and limit the time for it.
     fn next_timestamps(&self, session: &Session, check: bool) -> Timestamps {
         let now = Instant::now();
