--- a/crates/conf/src/check.rs
+++ b/crates/conf/src/check.rs
@@ -4,7 +4,7 @@
 use serde::Serialize;
 
 use crate::document::{empty_document, rejections};
-use crate::limits::{Contradiction, beyond_memory, doubtful, places};
+use crate::limits::{Contradiction, accepted, beyond_memory, places};
 use crate::unused;
 
 /// How serious a finding is.
@@ -67,15 +67,15 @@
         rejections.map(|rejection| Finding::error(rejection.path, rejection.error.to_string())).collect();
     findings.extend(unused::quotas(document));
     findings.extend(unused::exceptions(document, fleet));
-    findings.extend(doubtful_limits(document, fleet));
+    findings.extend(limit_warnings(document, fleet));
     findings
 }
 
-fn doubtful_limits(document: &ConfigDocument, fleet: &Fleet) -> Vec<Finding> {
+fn limit_warnings(document: &ConfigDocument, fleet: &Fleet) -> Vec<Finding> {
     let mut findings = Vec::new();
     for place in places(document) {
         let memory = fleet.memory_bytes.and_then(|bytes| beyond_memory(&place.policy, bytes));
-        for Contradiction { message, settings } in doubtful(&place.policy).into_iter().chain(memory) {
+        for Contradiction { message, settings } in accepted(&place.policy).into_iter().chain(memory) {
             let path = place.path(document, &settings);
             findings.extend(path.map(|path| Finding::warning(path, format!("{place}: {message}"))));
         }
--- a/crates/conf/src/limits.rs
+++ b/crates/conf/src/limits.rs
@@ -98,22 +98,22 @@
 }
 
 /// Contradictions that are accepted, although one of the limits then has no effect or does harm.
-pub(crate) fn doubtful(policy: &Policy) -> Vec<Contradiction> {
-    let orders = class_orders(policy).into_iter().chain(common_orders(policy));
-    orders.filter_map(Order::contradiction).collect()
+pub(crate) fn accepted(policy: &Policy) -> Vec<Contradiction> {
+    let limits = class_limits(policy).into_iter().chain(common_limits(policy));
+    limits.filter_map(OrderedLimits::contradiction).collect()
 }
 
 /// Name and value of a setting.
 type Limit = (&'static str, u64);
 
 /// Two limits of which the first must not be above the second, and what happens if it is.
-struct Order {
+struct OrderedLimits {
     effect: &'static str,
     lower: Limit,
     upper: Limit,
 }
 
-impl Order {
+impl OrderedLimits {
     fn contradiction(self) -> Option<Contradiction> {
         let Self { effect, lower, upper } = self;
         (lower.1 > upper.1).then(|| Contradiction {
@@ -129,7 +129,7 @@
     };
 }
 
-fn class_orders(policy: &Policy) -> Vec<Order> {
+fn class_limits(policy: &Policy) -> Vec<OrderedLimits> {
     let longest = limit!(policy, max_deadline_ms);
     let classes = [
         (
@@ -153,47 +153,51 @@
             limit!(policy, batch_deadline_ms),
         ),
     ];
-    let orders = |(target, max_wait, deadline): (Limit, Limit, Limit)| {
+    let limits = |(target, max_wait, deadline): (Limit, Limit, Limit)| {
         [
-            Order { effect: "early refusal by the target never starts", lower: target, upper: max_wait },
-            Order {
+            OrderedLimits {
+                effect: "early refusal by the target never starts",
+                lower: target,
+                upper: max_wait,
+            },
+            OrderedLimits {
                 effect: "submissions are admitted that cannot start in time",
                 lower: max_wait,
                 upper: deadline,
             },
-            Order {
+            OrderedLimits {
                 effect: "the default is longer than a caller may request",
                 lower: deadline,
                 upper: longest,
             },
         ]
     };
-    classes.into_iter().flat_map(orders).collect()
+    classes.into_iter().flat_map(limits).collect()
 }
 
-fn common_orders(policy: &Policy) -> [Order; 5] {
+fn common_limits(policy: &Policy) -> [OrderedLimits; 5] {
     [
-        Order {
+        OrderedLimits {
             effect: "no answer of the largest size can be kept",
             lower: limit!(policy, max_answer_bytes),
             upper: limit!(policy, answer_memory_bytes),
         },
-        Order {
+        OrderedLimits {
             effect: "no submission with the most tasks can be queued",
             lower: limit!(policy, max_job_tasks),
             upper: limit!(policy, max_queued_tasks),
         },
-        Order {
+        OrderedLimits {
             effect: "members become suspect between two heartbeats",
             lower: limit!(policy, heartbeat_interval_ms),
             upper: limit!(policy, suspect_after_ms),
         },
-        Order {
+        OrderedLimits {
             effect: "urgent submissions expire before a busy upstream is tried again",
             lower: limit!(policy, busy_backoff_ms),
             upper: limit!(policy, urgent_deadline_ms),
         },
-        Order {
+        OrderedLimits {
             effect: "tasks may run beyond every deadline",
             lower: limit!(policy, task_timeout_ms),
             upper: limit!(policy, max_deadline_ms),
@@ -203,10 +207,10 @@
 
 /// Contradiction between the settings and the memory of an entry.
 pub(crate) fn beyond_memory(policy: &Policy, memory_bytes: u64) -> Option<Contradiction> {
-    let order = Order {
+    let limits = OrderedLimits {
         effect: "an entry runs out of memory before its results are evicted",
         lower: limit!(policy, answer_memory_bytes),
         upper: ("the memory of an entry", memory_bytes),
     };
-    order.contradiction()
+    limits.contradiction()
 }
--- a/crates/runs/src/fence.rs
+++ b/crates/runs/src/fence.rs
@@ -95,7 +95,7 @@
 
     /// Whether both tokens have the same holder.
     #[must_use]
-    pub const fn has_holder_of(self, other: Self) -> bool {
+    pub const fn has_same_holder(self, other: Self) -> bool {
         self.holder == other.holder
     }
 }
--- a/crates/runs/src/listing.rs
+++ b/crates/runs/src/listing.rs
@@ -72,7 +72,7 @@
             if hold.fence < upstream.fence {
                 return;
             }
-            upstream.taken_with = hold.fence;
+            upstream.takeover_fence = hold.fence;
             upstream.ownership = Ownership::Owned;
             upstream.failed_takeovers = 0;
             self.notice_ownership(id, "owned");
@@ -190,7 +190,8 @@
     /// token, which a probe tells the upstream, fences an owner that does not know of this one.
     fn check_second_holder(&mut self, now: Instant, hold: &Hold, unknown: &[RunId]) {
         let id = &hold.upstream;
-        let Some(upstream) = self.upstreams.get_mut(id).filter(|upstream| hold.fence >= upstream.taken_with)
+        let Some(upstream) =
+            self.upstreams.get_mut(id).filter(|upstream| hold.fence >= upstream.takeover_fence)
         else {
             return;
         };
--- a/crates/runs/src/orders.rs
+++ b/crates/runs/src/orders.rs
@@ -42,7 +42,7 @@
         }
         let Some(upstream) = self.upstreams.get_mut(id) else { return };
         upstream.fence_limit = limit;
-        let changes_holder = !upstream.fence.has_holder_of(fence);
+        let changes_holder = !upstream.fence.has_same_holder(fence);
         match upstream.ownership {
             _ if changes_holder || upstream.ownership == Ownership::None => {
                 upstream.fence = fence.raised_above(upstream.fence, 0);
--- a/crates/runs/src/upstream.rs
+++ b/crates/runs/src/upstream.rs
@@ -107,7 +107,7 @@
     pub(crate) failed_takeovers: u32,
     pub(crate) fence: Fence,
     /// Token under which the last takeover was completed.
-    pub(crate) taken_with: Fence,
+    pub(crate) takeover_fence: Fence,
     /// Upper bound of `fence`, as far as it is used in orders.
     pub(crate) fence_limit: Fence,
     /// Processes before the present one, oldest first.
@@ -159,7 +159,7 @@
             failed_takeovers: 0,
             fence: Fence::default(),
             fence_limit: Fence::default(),
-            taken_with: Fence::default(),
+            takeover_fence: Fence::default(),
             former: VecDeque::new(),
             has_answered: false,
             foreign_runs: FastSet::default(),
--- a/crates/runs/tests/fences.rs
+++ b/crates/runs/tests/fences.rs
@@ -132,7 +132,7 @@
             _ => None,
         })
         .collect();
-    assert!(stops.iter().all(|fence| fence.has_holder_of(token(11))), "{stops:?}");
+    assert!(stops.iter().all(|fence| fence.has_same_holder(token(11))), "{stops:?}");
     assert!(!stops.is_empty());
 }
 
@@ -157,5 +157,5 @@
     assert_eq!(owner.outcomes(1), []);
     assert_eq!(owner.upstream.running.len(), 1);
     owner.assign(2, "job.1");
-    assert!(first_start(&owner.actions()).fence.has_holder_of(token(11)));
+    assert!(first_start(&owner.actions()).fence.has_same_holder(token(11)));
 }
--- a/crates/store/src/number_claim.rs
+++ b/crates/store/src/number_claim.rs
@@ -11,7 +11,7 @@
 use crate::Backoff;
 use crate::conditional::{ConditionalPut, ConditionalWrites};
 use crate::keyspace::{KeyspaceError, Revision};
-use crate::number_record::{NumberRecord, Standing, UnixDay, lapse_day};
+use crate::number_record::{ClaimStatus, NumberRecord, UnixDay, lapse_day};
 
 /// Upper bounds of the first delay and of every delay after a failed call of a claim. They are those of registrations, so that a
 /// claim adds little to the time that an entry needs after an outage of the store.
@@ -159,13 +159,13 @@
             ConditionalPut::Conflict(None) => return Ok(Attempt::Outdated(0)),
         };
         let Some(record) = NumberRecord::decode(&present.value) else { return Ok(Attempt::Taken) };
-        Ok(match record.standing(self.incarnation, today) {
+        Ok(match record.status_for(self.incarnation, today) {
             // An earlier call whose answer was lost has been executed.
-            Standing::Own => {
+            ClaimStatus::Own => {
                 Attempt::Held(Held { number, renewed_on: record.day, revision: present.revision })
             }
-            Standing::Free => Attempt::Outdated(present.revision),
-            Standing::Taken => Attempt::Taken,
+            ClaimStatus::Free => Attempt::Outdated(present.revision),
+            ClaimStatus::Taken => Attempt::Taken,
         })
     }
 
--- a/crates/store/src/number_record.rs
+++ b/crates/store/src/number_record.rs
@@ -24,7 +24,7 @@
 
 /// What a record means for the process that has found it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Standing {
+pub(crate) enum ClaimStatus {
     /// The process holds the number by this record.
     Own,
     /// The number may be claimed by replacing the record.
@@ -43,14 +43,14 @@
     }
 
     /// What the record means for the process `incarnation` on the day `today` of its clock.
-    pub(crate) const fn standing(self, incarnation: u64, today: UnixDay) -> Standing {
+    pub(crate) const fn status_for(self, incarnation: u64, today: UnixDay) -> ClaimStatus {
         let is_own = self.incarnation == incarnation;
         if is_own && self.day <= today && today < lapse_day(self.day) {
-            Standing::Own
+            ClaimStatus::Own
         } else if today > self.day.saturating_add(RESERVED_DAYS) || is_own && self.day <= today {
-            Standing::Free
+            ClaimStatus::Free
         } else {
-            Standing::Taken
+            ClaimStatus::Taken
         }
     }
 }
--- a/crates/store/src/registration.rs
+++ b/crates/store/src/registration.rs
@@ -15,6 +15,7 @@
 const MAX_DELAY: Duration = Duration::from_secs(1);
 /// Renewals per time to live of the lease.
 const RENEWALS_PER_TTL: u32 = 4;
+
 /// Change of a registration's state.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum RegistrationEvent {
