Node: the status of an entry has a module of its own

outbox.rs held two jobs: batches of tasks and reports, and when which peer is sent the loads and state of the entry.

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -14,9 +14,10 @@
 use crate::evacuations::Evacuations;
 use crate::event::{Input, Output, SubmissionId};
 use crate::journal::LogLine;
-use crate::outbox::{LOCAL_STATUS_INTERVAL, Outbox, REMOTE_STATUS_INTERVAL, StatusTimer};
+use crate::outbox::Outbox;
 use crate::ownership::{LocalEntry, OwnershipState, desired_upstreams};
 use crate::peers::Peers;
+use crate::status::{LOCAL_STATUS_INTERVAL, REMOTE_STATUS_INTERVAL, StatusTimer};
 use crate::tokens::{TokenBounds, Tokens};
 
 /// Time between two comparisons of the upstreams that are owned with those that should be.
--- a/crates/node/src/evacuation_updates.rs
+++ b/crates/node/src/evacuation_updates.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use crate::journal::LogLine;
-use crate::outbox::Changes;
+use crate::status::Changes;
 use crate::{Engine, Output};
 
 /// State of a data centre that is or was evacuated, as this entry sees it.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -25,6 +25,7 @@
 mod ownership;
 mod peers;
 mod recipients;
+mod status;
 mod tokens;
 
 pub use engine::Engine;
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use crate::journal::LogLine;
-use crate::outbox::Changes;
+use crate::status::Changes;
 use crate::{Engine, Output};
 
 /// Time that the store gets to deliver a configuration that a peer already has, before the peer is asked for it.
