Runs: kinds of tasks that slow each other down are learned and placed apart

Operators see INTERFERENCE_CHANGED (1656) when a pair of queues begins or ceases to count, and the metrics celeryhinge_interfering_pairs and celeryhinge_tasks_separated_total. Nothing is learned until the runner is told to.

An owner compares the run times of each kind beside each other kind and without it. A pair that counts adds to the cost of a placement, which only orders the upstreams with room. Assignments carry the queue of their job as an optional field.

--- a/crates/jobs/src/placing.rs
+++ b/crates/jobs/src/placing.rs
@@ -139,6 +139,7 @@
             start_within_ms: whole_ms(attempt.start_within).max(1),
             task,
             waits: placement.stage == Stage::Waiting,
+            kind: Some(request.queue.name.clone()),
         };
         self.assignments.insert(id, placement);
         self.actions.push(Action::Assign { assignment, owner: placement.owner });
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -6,7 +6,8 @@
 use hinge_jobs::{JobNumber, JobTable};
 use hinge_mesh::{Hello, OwnedUpstream, ServiceLoad};
 use hinge_runs::{
-    AssignmentId, ClosedDataCentres, Event, HomeId, LostRun, Outcome, Runner, TaskReport, UpstreamRecord,
+    AssignmentId, ClosedDataCentres, Event, HomeId, InterferenceStats, LostRun, Outcome, Runner, TaskReport,
+    UpstreamRecord,
 };
 use hinge_wire::{FastMap, FastSet, ServiceId, UpstreamId};
 use tokio::time::Instant;
@@ -152,6 +153,9 @@
             Input::Mesh(event) => self.handle_mesh_event(now, event),
             Input::UnresponsivePeers(peers) => self.jobs.set_unresponsive_owners(peers),
             Input::ObeyEvacuations => self.obey_evacuations(now),
+            Input::SeparateInterferingTasks(enabled) => {
+                self.runner.handle(now, Event::SeparateInterferingTasks(enabled));
+            }
             Input::StartEnded { reply, start } => {
                 self.runner.handle(now, Event::StartEnded { reply, start });
             }
@@ -217,6 +221,12 @@
         self.jobs.in_progress() + self.runner.in_progress()
     }
 
+    /// What this entry has learned of tasks that slow each other down, for the metrics.
+    #[must_use]
+    pub const fn interference_stats(&self) -> InterferenceStats {
+        self.runner.interference_stats()
+    }
+
     /// Number of jobs in `queue` of which no task is known to have run.
     #[must_use]
     pub fn pending(&self, queue: &str) -> usize {
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -50,6 +50,8 @@
         /// Revision up to which the changes of keys are included.
         revision: u64,
     },
+    /// Whether kinds of tasks that slow each other down are placed apart where there is room, by the configuration.
+    SeparateInterferingTasks(bool),
     /// The services whose upstreams reject a task that exceeds their capacity, by the configuration.
     GuardingServices(FastSet<ServiceId>),
     /// A call of [`UpstreamPort::hold`](crate::UpstreamPort::hold) has returned.
--- a/crates/node/src/journal.rs
+++ b/crates/node/src/journal.rs
@@ -158,6 +158,10 @@
                 "upstream": upstream,
             }),
         ),
+        RunNotice::Interference { beside, counts, kind, slowdown } => (
+            LogEvent::InterferenceChanged,
+            json!({ "beside": beside, "counts": counts, "kind": kind, "slowdown": slowdown }),
+        ),
         RunNotice::Owner { fence, state, upstream } => {
             (LogEvent::UpstreamOwner, json!({ "fence": fence, "state": state, "upstream": upstream }))
         }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -2,10 +2,10 @@
 
 use hinge_jobs::{Answer, Notice as JobNotice};
 use hinge_mesh::MeshStats;
-use hinge_runs::Notice as RunNotice;
+use hinge_runs::{InterferenceStats, Notice as RunNotice};
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
-    TextEncoder, exponential_buckets,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder, exponential_buckets,
 };
 
 use crate::EvacuationReport;
@@ -24,6 +24,7 @@
     evacuations: EvacuationMetrics,
     events: IntCounterVec,
     in_progress: IntGauge,
+    interfering_pairs: IntGauge,
     job_seconds: HistogramVec,
     jobs: IntCounterVec,
     links: IntGaugeVec,
@@ -33,6 +34,7 @@
     rejected_starts: IntCounterVec,
     registry: Registry,
     run_seconds: HistogramVec,
+    separated: IntCounter,
 }
 
 impl NodeMetrics {
@@ -66,6 +68,10 @@
             evacuations: EvacuationMetrics::new(&registry)?,
             events: counter("events_total", "Changes of what the entry believes, by kind.", &["event"])?,
             in_progress: gauge("in_progress", "Jobs and tasks in progress.")?,
+            interfering_pairs: gauge(
+                "interfering_pairs",
+                "Pairs of kinds of which one slows the other down.",
+            )?,
             job_seconds: times("job_seconds", "Time from receipt to answer.", &["queue"])?,
             jobs: counter("jobs_total", "Answered jobs by queue and outcome.", &["queue", "outcome"])?,
             links,
@@ -75,6 +81,12 @@
                 .get_metric_with_label_values::<&str>(&[])?,
             rejected_starts: counter("starts_rejected_total", "Start orders without a run.", &["reason"])?,
             run_seconds: times("run_seconds", "Time from a start order to the end of its run.", &["how"])?,
+            separated: counter(
+                "tasks_separated_total",
+                "Tasks placed elsewhere because of such a pair.",
+                &[],
+            )?
+            .get_metric_with_label_values::<&str>(&[])?,
             registry,
         })
     }
@@ -98,6 +110,11 @@
         self.evacuations.set(reports);
     }
 
+    pub(crate) fn set_interference(&self, stats: InterferenceStats) {
+        self.interfering_pairs.set(i64::try_from(stats.pairs).unwrap_or(i64::MAX));
+        self.separated.inc_by(stats.separated.saturating_sub(self.separated.get()));
+    }
+
     pub(crate) fn set_mesh(&self, stats: MeshStats) {
         let awake = stats.links - stats.resting_links;
         for (state, links) in [("awake", awake), ("resting", stats.resting_links)] {
@@ -158,6 +175,7 @@
             RunNotice::Ended { how, run_time, .. } => {
                 self.run_seconds.with_label_values(&[how]).observe(run_time.as_secs_f64());
             }
+            RunNotice::Interference { .. } => {}
             RunNotice::Owner { state, .. } => {
                 self.events.with_label_values(&[&format!("upstream_{state}")]).inc();
             }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -338,6 +338,7 @@
             }
         }
         self.metrics.set_state(self.engine.in_progress(), self.engine.owned().count());
+        self.metrics.set_interference(self.engine.interference_stats());
     }
 
     fn hold(&self, hold: Hold) {
--- a/crates/node/tests/evacuation.rs
+++ b/crates/node/tests/evacuation.rs
@@ -320,6 +320,7 @@
         start_within_ms: 2_000,
         task: "other.0.0.0".into(),
         waits: true,
+        kind: None,
     };
     let second = hinge_runs::Assignment { id: 2, task: "other.0.0.1".into(), ..assignment.clone() };
     entry.receive(PEER, Message::Assign(vec![assignment, second]));
--- a/crates/node/tests/malformed.rs
+++ b/crates/node/tests/malformed.rs
@@ -69,6 +69,7 @@
                 start_within_ms,
                 task: task.into(),
                 waits,
+                kind: late.then(|| "queue".into()),
             }
         })
 }
--- a/crates/node/tests/suspensions.rs
+++ b/crates/node/tests/suspensions.rs
@@ -102,6 +102,7 @@
             start_within_ms: 10_000,
             task: format!("peer.0.0.{id}").into(),
             waits: true,
+            kind: None,
         };
         self.receive(Message::Assign(vec![assignment]));
     }
--- a/crates/runs/src/event.rs
+++ b/crates/runs/src/event.rs
@@ -53,6 +53,9 @@
         /// Ignored if the upstream is not registered.
         upstream: UpstreamId,
     },
+    /// Whether kinds of tasks that slow each other down are learned and placed apart where there is room; they are not before
+    /// this event.
+    SeparateInterferingTasks(bool),
     /// Another entry is to own the upstream. It gets no new tasks and is released once its runs have ended.
     Release(UpstreamId),
     /// A home asks for a task to be returned, unless it has started.
@@ -289,6 +292,17 @@
         /// Run that would have been started next.
         run: RunId,
     },
+    /// A kind of tasks begins or ceases to count as slowed down by another one on the same upstream.
+    Interference {
+        /// Kind that slows the other one down.
+        beside: Arc<str>,
+        /// Whether the pair begins to count.
+        counts: bool,
+        /// Kind that is slowed down.
+        kind: Arc<str>,
+        /// Ratio of run times with and without the other kind; 1 if the pair ceases to count.
+        slowdown: f64,
+    },
     /// Ownership of an upstream has changed.
     Owner {
         /// Fencing token of this entry at the upstream.
--- a/crates/runs/src/lib.rs
+++ b/crates/runs/src/lib.rs
@@ -58,6 +58,7 @@
 //!     start_within_ms: 100,
 //!     task: "job.0.0.0".into(),
 //!     waits: true,
+//!     kind: None,
 //! };
 //! runner.handle(now, Event::Assigned { assignment, home: 7, sent_after: now });
 //! assert!(runner.drain_actions().any(|action| matches!(action, Action::Start(_))));
@@ -69,6 +70,7 @@
 mod event;
 mod fence;
 mod health;
+mod interference;
 mod listing;
 mod load;
 mod orders;
@@ -86,6 +88,7 @@
     StartReply, StopOrder,
 };
 pub use fence::{Fence, Holder};
+pub use interference::InterferenceStats;
 pub use runner::Runner;
 pub use types::{
     Assignment, AssignmentId, HomeId, Incarnation, LIVENESS_TIMEOUT, Load, LostRun, MAX_TIME, Outcome,
--- a/crates/runs/src/listing.rs
+++ b/crates/runs/src/listing.rs
@@ -111,6 +111,7 @@
         };
         match end.how {
             EndKind::Done => {
+                self.interference.observe(run.neighbours, &run.assignment, actual, &mut upstream.pace);
                 if upstream.health.record_success(now, expected, actual) {
                     self.actions.push(Action::Notice(Notice::Available { upstream: id.clone() }));
                 }
--- a/crates/runs/src/placement.rs
+++ b/crates/runs/src/placement.rs
@@ -3,6 +3,7 @@
 use hinge_wire::UpstreamId;
 use tokio::time::Instant;
 
+use crate::interference::{Interference, Kind, KindSet};
 use crate::queue::Queued;
 use crate::runner::to_f64;
 use crate::upstream::Upstream;
@@ -26,6 +27,8 @@
     /// Whether a task that is tried again runs here.
     has_retry: bool,
     id: &'a UpstreamId,
+    /// Kinds of the tasks that run here; empty while none is known to slow another one down.
+    kinds: KindSet,
     /// Whether any task runs here.
     occupied: bool,
     speed: f64,
@@ -64,11 +67,19 @@
     assignment.avoid.is_some()
 }
 
+/// Index of the lowest cost; the first one of several.
+fn cheapest(costs: impl Iterator<Item = (usize, f64)>) -> Option<usize> {
+    costs.min_by(|(_, a), (_, b)| a.total_cmp(b)).map(|(index, _)| index)
+}
+
 /// One pass over the queue.
 #[derive(Debug)]
 struct Pass<'a> {
     candidates: Vec<Candidate<'a>>,
+    interference: &'a Interference,
     now: Instant,
+    /// Number of tasks for which interference has changed the choice.
+    separated: u64,
 }
 
 impl<'a> Pass<'a> {
@@ -80,6 +91,7 @@
                 shown_free: runner.shown_free(now, upstream),
                 has_retry: upstream.runs.values().any(|run| is_retry(&run.assignment)),
                 id,
+                kinds: if runner.interference.has_pairs() { upstream.kinds() } else { KindSet::default() },
                 occupied: !upstream.runs.is_empty(),
                 speed: upstream.health.speed(now),
                 starts_left: upstream.health.starts_left(now, upstream.runs.len()),
@@ -88,28 +100,45 @@
             .collect();
         // Makes ties between upstreams deterministic; the iteration order of the hash map is not.
         candidates.sort_unstable_by_key(|candidate| candidate.id);
-        Self { candidates, now }
+        Self { candidates, interference: &runner.interference, now, separated: 0 }
     }
 
     /// Chooses the upstream on which the task starts now and reserves its resources; none if no upstream has room.
     fn reserve(&mut self, task: &Queued) -> Option<UpstreamId> {
+        let assignment = &task.assignment;
+        let kind = self.interference.paired_kind(assignment);
+        let index = self.choose(task, kind)?;
+        let best = &mut self.candidates[index];
+        best.free -= assignment.need;
+        best.shown_free -= assignment.need;
+        best.has_retry |= is_retry(assignment);
+        best.kinds.insert(kind);
+        best.occupied = true;
+        best.starts_left -= 1;
+        Some(best.id.clone())
+    }
+
+    /// Index of the best candidate for the task. Interference with other kinds only changes the order of those with room.
+    fn choose(&mut self, task: &Queued, kind: Option<Kind>) -> Option<usize> {
         let (now, assignment) = (self.now, &task.assignment);
         let serves = |candidate: &Candidate<'_>| candidate.upstream.record.service == assignment.service;
         let is_only_candidate = self.candidates.iter().filter(|candidate| serves(candidate)).count() == 1;
-        let usable = self.candidates.iter_mut().filter(|candidate| {
+        let usable = self.candidates.iter().enumerate().filter(|(_, candidate)| {
             serves(candidate)
                 && candidate.starts_left > 0
                 && (is_only_candidate || assignment.avoid.as_ref() != Some(candidate.id))
                 && candidate.has_room(assignment)
                 && candidate.can_end_in_time(now, task)
         });
-        let best = usable.min_by(|a, b| a.cost(assignment).total_cmp(&b.cost(assignment)))?;
-        best.free -= assignment.need;
-        best.shown_free -= assignment.need;
-        best.has_retry |= is_retry(assignment);
-        best.occupied = true;
-        best.starts_left -= 1;
-        Some(best.id.clone())
+        let costs = usable.map(|(index, candidate)| (index, candidate.cost(assignment)));
+        if kind.is_none() {
+            return cheapest(costs);
+        }
+        let costs: Vec<_> = costs.collect();
+        let added = |index: usize| self.interference.cost(kind, self.candidates[index].kinds);
+        let apart = cheapest(costs.iter().map(|(index, cost)| (*index, cost + added(*index))));
+        self.separated += u64::from(apart != cheapest(costs.into_iter()));
+        apart
     }
 }
 
@@ -126,6 +155,7 @@
                 placements.push(((task.home, task.assignment.id), id));
             }
         }
+        self.interference.stats.separated += pass.separated;
         for ((home, assignment), id) in placements {
             if let Some(task) = self.queue.remove(home, assignment) {
                 self.start(now, &id, task);
--- a/crates/runs/src/runner.rs
+++ b/crates/runs/src/runner.rs
@@ -4,6 +4,7 @@
 use tokio::time::Instant;
 
 use crate::ends::{EndProof, RecentEnd, RecentEnds};
+use crate::interference::{Interference, InterferenceStats};
 use crate::queue::{Queue, Queued};
 use crate::upstream::{Ownership, Run, STOP_TIME, Upstream};
 use crate::{
@@ -28,6 +29,7 @@
     /// Upstreams without ownership, runs and calls in flight. Events iterate over `upstreams` only, so that their cost
     /// does not depend on the number of inactive upstreams.
     pub(crate) inactive: FastMap<UpstreamId, Upstream>,
+    pub(crate) interference: Interference,
     /// Runs that were lost with their upstream, whether or not their homes still expect reports.
     lost_runs: Vec<LostRun>,
     /// Whether an event since the last call of [`Self::take_load_changed`] may have changed the load.
@@ -50,6 +52,7 @@
             closed: ClosedDataCentres::default(),
             guarding_services: FastSet::default(),
             inactive: FastMap::default(),
+            interference: Interference::default(),
             lost_runs: Vec::new(),
             load_changed: true,
             mean_run_ms: INITIAL_RUN_MS,
@@ -100,6 +103,7 @@
                 self.return_queued(home, assignment);
             }
             Event::Release(upstream) => self.release(&upstream),
+            Event::SeparateInterferingTasks(enabled) => self.interference.set_enabled(enabled),
             Event::StartEnded { reply, start } => self.start_ended(now, &start, &reply),
             Event::Suspended => self.suspended(now),
             Event::Tick => self.tick(now),
@@ -123,6 +127,12 @@
         std::mem::take(&mut self.load_changed)
     }
 
+    /// Pairs of kinds of tasks that slow each other down, and tasks that were placed apart.
+    #[must_use]
+    pub const fn interference_stats(&self) -> InterferenceStats {
+        self.interference.stats
+    }
+
     /// Upstreams that this entry owns or is taking over, with their fencing tokens.
     pub fn owned(&self) -> impl Iterator<Item = (&UpstreamId, Fence)> {
         let owned = self.upstreams.iter().filter(|(_, upstream)| upstream.ownership != Ownership::None);
@@ -236,6 +246,7 @@
             upstream.probe_overdue(now);
             upstream.refresh_clock(now);
         }
+        self.actions.extend(self.interference.review(now).into_iter().map(Action::Notice));
     }
 
     /// Returns the queued tasks whose time limit has passed. It precedes each placement, because the process may have stood
@@ -404,6 +415,8 @@
             upstream: id.clone(),
         }));
         upstream.extend_lease(now);
+        let kind = self.interference.kind(&task.assignment);
+        let neighbours = upstream.meet_neighbours(now, kind);
         upstream.add_run(
             run_id,
             Run {
@@ -413,6 +426,7 @@
                 end_by: None,
                 fence: upstream.fence,
                 home: task.home,
+                neighbours,
                 ordered_at: now,
                 overdue: false,
                 stalled: false,
--- a/crates/runs/src/types.rs
+++ b/crates/runs/src/types.rs
@@ -142,6 +142,9 @@
     pub task: TaskName,
     /// Whether the owner queues the task when no upstream has room for it; otherwise it returns the task at once.
     pub waits: bool,
+    /// Kind of the task, the queue of its job, by which owners learn which tasks slow each other down. None from older entries.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub kind: Option<Arc<str>>,
 }
 
 /// State of an assignment in a [`TaskReport`].
--- a/crates/runs/src/upstream.rs
+++ b/crates/runs/src/upstream.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 
 use crate::health::Health;
+use crate::interference::{Kind, KindSet, Neighbours, Pace};
 use crate::warmup::Coldness;
 use crate::{Assignment, Fence, HomeId, Incarnation, Resources, RunId, UpstreamRecord, bounded_ms, whole_ms};
 
@@ -77,6 +78,7 @@
     /// Fencing token of the start order.
     pub(crate) fence: Fence,
     pub(crate) home: HomeId,
+    pub(crate) neighbours: Neighbours,
     pub(crate) ordered_at: Instant,
     /// Whether the run took longer than expected, so that a probe was requested.
     pub(crate) overdue: bool,
@@ -133,6 +135,7 @@
     /// When the next probe is due; none if none is needed.
     pub(crate) probe_after: Option<Instant>,
     pub(crate) ownership: Ownership,
+    pub(crate) pace: Pace,
     /// Whether a probe is in flight.
     pub(crate) probing: bool,
     /// The present process; none until a record or an answer names it.
@@ -172,6 +175,7 @@
             hold_after: now,
             probe_after: None,
             ownership: Ownership::None,
+            pace: Pace::default(),
             probing: false,
             process: record.incarnation,
             record,
@@ -302,6 +306,26 @@
         self.runs_expire_at = self.runs_expire_at.max(now + LEASE_LIMIT);
     }
 
+    /// Kinds of the tasks that run here.
+    pub(crate) fn kinds(&self) -> KindSet {
+        let mut kinds = KindSet::default();
+        for run in self.runs.values() {
+            kinds.insert(run.neighbours.kind);
+        }
+        kinds
+    }
+
+    /// Records for the runs in progress that a run of a kind starts beside them; returns what is known of the new run.
+    pub(crate) fn meet_neighbours(&mut self, now: Instant, kind: Option<Kind>) -> Neighbours {
+        if kind.is_none() {
+            return Neighbours::default();
+        }
+        for run in self.runs.values_mut() {
+            run.neighbours.joined(kind, &run.assignment, now.duration_since(run.ordered_at));
+        }
+        Neighbours::new(kind, self.kinds())
+    }
+
     pub(crate) fn add_run(&mut self, id: RunId, run: Run) {
         self.used += run.assignment.need;
         self.runs.insert(id, run);
--- a/crates/runs/tests/support/mod.rs
+++ b/crates/runs/tests/support/mod.rs
@@ -52,6 +52,7 @@
         start_within_ms: 2_000,
         task: task.into(),
         waits: true,
+        kind: None,
     }
 }
 
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -142,6 +142,8 @@
     EvacuationAdopted = 1654,
     ///The memory or the connections for clients are used up; gives the numbers of unfinished bodies and requests that were refused and of connections that were closed or refused since the start.
     RequestsShed = 1655,
+    ///Tasks of one queue begin or cease to count as slowed down by those of another queue on the same upstream; gives the ratio of run times. They are placed apart where there is room.
+    InterferenceChanged = 1656,
 }
 impl LogEvent {
     /// All values, in the order of their numbers.
@@ -215,6 +217,7 @@
         Self::EvacuationChanged,
         Self::EvacuationAdopted,
         Self::RequestsShed,
+        Self::InterferenceChanged,
     ];
     /// Number used in messages, logs and tables.
     #[must_use]
@@ -300,6 +303,7 @@
             Self::EvacuationChanged => "EVACUATION_CHANGED",
             Self::EvacuationAdopted => "EVACUATION_ADOPTED",
             Self::RequestsShed => "REQUESTS_SHED",
+            Self::InterferenceChanged => "INTERFERENCE_CHANGED",
         }
     }
 }
@@ -378,6 +382,7 @@
             Self::EvacuationChanged => "info",
             Self::EvacuationAdopted => "info",
             Self::RequestsShed => "warn",
+            Self::InterferenceChanged => "info",
         }
     }
 }
