Crowd tests: the harness is shared, and samples unread bytes

Further crowds need the same entry process, bounds and checks. They move from crowds.rs to a support module of each test crate; crowds and bounds are the same.

--- a/crates/celeryhinge/tests/crowds.rs
+++ b/crates/celeryhinge/tests/crowds.rs
@@ -7,91 +7,13 @@
 
 mod support;
 
-use std::time::Duration;
-
 use celeryhinge::wire::{Class, to_json};
-use hinge_fakes::{Crowd, CrowdRequest, Shape, Usage, status_of, status_of_page};
-use support::{Cluster, Process, payload, submission, wait_ready};
-use tokio::sync::{Mutex, MutexGuard};
-use tokio::time::sleep;
+use hinge_fakes::{Crowd, CrowdRequest, Shape, status_of_page};
+use support::crowd::{BODY_BYTES, CROWD, Test, request};
+use support::{payload, submission};
 
-/// Memory that the settings grant to the entry.
-const MEMORY_MB: usize = 48;
-/// Descriptors that the settings grant to the entry.
-const MAX_DESCRIPTORS: usize = 500;
-/// Descriptors of these that are reserved for files.
-const FILE_DESCRIPTORS: usize = 200;
-/// Number of clients in a crowd.
-const CROWD: usize = 400;
-/// Size of a body in the crowd.
-const BODY_BYTES: usize = 256 * 1_024;
 /// Size of an unterminated head; just below the limit of a head.
 const HEAD_BYTES: usize = 15_000;
-/// Pause before a request is repeated.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// Attempts until an ordinary request is accepted; only a failing test uses all of them.
-const ATTEMPTS: usize = 100;
-
-/// Held by the only test that runs.
-static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
-
-struct Test {
-    cluster: Cluster,
-    usage: Usage,
-    _running: MutexGuard<'static, ()>,
-}
-
-impl Test {
-    async fn start() -> Self {
-        let running = ONE_AT_A_TIME.lock().await;
-        let mut cluster = Cluster::start(0, 1);
-        let arguments = cluster.entry_arguments("entry-0", cluster.platform.address(), &[]);
-        let limits = [
-            ("CELERYHINGE_MEMORY_MB", MEMORY_MB.to_string()),
-            ("CELERYHINGE_MAX_DESCRIPTORS", MAX_DESCRIPTORS.to_string()),
-        ];
-        cluster.entries.push(Process::start_with_variables("hinge-entry", &arguments, &limits));
-        cluster.publish_list();
-        wait_ready(cluster.entries[0].address());
-        let usage = Usage::watch(cluster.entries[0].child.id());
-        Self { cluster, usage, _running: running }
-    }
-
-    /// Sends an ordinary request until it is accepted. The entry may be busy with the whole requests of a crowd, and then says
-    /// so; a connection that is closed without a response fails the test.
-    async fn request_is_answered(&self) {
-        let address = self.cluster.entries[0].address();
-        let body = to_json(&submission(Class::Urgent, &[payload(10, "ordinary")])).unwrap();
-        let request = request("/v1/submissions", body);
-        let mut last = 0;
-        for _ in 0..ATTEMPTS {
-            last = status_of(address, &request).await.unwrap();
-            if last == 200 {
-                return;
-            }
-            assert!(matches!(last, 429 | 503), "status {last}");
-            sleep(RETRY_PAUSE).await;
-        }
-        panic!("the request is not accepted: {last}");
-    }
-
-    /// Checks what is promised while `crowd` is connected.
-    async fn check(self, crowd: Crowd) {
-        self.usage.settled().await;
-        self.request_is_answered().await;
-        let memory_kb = self.usage.peak_memory_kb().unwrap();
-        let descriptors = self.usage.peak_descriptors().unwrap();
-        println!("peak: {memory_kb} KiB of memory, {descriptors} descriptors");
-        assert!(memory_kb <= MEMORY_MB * 1_024, "{memory_kb} KiB of memory, {descriptors} descriptors");
-        let granted = MAX_DESCRIPTORS - FILE_DESCRIPTORS;
-        assert!(descriptors <= granted, "{descriptors} descriptors, {memory_kb} KiB of memory");
-        drop(crowd);
-    }
-}
-
-fn request(path: &str, body: Vec<u8>) -> CrowdRequest {
-    CrowdRequest { body, host: "entry".to_owned(), path: path.to_owned() }
-}
 
 /// A request of the largest size in the crowd, with one task of 10 ms.
 fn large_request(path: &str) -> CrowdRequest {
--- a/crates/celeryhinge/tests/support/mod.rs
+++ b/crates/celeryhinge/tests/support/mod.rs
@@ -8,6 +8,7 @@
     reason = "test support, used in part by each test"
 )]
 
+pub(crate) mod crowd;
 pub(crate) mod requests;
 
 use std::io::{BufRead, BufReader, Read, Write};
--- a/crates/fakes/src/crowd.rs
+++ b/crates/fakes/src/crowd.rs
@@ -1,6 +1,7 @@
 //! A crowd of clients, each with one connection that stays open.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -56,6 +57,14 @@
         bytes
     }
 
+    /// The first `size` bytes of the request, whose length is announced.
+    #[must_use]
+    pub fn start(&self, size: usize) -> Vec<u8> {
+        let mut bytes = self.with_length();
+        bytes.truncate(size);
+        bytes
+    }
+
     fn chunked(&self) -> Vec<u8> {
         self.head("transfer-encoding: chunked\r\n").into_bytes()
     }
@@ -94,7 +103,7 @@
 #[derive(Debug)]
 pub struct Crowd {
     /// Held open, and not read.
-    _streams: Vec<TcpStream>,
+    streams: Vec<TcpStream>,
 }
 
 impl Crowd {
@@ -108,19 +117,55 @@
         Self::send(address, size, |client| request(client).pieces(shape)).await
     }
 
+    /// Like [`open`](Self::open), for a server that may not even accept the connections: each client gives up after `limit`.
+    pub async fn open_within(
+        limit: Duration,
+        address: SocketAddr,
+        size: usize,
+        shape: Shape,
+        request: impl Fn(usize) -> CrowdRequest,
+    ) -> Self {
+        Self::send_within(limit, address, size, |client| request(client).pieces(shape)).await
+    }
+
     /// Like [`open`](Self::open), with bytes of any protocol: the pieces of each client.
     pub async fn send(address: SocketAddr, size: usize, pieces: impl Fn(usize) -> Vec<Vec<u8>>) -> Self {
+        Self::send_within(SEND_LIMIT, address, size, pieces).await
+    }
+
+    /// Like [`send`](Self::send); each client gives up after `limit` for its connection, and after `limit` for its bytes.
+    pub async fn send_within(
+        limit: Duration,
+        address: SocketAddr,
+        size: usize,
+        pieces: impl Fn(usize) -> Vec<Vec<u8>>,
+    ) -> Self {
         let mut clients = JoinSet::new();
         for client in 0..size {
             let pieces = pieces(client);
             clients.spawn(async move {
-                let mut stream = TcpStream::connect(address).await.ok()?;
+                let mut stream = timeout(limit, TcpStream::connect(address)).await.ok()?.ok()?;
                 // Fails when the server has closed the connection, which it may.
-                let _ = timeout(SEND_LIMIT, write_pieces(&mut stream, &pieces)).await;
+                let _ = timeout(limit, write_pieces(&mut stream, &pieces)).await;
                 Some(stream)
             });
         }
-        Self { _streams: clients.join_all().await.into_iter().flatten().collect() }
+        Self { streams: clients.join_all().await.into_iter().flatten().collect() }
+    }
+
+    /// Has each client send further bytes; it gives up after `limit`.
+    pub async fn send_more(&mut self, limit: Duration, bytes: &[u8]) {
+        let bytes: Arc<[u8]> = bytes.into();
+        let mut clients = JoinSet::new();
+        for mut stream in self.streams.drain(..) {
+            let bytes = bytes.clone();
+            clients.spawn(async move {
+                // Fails when the server has closed the connection, which it may.
+                let _ = timeout(limit, stream.write_all(&bytes)).await;
+                stream
+            });
+        }
+        self.streams = clients.join_all().await;
     }
 }
 
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -6,7 +6,8 @@
 //! - [`serve`] serves any of them, or a [`Platform`] of store and list, over HTTP/1.1. The binary `hinge-fakes` does
 //!   so in a process of its own.
 //!
-//! [`Crowd`] is a crowd of clients with unfinished requests, and [`Usage`] shows what a process uses meanwhile.
+//! [`Crowd`] is a crowd of clients with unfinished requests; [`Usage`] shows what a process uses meanwhile, and
+//! [`MemoryWatch`] its memory with the bytes that it has not read yet.
 //!
 //! Faults are set by `POST /control` with [`StoreControl`], [`ListControl`] or [`UpstreamFaults`], or by
 //! [`FakeStore::control`], [`FakeList::control`] and [`FakeUpstream::set_faults`]. `GET /counts` of the store returns
@@ -33,6 +34,7 @@
 mod crowd;
 mod http;
 mod list;
+mod memory;
 mod platform;
 mod shared;
 mod store;
@@ -44,6 +46,7 @@
 pub use crate::crowd::{Crowd, CrowdRequest, Shape, status_of, status_of_page};
 pub use crate::http::{ConnectionClosed, Handler, ResponseBody, ServerHandle, serve};
 pub use list::{FakeList, ListControl};
+pub use memory::{MemoryPeak, MemoryWatch};
 pub use platform::Platform;
 pub use shared::Shared;
 pub use store::{FakeStore, FakeStoreError, MAX_VALUE_BYTES, StoreCaps, StoreControl, StoreCounts};
