Platform: unread bytes are bounded by the receive buffers, and counted

Callers saw: an entry that is suspended, or has a tenth of a core, while a crowd sends bodies is killed for its memory, and they lose their answers.

Cause: bytes that were received and not read count toward the memory of a machine, and neither the budget nor the design counted them. No socket set a receive buffer, so the kernel gave each connection 128 KB at first and let it grow; connections that wait to be accepted took as much. Ruled out: the accept queue alone, which mio bounds to 128 connections (16 MB a port).

Change: listeners of callers, pages and links set a receive buffer before they listen, which their connections inherit before they are accepted, and a backlog. Links that are dialled and connections to upstreams and the store set one before they connect. The budget counts the buffer with each connection and leaves 3 MB for those that wait; clients now get 14/16 instead of 13/16 of the memory beyond 16 MB, so that 300 connections with bodies of 256 KB still fit on the smallest machine (test of the budget, whose bytes of a connection grow from 24 to 40 KB, which is stricter).

Not shown by a test: the buffers of connections to upstreams and the store.

--- a/crates/budget/src/budget.rs
+++ b/crates/budget/src/budget.rs
@@ -11,10 +11,11 @@
 use crate::connection::ConnectionState;
 use crate::pool::Pool;
 use crate::shed_log::{Cause, ShedCounts, ShedLog};
+use crate::socket::CLIENT_RECEIVE_BYTES;
 use crate::{Connection, Grant};
 
-/// Bytes that a connection occupies besides its read buffer.
-const CONNECTION_BYTES: usize = 8 * 1_024;
+/// Bytes that a connection occupies besides its read buffer: the receive buffer of its socket, and its state.
+const CONNECTION_BYTES: usize = CLIENT_RECEIVE_BYTES + 8 * 1_024;
 
 /// Identifies a listener within its budget.
 pub(crate) type ListenerId = usize;
@@ -233,7 +234,8 @@
 }
 
 impl Listener {
-    /// Admits a new connection whose read buffer has at most `buffer_bytes`. If there are too many, another one is closed: one
+    /// Admits a new connection, of a socket from [`listen`](crate::listen) with [`CLIENT_RECEIVE_BYTES`], whose read buffer has at
+    /// most `buffer_bytes`. If there are too many, another one is closed: one
     /// that has never sent a complete request, opened first, or else the one without a complete request for longest. None if
     /// no connection can be closed; the new one is to be refused.
     #[must_use]
--- a/crates/budget/src/grant.rs
+++ b/crates/budget/src/grant.rs
@@ -1,12 +1,14 @@
 //! What a machine grants to the process, and how that is divided.
 
+use crate::socket::WAITING_BYTES;
+
 /// Bytes in a megabyte.
 const MEGABYTE: usize = 1 << 20;
 /// Memory for the program and what it holds without clients, in megabytes.
 const PROGRAM_MB: usize = 16;
 /// Part of the rest for clients of the listeners, in sixteenths. With 120 MB, 300 connections with unfinished bodies of 256 KB
 /// fit in this part.
-const CLIENTS_SIXTEENTHS: usize = 13;
+const CLIENTS_SIXTEENTHS: usize = 14;
 /// Memory for clients on a machine that has hardly more than the program needs, in megabytes.
 const MIN_CLIENTS_MB: usize = 1;
 /// Descriptors that are reserved for files.
@@ -26,11 +28,12 @@
 }
 
 impl Grant {
-    /// Largest number of bytes that are held for clients.
+    /// Largest number of bytes that are held for clients, without their connections that wait to be accepted.
     #[must_use]
     pub const fn client_bytes(&self) -> usize {
         let rest_mb = self.memory_mb.saturating_sub(PROGRAM_MB);
-        let bytes = rest_mb.saturating_mul(MEGABYTE) / 16 * CLIENTS_SIXTEENTHS;
+        let bytes =
+            (rest_mb.saturating_mul(MEGABYTE) / 16 * CLIENTS_SIXTEENTHS).saturating_sub(WAITING_BYTES);
         if bytes < MIN_CLIENTS_MB * MEGABYTE { MIN_CLIENTS_MB * MEGABYTE } else { bytes }
     }
 
--- a/crates/budget/src/lib.rs
+++ b/crates/budget/src/lib.rs
@@ -8,6 +8,8 @@
 //!   of the process is shed;
 //! - [`Budget::hold`] counts what a request occupies until it is answered.
 //!
+//! [`listen`] and [`connect`] open the sockets, and bound what they receive before the process reads it.
+//!
 //! A body that arrives in one piece takes no lock and no allocation.
 
 mod blocks;
@@ -17,9 +19,14 @@
 mod grant;
 mod pool;
 mod shed_log;
+mod socket;
 
 pub use body::{BodyError, read_body};
 pub use budget::{Budget, Held, Listener, Usage};
 pub use connection::{Answering, Connection};
 pub use grant::Grant;
 pub use shed_log::ShedCounts;
+pub use socket::{
+    CALLER_BACKLOG, CLIENT_RECEIVE_BYTES, LINK_BACKLOG, LINK_RECEIVE_BYTES, PAGE_BACKLOG,
+    STORE_RECEIVE_BYTES, UPSTREAM_RECEIVE_BYTES, connect, listen, receive_buffer_option,
+};
--- a/crates/budget/tests/shedding.rs
+++ b/crates/budget/tests/shedding.rs
@@ -16,8 +16,8 @@
 
 /// Read buffer of each connection.
 const BUFFER_BYTES: usize = 16 * 1_024;
-/// Bytes that a connection counts.
-const CONNECTION_BYTES: usize = 24 * 1_024;
+/// Bytes that a connection counts, 16 KB of them for what it has received and nobody has read.
+const CONNECTION_BYTES: usize = 40 * 1_024;
 /// Largest size of a body.
 const MAX_BODY_BYTES: usize = 256 * 1_024;
 const MIN_IDLE: Duration = Duration::from_millis(200);
--- a/crates/mesh/src/mesh.rs
+++ b/crates/mesh/src/mesh.rs
@@ -4,9 +4,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use hinge_budget::{LINK_RECEIVE_BYTES, connect};
 use hinge_runs::HomeId;
 use hinge_wire::{FastMap, FastSet, InstanceId};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::error::TrySendError;
 use tokio::task::{JoinHandle, yield_now};
@@ -394,7 +395,7 @@
 /// Keeps a link to a peer up while the peer is registered, and for [`FORGET_AFTER`] after that.
 async fn dial_peer(peer: PeerAddress, shared: Arc<Shared>, listed_at: Arc<Mutex<Instant>>) {
     while lock(&listed_at).elapsed() < FORGET_AFTER {
-        match timeout(SILENCE_LIMIT, TcpStream::connect(peer.address)).await {
+        match timeout(SILENCE_LIMIT, connect(peer.address, LINK_RECEIVE_BYTES)).await {
             Ok(Ok(stream)) => {
                 // A task of its own, because this one is aborted when the peer gets another address.
                 let shared = shared.clone();
