Node: a job is counted until the node has handled it, not until its caller leaves

Cause, by reading: the count of a job ended with the request of its caller, while the job may still wait in the node's queue of inputs (16,384 of up to 4 KB). Callers that leave at once could fill it uncounted.

Change: NodeHandle::submit_held passes what counts the job along; it is dropped when the job is answered, or found abandoned. The test needs the new function, so that it cannot be run on the code before.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use futures_util::FutureExt;
+use hinge_budget::Held;
 use hinge_jobs::{Answer, JobRequest};
 use hinge_mesh::{Hello, Mesh, MeshEvent, PeerAddress};
 use hinge_runs::{Hold, HoldReply, HomeId, StartOrder, StartReply, StopOrder};
@@ -107,12 +108,20 @@
     }
 }
 
+/// A caller that waits for the answer to its job.
+#[derive(Debug)]
+struct Caller {
+    /// What the job occupies, until it is answered or abandoned.
+    _held: Option<Held>,
+    reply: oneshot::Sender<Answer>,
+}
+
 #[derive(Debug)]
 enum Command {
     InProgress(oneshot::Sender<usize>),
     Input(Input),
     Pending { queue: Arc<str>, reply: oneshot::Sender<usize> },
-    Submit { reply: oneshot::Sender<Answer>, request: Box<JobRequest>, submission: SubmissionId },
+    Submit { caller: Caller, request: Box<JobRequest>, submission: SubmissionId },
 }
 
 /// Sends inputs and queries to a running node.
@@ -133,9 +142,20 @@
     /// Submits a job. Returns none if the queue of inputs is full; nothing of the job runs then.
     #[must_use]
     pub fn submit(&self, request: JobRequest) -> Option<Submitted> {
+        self.enqueue(request, None)
+    }
+
+    /// Like [`submit`](Self::submit). `held` counts what the job occupies, also while it is queued after its caller has left.
+    #[must_use]
+    pub fn submit_held(&self, request: JobRequest, held: Held) -> Option<Submitted> {
+        self.enqueue(request, Some(held))
+    }
+
+    fn enqueue(&self, request: JobRequest, held: Option<Held>) -> Option<Submitted> {
         let submission = self.next_submission.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
         let (reply, answer) = oneshot::channel();
-        let command = Command::Submit { reply, request: Box::new(request), submission };
+        let caller = Caller { _held: held, reply };
+        let command = Command::Submit { caller, request: Box::new(request), submission };
         self.commands.try_send(command).ok()?;
         let guard = AbandonGuard { commands: self.commands.clone(), submission: Some(submission) };
         Some(Submitted { answer, guard })
@@ -166,7 +186,7 @@
 
 /// An entry instance: an engine with its links to peers and its calls to upstreams.
 pub struct Node<P, C> {
-    answers: FastMap<SubmissionId, oneshot::Sender<Answer>>,
+    callers: FastMap<SubmissionId, Caller>,
     clock: C,
     commands: mpsc::Sender<Command>,
     config: watch::Sender<Option<(u64, Bytes)>>,
@@ -199,10 +219,9 @@
         let engine = Engine::new(Instant::now(), settings.local, settings.started_unix_ms, settings.seed);
         let handle =
             NodeHandle { commands: commands.clone(), config: config_reader, next_submission: Arc::default() };
-        let answers = FastMap::default();
         (
             Self {
-                answers,
+                callers: FastMap::default(),
                 clock,
                 commands,
                 config,
@@ -265,7 +284,7 @@
 
     /// Abandons the jobs whose callers have disconnected. Inputs that say so are lost while the queue is full.
     fn abandon_jobs(&mut self, now: Instant) {
-        let closed = self.answers.extract_if(|_, reply| reply.is_closed());
+        let closed = self.callers.extract_if(|_, caller| caller.reply.is_closed());
         for (submission, _) in closed {
             self.engine.handle(now, Input::Abandon(submission));
         }
@@ -299,9 +318,9 @@
             Command::Input(input) => self.engine.handle(now, input),
             Command::Pending { queue, reply } => drop(reply.send(self.engine.pending(&queue))),
             // The caller has left while the job was queued, and may send it again.
-            Command::Submit { reply, .. } if reply.is_closed() => {}
-            Command::Submit { reply, request, submission } => {
-                self.answers.insert(submission, reply);
+            Command::Submit { caller, .. } if caller.reply.is_closed() => {}
+            Command::Submit { caller, request, submission } => {
+                self.callers.insert(submission, caller);
                 self.engine.handle(now, Input::Submit { request, submission });
             }
         }
@@ -312,9 +331,9 @@
         for output in outputs {
             match output {
                 Output::Answer { answer, submission } => {
-                    if let Some(reply) = self.answers.remove(&submission) {
+                    if let Some(caller) = self.callers.remove(&submission) {
                         // Fails when the caller has just disconnected.
-                        let _ = reply.send(answer);
+                        let _ = caller.reply.send(answer);
                     }
                 }
                 Output::Config { body, version } => {
--- a/crates/node/tests/abandoned.rs
+++ b/crates/node/tests/abandoned.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use hinge_budget::{Budget, Grant};
 use hinge_jobs::{JobRequest, QueuePolicy};
 use hinge_node::{Input, Node, NodeHandle, NodeMetrics, NodeSettings, UpstreamPort};
 use hinge_runs::{Hold, HoldReply, Listing, Resources, StartOrder, StartReply, StopOrder};
@@ -18,6 +19,9 @@
 /// Time in which the upstream is taken over.
 const TAKEOVER: Duration = Duration::from_secs(1);
 
+/// Bytes that a job counts.
+const JOB_BYTES: usize = 10_000;
+
 /// An upstream that counts start and stop orders and lists no runs.
 #[derive(Clone, Default)]
 struct CountingPort {
@@ -106,3 +110,19 @@
     sleep(Duration::from_millis(100)).await;
     assert_eq!(port.stops.load(Ordering::SeqCst), 1);
 }
+
+/// Guards against jobs that are not counted while they are queued after their callers have left, and against a count that
+/// outlasts them.
+#[tokio::test(start_paused = true)]
+async fn a_queued_job_is_counted_until_it_was_handled() {
+    let handle = start_node(CountingPort::default()).await;
+    let budget = Budget::new(Grant { max_descriptors: 1_000, memory_mb: 1 });
+    drop(handle.submit_held(request(), budget.hold(JOB_BYTES).unwrap()));
+    assert_eq!(budget.usage().held_bytes, JOB_BYTES);
+    let waiting = handle.submit_held(request(), budget.hold(JOB_BYTES).unwrap());
+    sleep(Duration::from_millis(50)).await;
+    assert_eq!(budget.usage().held_bytes, JOB_BYTES, "only the job whose caller waits");
+    drop(waiting);
+    sleep(Duration::from_millis(50)).await;
+    assert_eq!(budget.usage().held_bytes, 0);
+}
