Daemon of the library: unread bytes are bounded by the receive buffers

The sockets of hinge-entry, for callers and for peers and operators, had no receive buffer of a fixed size either.

Change: both listeners, the connections to upstreams and peers, and those to the store set one; the budget already counts it.

--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -7,13 +7,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hinge_budget::{UPSTREAM_RECEIVE_BYTES, connect};
 use hinge_wire::FastMap;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
-use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout, timeout_at};
 
 /// Maximum number of addresses with idle connections; connections to further addresses are closed after use.
@@ -122,7 +122,7 @@
                 return Ok(sender);
             }
         }
-        let stream = timeout(self.limits.connect_timeout, TcpStream::connect(address))
+        let stream = timeout(self.limits.connect_timeout, connect(address, UPSTREAM_RECEIVE_BYTES))
             .await
             .map_err(|_| SendError::NotSent)?
             .map_err(|_| SendError::NotSent)?;
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use hinge_budget::{Budget, Grant};
+use hinge_budget::{Budget, CALLER_BACKLOG, CLIENT_RECEIVE_BYTES, Grant, PAGE_BACKLOG};
 use hinge_conf::{EntrySettings, Policy};
 use hinge_dispatch::{Dispatcher, Origin};
 use hinge_member::Members;
@@ -97,8 +97,8 @@
     ///
     /// Fails when a listen address cannot be bound or the socket for metrics cannot be set up.
     pub async fn start(mut settings: EntrySettings) -> Result<Self, StartError> {
-        let listener = bind(settings.listen).await?;
-        let peer_listener = bind(settings.peer_listen).await?;
+        let listener = bind(settings.listen, CALLER_BACKLOG)?;
+        let peer_listener = bind(settings.peer_listen, PAGE_BACKLOG)?;
         let address = listener.local_addr().unwrap_or(settings.listen);
         let peer_address = peer_listener.local_addr().unwrap_or(settings.peer_listen);
         settings.advertise = settings.advertise.or(Some(peer_address));
@@ -181,8 +181,9 @@
     while servers.join_next().await.is_some() {}
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address).await.map_err(|source| StartError::Listen { address, source })
+fn bind(address: SocketAddr, backlog: u32) -> Result<TcpListener, StartError> {
+    let listener = hinge_budget::listen(address, CLIENT_RECEIVE_BYTES, backlog);
+    listener.map_err(|source| StartError::Listen { address, source })
 }
 
 fn build_parts(settings: EntrySettings) -> Result<SharedParts, StartError> {
--- a/crates/store/src/http_store.rs
+++ b/crates/store/src/http_store.rs
@@ -13,6 +13,7 @@
 use serde::de::DeserializeOwned;
 use tokio::time::timeout;
 
+use hinge_budget::{STORE_RECEIVE_BYTES, receive_buffer_option};
 use hinge_wire::{LeaseGrant, LeaseReply, StorePut, StoreValue, from_json, to_json};
 
 use crate::store::{MAX_VALUE_BYTES, Store, StoreError};
@@ -72,6 +73,7 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(connect_timeout));
         connector.set_nodelay(true);
+        connector.set_recv_buffer_size(Some(receive_buffer_option(STORE_RECEIVE_BYTES)));
         let client = Client::builder(TokioExecutor::new())
             .http1_max_buf_size(MAX_HEADER_BYTES)
             .pool_idle_timeout(IDLE_TIMEOUT)
