Daemon of the library: threads by memory, at most one for each 64 MB

Cause: the allocator keeps what a thread has freed for the threads of one arena, so a machine with many cores and little memory holds the peak of each thread.

With the default memory of 2,048 MB and up to 32 cores nothing changes.

--- a/crates/celeryhinge/src/bin/hinge-entry.rs
+++ b/crates/celeryhinge/src/bin/hinge-entry.rs
@@ -1,6 +1,8 @@
 //! The entry daemon: reads settings, sets up logs, runs an [`Entry`] and drains it on a signal.
 
+use std::num::NonZero;
 use std::process::ExitCode;
+use std::thread::available_parallelism;
 
 use celeryhinge::conf::{EntrySettings, Flags, LogLevel};
 use celeryhinge::entry::{Entry, StartError};
@@ -9,6 +11,7 @@
 use log::LevelFilter;
 use serde::Serialize;
 use thiserror::Error;
+use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Exit status for invalid settings.
@@ -16,9 +19,14 @@
 /// Exit status if the instance cannot start, or if its planned stop lost submissions or tasks.
 const STATUS_FAILED: u8 = 1;
 
+/// Memory that a thread needs, in megabytes: the allocator keeps what the threads have freed apart from each other.
+const THREAD_MEMORY_MB: usize = 64;
+
 /// Why the daemon failed to start.
 #[derive(Debug, Error)]
 enum RunError {
+    #[error("cannot start threads: {0}")]
+    Runtime(std::io::Error),
     #[error("cannot receive signals: {0}")]
     Signal(#[from] std::io::Error),
     #[error(transparent)]
@@ -31,8 +39,7 @@
     error: String,
 }
 
-#[tokio::main]
-async fn main() -> ExitCode {
+fn main() -> ExitCode {
     let flags: Flags = argh::from_env();
     let settings = match EntrySettings::from_flags(&flags, |name| std::env::var(name).ok()) {
         Ok(settings) => settings,
@@ -45,7 +52,8 @@
         eprintln!("{error}");
         return ExitCode::from(STATUS_FAILED);
     }
-    match run(settings).await {
+    let started = runtime(settings.memory_mb).map_err(RunError::Runtime);
+    match started.and_then(|runtime| runtime.block_on(run(settings))) {
         Ok(status) => status,
         Err(error) => {
             emit(event_of(&error), &FailureDetails { error: error.to_string() });
@@ -54,6 +62,13 @@
     }
 }
 
+/// The runtime, with one thread for each core, but no more than the memory allows.
+fn runtime(memory_mb: usize) -> std::io::Result<Runtime> {
+    let cores = available_parallelism().map_or(1, NonZero::get);
+    let threads = cores.min(memory_mb / THREAD_MEMORY_MB).max(1);
+    Builder::new_multi_thread().worker_threads(threads).enable_all().build()
+}
+
 const fn level_filter(level: LogLevel) -> LevelFilter {
     match level {
         LogLevel::Error => LevelFilter::Error,
@@ -97,6 +112,8 @@
 const fn event_of(error: &RunError) -> LogEvent {
     match error {
         RunError::Start(StartError::Listen { .. }) => LogEvent::ListenFailed,
-        RunError::Signal(_) | RunError::Start(StartError::Metrics(_)) => LogEvent::SettingRejected,
+        RunError::Runtime(_) | RunError::Signal(_) | RunError::Start(StartError::Metrics(_)) => {
+            LogEvent::SettingRejected
+        }
     }
 }
