Daemon of the library: submissions are counted until they have ended

Callers saw: an entry ends for want of memory when clients submit large payloads and leave, or wait for long.

Cause: the budget counted a request until its response only. Its payloads stay with the submission until the last of its tasks has ended, was copied once more for each start, and the blocks of read bodies, which the process keeps, were not counted either. Ruled out: fragmentation by large strings (MALLOC_MMAP_THRESHOLD_=65536 changes nothing, trial); by massif the live heap was within the limit of 25 MB while 37 MB were resident, the rest is memory that was freed between submissions that live on.

Change: what counts a request goes on to count its submission until it and its last start have ended; a payload is sent to its upstream without a copy; unused blocks stay counted and are freed when their bytes are needed; the daemon gives clients 8/16 instead of 14/16 of its memory beyond 16 MB, for what the allocator does not use again. From three quarters on, submissions of more than 16 KB are refused with OVERLOADED and Retry-After before they are admitted, if their key was never used: they have not run.

--- a/crates/budget/src/budget.rs
+++ b/crates/budget/src/budget.rs
@@ -17,6 +17,9 @@
 /// Bytes that a connection occupies besides its read buffer: the receive buffer of its socket, and its state.
 const CONNECTION_BYTES: usize = CLIENT_RECEIVE_BYTES + 8 * 1_024;
 
+/// Size of requests that may use all bytes; larger ones leave a quarter.
+const SMALL_BYTES: usize = 16 * 1_024;
+
 /// Identifies a listener within its budget.
 pub(crate) type ListenerId = usize;
 
@@ -79,20 +82,20 @@
     /// Creates the budget of a process that serves its clients on one thread.
     #[must_use]
     pub fn new(grant: Grant) -> Self {
-        Self::with_pool(grant, None)
+        Self::with_pool(grant.client_bytes(), None)
     }
 
-    /// Creates the budget of a process that serves its clients on several threads. Blocks of bodies stay with the process
-    /// and are used again.
+    /// Creates the budget of a process that serves its clients on several threads, and whose submissions outlive their
+    /// requests. Blocks of bodies stay with the process, and counted, until their bytes are needed.
     #[must_use]
     pub fn for_threads(grant: Grant) -> Self {
-        Self::with_pool(grant, Some(Pool::default()))
+        Self::with_pool(grant.long_lived_client_bytes(), Some(Pool::default()))
     }
 
-    fn with_pool(grant: Grant, pool: Option<Pool>) -> Self {
+    fn with_pool(max_bytes: usize, pool: Option<Pool>) -> Self {
         let inner = Inner {
             held_bytes: AtomicUsize::new(0),
-            max_bytes: grant.client_bytes(),
+            max_bytes,
             pool,
             registry: Mutex::default(),
             shed: ShedLog::default(),
@@ -119,6 +122,19 @@
         None
     }
 
+    /// Whether a request may be kept that may wait for long. Large ones leave a part of the bytes to small ones, and to bodies
+    /// and responses.
+    #[must_use]
+    pub fn admits(&self, held: &Held) -> bool {
+        let unused_bytes = self.inner.pool.as_ref().map_or(0, Pool::bytes);
+        let used_bytes = self.held_bytes().saturating_sub(unused_bytes);
+        let is_admitted = held.bytes <= SMALL_BYTES || used_bytes <= self.inner.max_bytes / 4 * 3;
+        if !is_admitted {
+            self.record(Cause::Request);
+        }
+        is_admitted
+    }
+
     /// What is held at present.
     #[must_use]
     pub fn usage(&self) -> Usage {
@@ -151,20 +167,19 @@
     /// Takes a block for the unfinished body of `own`.
     pub(crate) fn take_block(&self, size_bytes: usize, own: &Arc<ConnectionState>) -> Option<Vec<u8>> {
         let unused = self.inner.pool.as_ref().and_then(|pool| pool.take(size_bytes));
-        if self.take(size_bytes, Some(own)) {
-            return Some(unused.unwrap_or_else(|| Vec::with_capacity(size_bytes)));
-        }
-        if let (Some(pool), Some(unused)) = (&self.inner.pool, unused) {
-            pool.put(unused);
+        if unused.is_some() {
+            return unused;
         }
-        None
+        self.take(size_bytes, Some(own)).then(|| Vec::with_capacity(size_bytes))
     }
 
     pub(crate) fn give_back_blocks(&self, blocks: impl IntoIterator<Item = Vec<u8>>) {
-        let blocks = blocks.into_iter().inspect(|block| self.give_back(block.capacity()));
-        match &self.inner.pool {
-            Some(pool) => blocks.for_each(|block| pool.put(block)),
-            None => blocks.for_each(drop),
+        for block in blocks {
+            let freed = match &self.inner.pool {
+                Some(pool) => pool.put(block),
+                None => Some(block),
+            };
+            self.give_back(freed.map_or(0, |block| block.capacity()));
         }
     }
 
@@ -176,7 +191,17 @@
         self.inner.held_bytes.fetch_sub(bytes, Ordering::Relaxed);
     }
 
+    /// Takes bytes, if necessary those of unused blocks.
     fn try_take(&self, bytes: usize) -> bool {
+        if self.try_take_unused(bytes) {
+            return true;
+        }
+        let released = self.inner.pool.as_ref().map_or(0, |pool| pool.release(bytes));
+        self.give_back(released);
+        released > 0 && self.try_take_unused(bytes)
+    }
+
+    fn try_take_unused(&self, bytes: usize) -> bool {
         let held = self.inner.held_bytes.fetch_add(bytes, Ordering::Relaxed).saturating_add(bytes);
         if held > self.inner.max_bytes {
             self.give_back(bytes);
@@ -218,6 +243,15 @@
     bytes: usize,
 }
 
+impl Held {
+    /// Counts `bytes` from now on, also if that is more than is left: what is counted exists already.
+    pub fn set_bytes(&mut self, bytes: usize) {
+        self.budget.inner.held_bytes.fetch_add(bytes, Ordering::Relaxed);
+        self.budget.give_back(self.bytes);
+        self.bytes = bytes;
+    }
+}
+
 impl Drop for Held {
     fn drop(&mut self) {
         self.budget.give_back(self.bytes);
--- a/crates/budget/src/grant.rs
+++ b/crates/budget/src/grant.rs
@@ -9,6 +9,9 @@
 /// Part of the rest for clients of the listeners, in sixteenths. With 120 MB, 300 connections with unfinished bodies of 256 KB
 /// fit in this part.
 const CLIENTS_SIXTEENTHS: usize = 14;
+/// The same part for clients whose submissions outlive their requests: the allocator does not use all that is freed at once,
+/// so that the process occupies up to half as much again.
+const LONG_LIVED_SIXTEENTHS: usize = 8;
 /// Memory for clients on a machine that has hardly more than the program needs, in megabytes.
 const MIN_CLIENTS_MB: usize = 1;
 /// Descriptors that are reserved for files.
@@ -31,9 +34,18 @@
     /// Largest number of bytes that are held for clients, without their connections that wait to be accepted.
     #[must_use]
     pub const fn client_bytes(&self) -> usize {
+        self.part_bytes(CLIENTS_SIXTEENTHS)
+    }
+
+    /// The same if submissions outlive their requests, and bodies are read by several threads.
+    #[must_use]
+    pub const fn long_lived_client_bytes(&self) -> usize {
+        self.part_bytes(LONG_LIVED_SIXTEENTHS)
+    }
+
+    const fn part_bytes(&self, sixteenths: usize) -> usize {
         let rest_mb = self.memory_mb.saturating_sub(PROGRAM_MB);
-        let bytes =
-            (rest_mb.saturating_mul(MEGABYTE) / 16 * CLIENTS_SIXTEENTHS).saturating_sub(WAITING_BYTES);
+        let bytes = (rest_mb.saturating_mul(MEGABYTE) / 16 * sixteenths).saturating_sub(WAITING_BYTES);
         if bytes < MIN_CLIENTS_MB * MEGABYTE { MIN_CLIENTS_MB * MEGABYTE } else { bytes }
     }
 
--- a/crates/conf/src/flags.rs
+++ b/crates/conf/src/flags.rs
@@ -44,7 +44,7 @@
     ///open connections accepted per listener; for a further one, the oldest without a complete request is closed, or one that has been idle for 3 s, and else it is refused.
     #[argh(option)]
     pub max_connections: Option<String>,
-    ///memory that the machine grants to this process. 14/16 of what it has beyond 16 MB, without 3 MB for connections that wait to be accepted, may be held for connections and requests; beyond that the largest and slowest incomplete request bodies are refused first. The process has a thread for each core, at most one for each 64 MB.
+    ///memory that the machine grants to this process. Half of what it has beyond 16 MB, without 3 MB for connections that wait to be accepted, may be held for connections, requests and submissions in progress; beyond that the largest and slowest incomplete request bodies are refused first, and new submissions of more than 16 KB from three quarters on. The process has a thread for each core, at most one for each 64 MB.
     #[argh(option)]
     pub memory_mb: Option<String>,
     ///file descriptors that the machine grants to this process. Without the 200 that are reserved for files, 6/16 are for callers and 3/16 for peers and operators, if that is less than `max_connections`.
--- a/crates/entry/src/actions.rs
+++ b/crates/entry/src/actions.rs
@@ -79,6 +79,7 @@
         sequence: Sequence,
         team: &TeamId,
     ) {
+        self.payloads.remove(sequence);
         self.waiters.wake(sequence);
         self.metrics.count(outcome_counter(answer), 1);
         self.metrics.record_response(class, team, Duration::from_millis(answer.total_ms));
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use hinge_budget::Held;
 use hinge_obs::Metrics;
 use hinge_wire::{CancelRequest, KeysReply, KeysRequest, LogEvent, ResultCode, Submission, from_json};
 use hyper::{Method, StatusCode};
 use serde::Serialize;
 
+use crate::payloads::submission_bytes;
 use crate::reply::{Encoding, HttpResponse, Rejection, submission_response};
 use crate::server::{BufferedRequest, Handler, rejection_response};
 use crate::shared::Shared;
@@ -31,7 +33,7 @@
         let shared = &self.0;
         let result = match (request.parts.method.clone(), request.parts.uri.path()) {
             (Method::POST, "/v1/keys") => issue_keys(shared, &request.body),
-            (Method::POST, "/v1/submissions") => submit(shared, request.body).await,
+            (Method::POST, "/v1/submissions") => submit(shared, request.body, request.held).await,
             (Method::POST, "/v1/cancellations") => cancel(shared, &request.body).await,
             (Method::GET, "/healthz") => Ok(Encoding::Json.response(StatusCode::OK, &"ok")),
             (Method::GET, "/readyz") => Ok(readiness(shared)),
@@ -90,11 +92,12 @@
     Ok(Encoding::Json.response(StatusCode::OK, &reply))
 }
 
-async fn submit(shared: &Arc<Shared>, body: Bytes) -> Result<HttpResponse, Rejection> {
+async fn submit(shared: &Arc<Shared>, body: Bytes, mut held: Held) -> Result<HttpResponse, Rejection> {
     let submission: Submission = from_json(&body)?;
     // The submission has what it needs of the body.
     drop(body);
-    let status = shared.submit(submission).await?;
+    held.set_bytes(submission_bytes(&submission));
+    let status = shared.submit(submission, held).await?;
     Ok(submission_response(&status))
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -36,6 +36,7 @@
 mod lock;
 mod loops;
 mod operators;
+mod payloads;
 mod peer_server;
 mod peers;
 mod platform_list;
--- a/crates/entry/src/peer_server.rs
+++ b/crates/entry/src/peer_server.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hinge_budget::Held;
 use hinge_dispatch::Event;
 use hinge_obs::Metrics;
 use hinge_wire::{
@@ -16,6 +17,7 @@
 
 use crate::lock::lock;
 use crate::operators;
+use crate::payloads::submission_bytes;
 use crate::peers::VERSION_HEADER;
 use crate::reply::{Encoding, HttpResponse, Rejection};
 use crate::server::{BufferedRequest, Handler, rejection_response};
@@ -62,7 +64,7 @@
     let body = &request.body;
     match request.parts.uri.path() {
         "/peer/v1/heartbeat" => heartbeat(shared, body),
-        "/peer/v1/forward" => forward(shared, request.body).await,
+        "/peer/v1/forward" => forward(shared, request.body, request.held).await,
         "/peer/v1/lookup" => lookup(shared, body).await,
         "/peer/v1/cancel" => cancel(shared, body),
         "/peer/v1/loan" => loan(shared, body),
@@ -105,16 +107,17 @@
     ok(&reply)
 }
 
-async fn forward(shared: &Arc<Shared>, body: Bytes) -> Result<HttpResponse, Rejection> {
+async fn forward(shared: &Arc<Shared>, body: Bytes, mut held: Held) -> Result<HttpResponse, Rejection> {
     let request: ForwardRequest = from_msgpack(&body)?;
     // The submission has what it needs of the body.
     drop(body);
+    held.set_bytes(submission_bytes(&request.submission));
     check_incarnation(shared, request.target_incarnation)?;
     let key = parse_key(request.submission.key.as_deref().unwrap_or_default())?;
     check_incarnation(shared, key.incarnation)?;
     check_fields(&request.submission)?;
     let wait = shared.bounded_wait(Some(request.wait_ms));
-    ok(&shared.submit_local(&key, request.submission, wait).await?)
+    ok(&shared.submit_local(&key, request.submission, held, wait).await?)
 }
 
 async fn lookup(shared: &Arc<Shared>, body: &[u8]) -> Result<HttpResponse, Rejection> {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -50,6 +50,17 @@
     timeout: Duration,
 ) -> Result<R, PeerError> {
     let body = to_msgpack(message).map_err(Rejection::from)?;
+    call_encoded(shared, address, path, body, timeout).await
+}
+
+/// Like [`call`], with an encoded message.
+pub(crate) async fn call_encoded<R: DeserializeOwned>(
+    shared: &Shared,
+    address: SocketAddr,
+    path: &str,
+    body: Vec<u8>,
+    timeout: Duration,
+) -> Result<R, PeerError> {
     shared.metrics.count("peer_messages_sent", 1);
     shared.metrics.count("peer_bytes_sent", body.len() as u64);
     let request = Request::builder()
--- a/crates/entry/src/reply.rs
+++ b/crates/entry/src/reply.rs
@@ -3,13 +3,16 @@
 use bytes::Bytes;
 use hinge_wire::{CodecError, ErrorReply, ResultCode, SubmissionStatus, to_json, to_msgpack};
 use http_body_util::Full;
-use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
+use rand::Rng;
 use serde::Serialize;
 use thiserror::Error;
 
 /// Maximum length of a rejection's message, because error messages of decoders can contain the input.
 const MAX_MESSAGE_CHARS: usize = 200;
+/// Range of `Retry-After` if the entry is overloaded, so that callers do not all come back at once.
+const OVERLOADED_RETRY_S: std::ops::RangeInclusive<u64> = 1..=3;
 
 pub(crate) type HttpResponse = Response<Full<Bytes>>;
 
@@ -82,7 +85,12 @@
     }
 
     pub(crate) fn rejection(self, rejection: &Rejection) -> HttpResponse {
-        self.response(status_of(rejection.code), &rejection.to_reply())
+        let mut response = self.response(status_of(rejection.code), &rejection.to_reply());
+        if rejection.code == ResultCode::Overloaded {
+            let retry_after_s = rand::rng().random_range(OVERLOADED_RETRY_S);
+            response.headers_mut().insert(RETRY_AFTER, retry_after_s.into());
+        }
+        response
     }
 }
 
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -8,17 +8,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hinge_budget::{BodyError, Budget, Connection, Listener, read_body};
+use hinge_budget::{BodyError, Budget, Connection, Held, Listener, read_body};
 use hinge_obs::Metrics;
 use hinge_wire::{LogEvent, ResultCode};
 use hyper::Request;
 use hyper::body::{Body, Incoming};
-use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
-use rand::Rng;
 use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
@@ -33,8 +32,6 @@
 
 /// Time since the last response on a connection before it may be closed for a new one.
 const MIN_IDLE: Duration = Duration::from_secs(3);
-/// Range of `Retry-After` if the memory for requests is used up, so that callers do not all come back at once.
-const SHED_RETRY_S: std::ops::RangeInclusive<u64> = 1..=3;
 /// Maximum number of connections over the limit that are being rejected with a response at the same time.
 const MAX_CONCURRENT_REJECTIONS: usize = 64;
 /// Time in which such a connection must send its request and receive the response.
@@ -52,6 +49,8 @@
 /// A request whose body has been read completely.
 pub(crate) struct BufferedRequest {
     pub(crate) body: Bytes,
+    /// Counts the body, or what was decoded from it.
+    pub(crate) held: Held,
     pub(crate) parts: http::request::Parts,
 }
 
@@ -188,17 +187,14 @@
         Err(Refusal::Shed) => return shed(handler, parts.uri.path()),
     };
     let _answering = connection.answering();
-    // Until the response, what is decoded from the body occupies about as much memory as the body.
-    let Some(_held) = budget.hold(body.len()) else { return shed(handler, parts.uri.path()) };
-    handler.handle(BufferedRequest { body, parts }).await
+    let Some(held) = budget.hold(body.len()) else { return shed(handler, parts.uri.path()) };
+    handler.handle(BufferedRequest { body, held, parts }).await
 }
 
 /// The response to a request for which there is no memory. It closes the connection, on which the rest of a body may follow.
 fn shed<H: Handler>(handler: &H, path: &str) -> HttpResponse {
     let rejection = Rejection::new(ResultCode::Overloaded, BodyError::Shed.to_string());
     let mut response = handler.reject(path, &rejection);
-    let retry_after_s = rand::rng().random_range(SHED_RETRY_S);
-    response.headers_mut().insert(RETRY_AFTER, retry_after_s.into());
     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     response
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
-use hinge_budget::Budget;
+use hinge_budget::{Budget, Held};
 use hinge_conf::EntrySettings;
 use hinge_dispatch::{Action, Dispatcher, Event, Start};
 use hinge_member::Members;
@@ -18,6 +18,7 @@
 use crate::connections::Connections;
 use crate::lifecycle::{Lifecycle, LifecycleEvent};
 use crate::lock::lock;
+use crate::payloads::Payloads;
 use crate::quota_log::QuotaLog;
 use crate::waiters::Waiters;
 
@@ -39,6 +40,7 @@
     pub(crate) lifecycle: Mutex<Lifecycle>,
     pub(crate) members: Mutex<Members>,
     pub(crate) metrics: Metrics,
+    pub(crate) payloads: Payloads,
     pub(crate) quota_log: QuotaLog,
     pub(crate) settings: EntrySettings,
     /// Becomes true when a drain has begun and all submissions and starts have ended.
@@ -50,6 +52,8 @@
 
 /// A task start and the submission that contains its payload.
 pub(crate) struct PreparedStart {
+    /// Counts the submission until the start has ended.
+    pub(crate) held: Option<Arc<Held>>,
     pub(crate) start: Start,
     pub(crate) submission: Arc<Submission>,
 }
@@ -83,6 +87,7 @@
             lifecycle: Mutex::new(Lifecycle::new()),
             members: Mutex::new(parts.members),
             metrics: parts.metrics,
+            payloads: Payloads::default(),
             quota_log: QuotaLog::default(),
             settings: parts.settings,
             waiters: Waiters::default(),
@@ -99,7 +104,8 @@
             let mut dispatcher = lock(&self.dispatcher);
             let result = operation(&mut dispatcher, now);
             let actions: Vec<Action> = dispatcher.drain_actions().collect();
-            let prepared: Vec<_> = actions.into_iter().map(|action| prepare(&dispatcher, action)).collect();
+            let prepared: Vec<_> =
+                actions.into_iter().map(|action| self.prepare(&dispatcher, action)).collect();
             (result, prepared)
         };
         for action in actions {
@@ -149,6 +155,17 @@
         }
     }
 
+    fn prepare(&self, dispatcher: &Dispatcher, action: Action) -> PreparedAction {
+        let Action::Start(start) = action else { return PreparedAction::Other(action) };
+        match dispatcher.submission(start.task.sequence).cloned() {
+            Some(submission) => {
+                let held = self.payloads.get(start.task.sequence);
+                PreparedAction::Start(PreparedStart { held, start, submission })
+            }
+            None => PreparedAction::MissingSubmission(start),
+        }
+    }
+
     pub(crate) fn upstream_address(&self, upstream: &UpstreamId) -> Option<SocketAddr> {
         lock(&self.addresses).get(upstream).copied()
     }
@@ -161,13 +178,3 @@
     /// A start whose submission is no longer in progress; it is reported as not sent.
     MissingSubmission(Start),
 }
-
-fn prepare(dispatcher: &Dispatcher, action: Action) -> PreparedAction {
-    match action {
-        Action::Start(start) => match dispatcher.submission(start.task.sequence).cloned() {
-            Some(submission) => PreparedAction::Start(PreparedStart { start, submission }),
-            None => PreparedAction::MissingSubmission(start),
-        },
-        other => PreparedAction::Other(other),
-    }
-}
--- a/crates/entry/src/submissions.rs
+++ b/crates/entry/src/submissions.rs
@@ -4,16 +4,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hinge_budget::Held;
+use hinge_dispatch::Dispatcher;
 use hinge_member::Owner;
 use hinge_store::OrphanEnd;
 use hinge_wire::{
     CancelReply, FastMap, ForwardRequest, InstanceState, LookupRequest, PeerCancelRequest, ResultCode,
-    Submission, SubmissionKey, SubmissionState, SubmissionStatus, is_valid_id,
+    Submission, SubmissionKey, SubmissionState, SubmissionStatus, is_valid_id, to_msgpack,
 };
 use tokio::time::{Instant, timeout_at};
 
 use crate::lock::lock;
-use crate::peers::{PeerError, call};
+use crate::peers::{PeerError, call, call_encoded};
 use crate::reply::Rejection;
 use crate::shared::Shared;
 
@@ -21,10 +23,11 @@
 pub(crate) const MAX_KEYS: usize = 1000;
 
 impl Shared {
-    /// Handles a caller's submission and waits for its answer for at most the caller's wait time.
+    /// Handles a caller's submission and waits for its answer for at most the caller's wait time. `held` counts the submission.
     pub(crate) async fn submit(
         self: &Arc<Self>,
         mut submission: Submission,
+        held: Held,
     ) -> Result<SubmissionStatus, Rejection> {
         check_fields(&submission)?;
         let wait = self.bounded_wait(submission.wait_ms);
@@ -34,13 +37,13 @@
         };
         submission.key = Some(key.to_string());
         match self.owner(&key) {
-            Owner::Local => self.submit_local(&key, submission, wait).await,
+            Owner::Local => self.submit_local(&key, submission, held, wait).await,
             Owner::Peer { address, incarnation } => {
                 let definite = submission.definite;
                 let request =
                     ForwardRequest { submission, target_incarnation: incarnation, wait_ms: as_millis(wait) };
                 self.metrics.count("submissions_forwarded", 1);
-                match self.call_owner(address, "/peer/v1/forward", &request, wait).await {
+                match self.call_owner(address, "/peer/v1/forward", request, wait).await {
                     // Another process now listens on the owner's address.
                     Err(rejection) if rejection.code == ResultCode::OwnerGone => {
                         self.orphan_status(&key, definite).await
@@ -58,23 +61,43 @@
         self: &Arc<Self>,
         key: &SubmissionKey,
         submission: Submission,
+        held: Held,
         wait: Duration,
     ) -> Result<SubmissionStatus, Rejection> {
         if self.lifecycle_state() == InstanceState::Starting {
             return Err(Rejection::new(ResultCode::NotReady, self.unready_reason().unwrap_or_default()));
         }
-        let submission = Arc::new(submission);
-        let submitted = submission.clone();
-        let admitted = self.with_dispatcher(|dispatcher, now| dispatcher.submit(now, key, submission));
-        if admitted == Err(ResultCode::QuotaExceeded)
-            && self.quota_log.log_limited(Instant::now(), &submitted.team)
-        {
+        let team = submission.team.clone();
+        let admitted =
+            self.with_dispatcher(|dispatcher, now| self.admit(dispatcher, now, key, submission, held));
+        if admitted == Err(ResultCode::QuotaExceeded) && self.quota_log.log_limited(Instant::now(), &team) {
             self.metrics.count("quota_limits_logged", 1);
         }
         admitted?;
         self.wait_local(key, wait).await
     }
 
+    /// Submits to the dispatcher what fits in the memory, and counts it until it has ended.
+    fn admit(
+        &self,
+        dispatcher: &mut Dispatcher,
+        now: Instant,
+        key: &SubmissionKey,
+        submission: Submission,
+        held: Held,
+    ) -> Result<(), ResultCode> {
+        // Only of a submission that was never admitted can it be said that it has not run.
+        let is_new = dispatcher.status(now, key) == Err(ResultCode::KeyUnused);
+        if is_new && !self.budget.admits(&held) {
+            return Err(ResultCode::Overloaded);
+        }
+        let sequence = dispatcher.submit(now, key, Arc::new(submission))?;
+        if dispatcher.submission(sequence).is_some() {
+            self.payloads.insert(sequence, held);
+        }
+        Ok(())
+    }
+
     /// Waits for at most `wait` until a submission of this process has ended, and returns its status.
     pub(crate) async fn wait_local(
         self: &Arc<Self>,
@@ -112,7 +135,7 @@
                     target_incarnation: incarnation,
                     wait_ms: as_millis(wait),
                 };
-                self.call_owner(address, "/peer/v1/lookup", &request, wait).await
+                self.call_owner(address, "/peer/v1/lookup", request, wait).await
             }
             Owner::Gone => self.orphan_status(key, true).await,
             Owner::Unknown => Err(owner_unreachable()),
@@ -188,11 +211,14 @@
         &self,
         address: SocketAddr,
         path: &str,
-        request: &Q,
+        request: Q,
         wait: Duration,
     ) -> Result<SubmissionStatus, Rejection> {
         let timeout = wait + self.settings.peer_timeout;
-        match call(self, address, path, request, timeout).await {
+        let body = to_msgpack(&request).map_err(Rejection::from)?;
+        // Only its encoding is kept while the owner works.
+        drop(request);
+        match call_encoded(self, address, path, body, timeout).await {
             Ok(status) => Ok(status),
             Err(PeerError::Rejected(rejection)) if rejection.code == ResultCode::WrongIncarnation => {
                 Err(owner_gone())
--- a/crates/entry/src/upstreams.rs
+++ b/crates/entry/src/upstreams.rs
@@ -15,6 +15,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::connections::SendError;
+use crate::payloads::TaskPayload;
 use crate::shared::{PreparedStart, Shared};
 
 /// Header with the id of a task; an upstream repeats it in its response.
@@ -47,8 +48,8 @@
 }
 
 async fn send_task(shared: &Shared, prepared: &PreparedStart) -> TaskResult {
-    let start = &prepared.start;
-    let payload = prepared.submission.tasks.get(start.task.index as usize).map(|task| task.payload.clone());
+    let PreparedStart { held, start, submission } = prepared;
+    let payload = TaskPayload::body(submission.clone(), start.task.index as usize, held.clone());
     let (Some(address), Some(payload)) = (shared.upstream_address(&start.upstream), payload) else {
         return TaskResult::NotSent;
     };
@@ -60,7 +61,7 @@
         .header(TASK_ID_HEADER, &task_id)
         .header("x-service", &*start.service)
         .header("x-lease-ms", start.timeout.as_millis().to_string());
-    let Some(request) = with_body(request, Bytes::from(payload)) else { return TaskResult::NotSent };
+    let Some(request) = with_body(request, payload) else { return TaskResult::NotSent };
     let timeout = start.timeout + LEASE_GRACE;
     let max_bytes = shared.settings.max_result_bytes;
     // Refusals and failures may lack the header, but a different id always means that the response belongs to another
