Entry: a refusal for want of memory is final for its key

An earlier copy of the submission may still be on its way, and callers are told that a rejection is final for its key.

--- a/crates/dispatch/src/submit.rs
+++ b/crates/dispatch/src/submit.rs
@@ -36,6 +36,28 @@
         Ok(sequence)
     }
 
+    /// Rejects a submission with `code`, whose outcome must be "not run", unless it is known under its key already.
+    ///
+    /// # Errors
+    ///
+    /// `code`, or the reason for which the ledger rejects the submission; a rejection is final for the key.
+    pub fn reject(
+        &mut self,
+        now: Instant,
+        key: &SubmissionKey,
+        submission: Arc<Submission>,
+        code: ResultCode,
+    ) -> Result<Sequence, ResultCode> {
+        match self.ledger.admit(now, key, submission) {
+            Admission::Known(sequence) => Ok(sequence),
+            Admission::Rejected(code) => Err(code),
+            Admission::New(sequence) => {
+                self.ledger.reject(now, sequence, code);
+                Err(code)
+            }
+        }
+    }
+
     fn check_admission(&mut self, now: Instant, submission: &Submission) -> Result<(), ResultCode> {
         if self.draining {
             return Err(ResultCode::Draining);
--- a/crates/entry/src/submissions.rs
+++ b/crates/entry/src/submissions.rs
@@ -86,12 +86,12 @@
         submission: Submission,
         held: Held,
     ) -> Result<(), ResultCode> {
-        // Only of a submission that was never admitted can it be said that it has not run.
-        let is_new = dispatcher.status(now, key) == Err(ResultCode::KeyUnused);
-        if is_new && !self.budget.admits(&held) {
-            return Err(ResultCode::Overloaded);
-        }
-        let sequence = dispatcher.submit(now, key, Arc::new(submission))?;
+        let submission = Arc::new(submission);
+        let sequence = if self.budget.admits(&held) {
+            dispatcher.submit(now, key, submission)
+        } else {
+            dispatcher.reject(now, key, submission, ResultCode::Overloaded)
+        }?;
         if dispatcher.submission(sequence).is_some() {
             self.payloads.insert(sequence, held);
         }
