Daemon of the library: results are counted, and kept ones bounded by the memory

Callers saw: an entry ends for want of memory when tasks return large results, whether their callers wait or leave.

Cause: answer_memory_bytes, 64 MB by default, is more than the whole grant of a small machine; results of submissions in progress and replies of other entries were not counted at all.

Change: results of finished submissions have at most a quarter of the bytes for clients, and are counted at that limit; a result and a reply are counted from their announced size on. A result without room is discarded, and the answer is ANSWER_EVICTED, whose outcome says that the tasks have run; the metric results_discarded counts them.

--- a/crates/budget/src/budget.rs
+++ b/crates/budget/src/budget.rs
@@ -20,6 +20,9 @@
 /// Size of requests that may use all bytes; larger ones leave a quarter.
 const SMALL_BYTES: usize = 16 * 1_024;
 
+/// Kept results have at most this part of all bytes.
+const KEPT_RESULTS_DIVISOR: usize = 4;
+
 /// Identifies a listener within its budget.
 pub(crate) type ListenerId = usize;
 
@@ -122,6 +125,18 @@
         None
     }
 
+    /// Counts nothing yet.
+    #[must_use]
+    pub fn hold_nothing(&self) -> Held {
+        Held { budget: self.clone(), bytes: 0 }
+    }
+
+    /// Largest number of bytes of results that are kept after their submissions have ended.
+    #[must_use]
+    pub fn max_kept_result_bytes(&self) -> usize {
+        self.inner.max_bytes / KEPT_RESULTS_DIVISOR
+    }
+
     /// Whether a request may be kept that may wait for long. Large ones leave a part of the bytes to small ones, and to bodies
     /// and responses.
     #[must_use]
@@ -244,6 +259,22 @@
 }
 
 impl Held {
+    /// Counts further `bytes`. Returns false, and counts nothing more, if that is too much although all unfinished bodies
+    /// were shed.
+    #[must_use]
+    pub fn grow(&mut self, bytes: usize) -> bool {
+        let grown = self.budget.take(bytes, None);
+        if grown {
+            self.bytes += bytes;
+        }
+        grown
+    }
+
+    /// Counts what another one counts, in its place.
+    pub fn merge(&mut self, mut other: Self) {
+        self.bytes += std::mem::take(&mut other.bytes);
+    }
+
     /// Counts `bytes` from now on, also if that is more than is left: what is counted exists already.
     pub fn set_bytes(&mut self, bytes: usize) {
         self.budget.inner.held_bytes.fetch_add(bytes, Ordering::Relaxed);
--- a/crates/conf/src/policy.rs
+++ b/crates/conf/src/policy.rs
@@ -9,7 +9,7 @@
     pub key_validity_ms: u64,
     ///Shortest time that a finished submission's record is kept.
     pub answer_retention_ms: u64,
-    ///Memory for the results of finished submissions; beyond it the oldest results are evicted.
+    ///Memory for the results of finished submissions, at most a quarter of what memory_mb leaves for clients; beyond it the oldest results are evicted.
     pub answer_memory_bytes: u64,
     ///Submission records held per entry; beyond it new submissions are refused.
     pub max_records: u64,
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -96,6 +96,8 @@
 /// Result of a start.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum TaskResult {
+    /// The upstream ran the task and returned a result that could not be kept.
+    Discarded,
     /// The upstream ran the task and returned this result.
     Done(String),
     /// The upstream ran the task and reported this failure.
--- a/crates/dispatch/src/tasks.rs
+++ b/crates/dispatch/src/tasks.rs
@@ -59,11 +59,12 @@
     fn end_started(&mut self, now: Instant, running: Running, result: TaskResult, run_time: Duration) {
         let task = running.queued.id;
         self.release(&running, run_time);
+        if matches!(result, TaskResult::Discarded | TaskResult::Done(_)) {
+            self.estimates.observe(&running.service, running.queued.class, run_time);
+        }
         let end = match result {
-            TaskResult::Done(text) => {
-                self.estimates.observe(&running.service, running.queued.class, run_time);
-                TaskEnd::Done(text)
-            }
+            TaskResult::Discarded => TaskEnd::Discarded,
+            TaskResult::Done(text) => TaskEnd::Done(text),
             _ if self.retry(now, &running) => return,
             TaskResult::Failed(detail) => TaskEnd::Failed(detail),
             TaskResult::TimedOut => TaskEnd::TimedOut,
@@ -107,7 +108,7 @@
 
 fn end_kind(result: &TaskResult) -> EndKind {
     match result {
-        TaskResult::Done(_) => EndKind::Done,
+        TaskResult::Discarded | TaskResult::Done(_) => EndKind::Done,
         TaskResult::Failed(_) => EndKind::Failed,
         TaskResult::Lost => EndKind::Lost,
         TaskResult::NotSent => EndKind::NotSent,
--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -7,9 +7,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hinge_budget::{UPSTREAM_RECEIVE_BYTES, connect};
+use hinge_budget::{Budget, Held, UPSTREAM_RECEIVE_BYTES, connect};
 use hinge_wire::FastMap;
+use http::response::Parts;
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
@@ -38,6 +40,12 @@
     TimedOut,
 }
 
+/// The body of a response, and what counts it.
+pub(crate) struct CountedBody {
+    pub(crate) bytes: Vec<u8>,
+    pub(crate) held: Held,
+}
+
 /// Limits of a connection pool.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Limits {
@@ -52,16 +60,18 @@
 
 /// Pool of idle connections by address.
 pub(crate) struct Connections {
+    budget: Budget,
     idle: Mutex<FastMap<SocketAddr, Vec<IdleConnection>>>,
     limits: Limits,
 }
 
 impl Connections {
-    pub(crate) fn new(limits: Limits) -> Self {
-        Self { idle: Mutex::default(), limits }
+    pub(crate) fn new(limits: Limits, budget: Budget) -> Self {
+        Self { budget, idle: Mutex::default(), limits }
     }
 
-    /// Sends a request once and reads the whole response, whose body has at most `max_bytes`, within `timeout`.
+    /// Sends a request once and reads the whole response, whose body has at most `max_bytes`, within `timeout`. The body is
+    /// not counted.
     pub(crate) async fn send(
         &self,
         address: SocketAddr,
@@ -69,42 +79,89 @@
         timeout: Duration,
         max_bytes: usize,
     ) -> Result<Response<Bytes>, SendError> {
-        self.send_checked(address, request, timeout, max_bytes, |_| true).await
+        let deadline = Instant::now() + timeout;
+        let (sender, response) = self.request(address, request, deadline).await?;
+        let (parts, body) = response.into_parts();
+        let body = match timeout_at(deadline, Limited::new(body, max_bytes).collect()).await {
+            Err(_) => return Err(SendError::TimedOut),
+            Ok(Err(_)) => return Err(SendError::Lost),
+            Ok(Ok(body)) => body.to_bytes(),
+        };
+        self.return_idle(address, sender);
+        Ok(Response::from_parts(parts, body))
     }
 
-    /// Like [`Self::send`], but closes the connection when `is_match` rejects the response: the response belongs to
-    /// another request, and so would those that follow on the same connection.
-    pub(crate) async fn send_checked(
+    /// Like [`Self::send`], but counts the body; it is none if there is no memory for it. Closes the connection when
+    /// `is_match` rejects the head of the response: the response belongs to another request, and so would those that follow on
+    /// the same connection.
+    pub(crate) async fn send_counted(
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         timeout: Duration,
         max_bytes: usize,
-        is_match: impl FnOnce(&Response<Bytes>) -> bool,
-    ) -> Result<Response<Bytes>, SendError> {
+        is_match: impl FnOnce(&Parts) -> bool,
+    ) -> Result<Response<Option<CountedBody>>, SendError> {
         let deadline = Instant::now() + timeout;
-        let mut sender = self.acquire(address).await?;
-        let response = match timeout_at(deadline, sender.try_send_request(request)).await {
+        let (sender, response) = self.request(address, request, deadline).await?;
+        let (parts, body) = response.into_parts();
+        let body = match timeout_at(deadline, self.read_counted(body, max_bytes)).await {
             Err(_) => return Err(SendError::TimedOut),
-            Ok(Ok(response)) => response,
+            Ok(body) => body?,
+        };
+        // The rest of a body that was given up follows on the connection.
+        if body.is_some() && is_match(&parts) {
+            self.return_idle(address, sender);
+        }
+        Ok(Response::from_parts(parts, body))
+    }
+
+    /// None if there is no memory for the body.
+    async fn read_counted(
+        &self,
+        mut body: Incoming,
+        max_bytes: usize,
+    ) -> Result<Option<CountedBody>, SendError> {
+        let mut held = self.budget.hold_nothing();
+        let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+        if announced > max_bytes {
+            return Err(SendError::Lost);
+        }
+        if !held.grow(announced) {
+            return Ok(None);
+        }
+        let mut bytes = Vec::with_capacity(announced);
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.map_err(|_| SendError::Lost)?.into_data() else { continue };
+            let size = bytes.len() + data.len();
+            if size > max_bytes {
+                return Err(SendError::Lost);
+            }
+            if size > bytes.capacity() && !held.grow(size.max(bytes.capacity() * 2) - bytes.capacity()) {
+                return Ok(None);
+            }
+            bytes.extend_from_slice(&data);
+        }
+        Ok(Some(CountedBody { bytes, held }))
+    }
+
+    /// Sends a request once. Returns the head of the response, with the connection on which its body follows.
+    async fn request(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> Result<(Sender, Response<Incoming>), SendError> {
+        let mut sender = self.acquire(address).await?;
+        match timeout_at(deadline, sender.try_send_request(request)).await {
+            Err(_) => Err(SendError::TimedOut),
+            Ok(Ok(response)) => Ok((sender, response)),
             // hyper returns the request exactly when no byte of it was written.
             Ok(Err(mut error)) => {
                 let is_unsent = error.take_message().is_some();
-                return Err(if is_unsent { SendError::NotSent } else { SendError::Lost });
+                Err(if is_unsent { SendError::NotSent } else { SendError::Lost })
             }
-        };
-        let (parts, body) = response.into_parts();
-        let body = Limited::new(body, max_bytes);
-        let body = match timeout_at(deadline, body.collect()).await {
-            Err(_) => return Err(SendError::TimedOut),
-            Ok(Err(_)) => return Err(SendError::Lost),
-            Ok(Ok(body)) => body.to_bytes(),
-        };
-        let response = Response::from_parts(parts, body);
-        if is_match(&response) {
-            self.return_idle(address, sender);
         }
-        Ok(response)
     }
 
     /// Drops connections that the server has closed or that have been idle for [`MAX_IDLE`].
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use hinge_budget::{Budget, CALLER_BACKLOG, CLIENT_RECEIVE_BYTES, Grant, PAGE_BACKLOG};
+use hinge_budget::{Budget, CALLER_BACKLOG, CLIENT_RECEIVE_BYTES, Grant, Held, PAGE_BACKLOG};
 use hinge_conf::{EntrySettings, Policy};
 use hinge_dispatch::{Dispatcher, Origin};
 use hinge_member::Members;
@@ -187,7 +187,8 @@
 }
 
 fn build_parts(settings: EntrySettings) -> Result<SharedParts, StartError> {
-    let policy = Policy::default();
+    let budget = Budget::for_threads(grant(&settings));
+    let policy = bounded(Policy::default(), &budget);
     let incarnation: Incarnation = rand::rng().random();
     let seed = settings.seed.unwrap_or_else(|| rand::rng().random());
     let origin = Origin {
@@ -203,15 +204,15 @@
         .store
         .map(|address| HttpStore::new(address, settings.connect_timeout, settings.peer_timeout));
     let config = ConfigSync::new(store.clone(), origin.data_centre.clone(), seed).with_report(log_sync);
+    let limits =
+        Limits { connect_timeout: settings.connect_timeout, idle_per_address: settings.upstream_connections };
     Ok(SharedParts {
-        budget: Budget::for_threads(grant(&settings)),
         claims: Claims::new(store, config.counters(), &policy, seed),
         config: Arc::new(config),
-        connections: Connections::new(Limits {
-            connect_timeout: settings.connect_timeout,
-            idle_per_address: settings.upstream_connections,
-        }),
+        connections: Connections::new(limits, budget.clone()),
         dispatcher: Dispatcher::new(origin, &policy, seed),
+        kept_results: kept_results(&policy, &budget),
+        budget,
         incarnation,
         members: Members::new(local_info(&settings, incarnation), settings.peers.clone(), &policy, seed),
         metrics,
@@ -219,6 +220,20 @@
     })
 }
 
+/// A policy that keeps no more results than the memory allows.
+pub(crate) fn bounded(mut policy: Policy, budget: &Budget) -> Policy {
+    let max_bytes = u64::try_from(budget.max_kept_result_bytes()).unwrap_or(u64::MAX);
+    policy.answer_memory_bytes = policy.answer_memory_bytes.min(max_bytes);
+    policy
+}
+
+/// Counts the results that a bounded policy keeps, whether there are so many or not.
+fn kept_results(policy: &Policy, budget: &Budget) -> Held {
+    let mut held = budget.hold_nothing();
+    held.set_bytes(usize::try_from(policy.answer_memory_bytes).unwrap_or(usize::MAX));
+    held
+}
+
 fn local_info(settings: &EntrySettings, incarnation: Incarnation) -> MemberInfo {
     MemberInfo {
         config_revision: 0,
--- a/crates/entry/src/loops.rs
+++ b/crates/entry/src/loops.rs
@@ -15,6 +15,7 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 
 use crate::counters::Counters;
+use crate::entry::bounded;
 use crate::lifecycle::LifecycleEvent;
 use crate::lock::lock;
 use crate::peers::{call, send_heartbeat};
@@ -56,8 +57,11 @@
 
 fn apply_config(shared: &Arc<Shared>) {
     let resolved = shared.config.resolved();
+    let policy = bounded(resolved.policy.clone(), &shared.budget);
+    let kept_bytes = usize::try_from(policy.answer_memory_bytes).unwrap_or(usize::MAX);
+    lock(&shared.kept_results).set_bytes(kept_bytes);
     shared.handle_event(Event::Config {
-        policy: Box::new(resolved.policy.clone()),
+        policy: Box::new(policy),
         quotas: resolved.quotas.clone(),
         weights: resolved.weights.clone(),
     });
--- a/crates/entry/src/payloads.rs
+++ b/crates/entry/src/payloads.rs
@@ -17,26 +17,43 @@
     payloads + submission.tasks.len() * TASK_BYTES
 }
 
-/// Counts the submissions in progress, whether their callers still wait or have left.
+/// What counts one submission in progress.
+struct Entry {
+    results: Option<Held>,
+    submission: Arc<Held>,
+}
+
+/// Counts the submissions in progress and their results, whether their callers still wait or have left.
 #[derive(Default)]
-pub(crate) struct Payloads(Mutex<FastMap<Sequence, Arc<Held>>>);
+pub(crate) struct Payloads(Mutex<FastMap<Sequence, Entry>>);
 
 impl Payloads {
     /// Counts a submission that has been admitted. Only the first count of a submission is kept; that of a resubmission ends.
     pub(crate) fn insert(&self, sequence: Sequence, held: Held) {
-        lock(&self.0).entry(sequence).or_insert_with(|| Arc::new(held));
+        lock(&self.0).entry(sequence).or_insert_with(|| Entry { results: None, submission: Arc::new(held) });
+    }
+
+    /// Counts a result of a submission in progress.
+    pub(crate) fn add_result(&self, sequence: Sequence, held: Held) {
+        let mut entries = lock(&self.0);
+        let Some(entry) = entries.get_mut(&sequence) else { return };
+        match &mut entry.results {
+            Some(results) => results.merge(held),
+            None => entry.results = Some(held),
+        }
     }
 
-    /// Ends the count of a submission that has ended, once the last of its starts has, too.
+    /// Ends the count of a submission that has ended and of its results; that of its payloads ends with the last of its
+    /// starts.
     pub(crate) fn remove(&self, sequence: Sequence) {
         // Dropped after the lock.
-        let held = lock(&self.0).remove(&sequence);
-        drop(held);
+        let entry = lock(&self.0).remove(&sequence);
+        drop(entry);
     }
 
     /// The count of a submission in progress.
     pub(crate) fn get(&self, sequence: Sequence) -> Option<Arc<Held>> {
-        lock(&self.0).get(&sequence).cloned()
+        lock(&self.0).get(&sequence).map(|entry| entry.submission.clone())
     }
 }
 
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -70,11 +70,14 @@
         .header(CONTENT_TYPE, "application/msgpack")
         .header(VERSION_HEADER, WIRE_VERSION);
     let request = with_body(request, Bytes::from(body)).ok_or(SendError::NotSent)?;
-    let response = shared.connections.send(address, request, timeout, max_reply_bytes(shared)).await?;
-    if response.status().is_success() {
-        return Ok(from_msgpack(response.body()).map_err(|_| SendError::Lost)?);
+    let max_bytes = max_reply_bytes(shared);
+    let response = shared.connections.send_counted(address, request, timeout, max_bytes, |_| true).await?;
+    let status = response.status();
+    let body = response.into_body().ok_or(SendError::Lost)?;
+    if status.is_success() {
+        return Ok(from_msgpack(&body.bytes).map_err(|_| SendError::Lost)?);
     }
-    let reply: ErrorReply = from_msgpack(response.body()).map_err(|_| SendError::Lost)?;
+    let reply: ErrorReply = from_msgpack(&body.bytes).map_err(|_| SendError::Lost)?;
     let code = ResultCode::from_number(reply.code).unwrap_or(ResultCode::Internal);
     Err(Rejection::new(code, reply.message).into())
 }
--- a/crates/entry/src/upstreams.rs
+++ b/crates/entry/src/upstreams.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hinge_budget::Held;
 use hinge_dispatch::{Event, Refusal, TaskResult};
 use hinge_wire::{LogEvent, StartId, UpstreamId};
+use http::response::Parts;
 use http_body_util::Full;
 use hyper::header::{CONTENT_LENGTH, HOST};
 use hyper::http::request::Builder;
@@ -14,7 +16,7 @@
 use serde::Serialize;
 use tokio::time::{Instant, sleep};
 
-use crate::connections::SendError;
+use crate::connections::{CountedBody, SendError};
 use crate::payloads::TaskPayload;
 use crate::shared::{PreparedStart, Shared};
 
@@ -42,14 +44,19 @@
 /// Sends a task to its upstream, waits for its end and passes the result to the dispatcher.
 pub(crate) async fn run_task(shared: Arc<Shared>, prepared: PreparedStart) {
     let started_at = Instant::now();
-    let result = send_task(&shared, &prepared).await;
+    let mut held = None;
+    let result = send_task(&shared, &prepared, &mut held).await;
+    if let Some(held) = held {
+        shared.payloads.add_result(prepared.start.task.sequence, held);
+    }
     let event = Event::TaskEnded { result, run_time: started_at.elapsed(), start: prepared.start.start };
     shared.handle_event(event);
 }
 
-async fn send_task(shared: &Shared, prepared: &PreparedStart) -> TaskResult {
-    let PreparedStart { held, start, submission } = prepared;
-    let payload = TaskPayload::body(submission.clone(), start.task.index as usize, held.clone());
+/// `held` is set to what counts the result.
+async fn send_task(shared: &Shared, prepared: &PreparedStart, held: &mut Option<Held>) -> TaskResult {
+    let PreparedStart { held: payload_held, start, submission } = prepared;
+    let payload = TaskPayload::body(submission.clone(), start.task.index as usize, payload_held.clone());
     let (Some(address), Some(payload)) = (shared.upstream_address(&start.upstream), payload) else {
         return TaskResult::NotSent;
     };
@@ -66,11 +73,11 @@
     let max_bytes = shared.settings.max_result_bytes;
     // Refusals and failures may lack the header, but a different id always means that the response belongs to another
     // task.
-    let is_match = |response: &Response<Bytes>| {
-        response.headers().get(TASK_ID_HEADER).is_none_or(|echoed| echoed.as_bytes() == task_id.as_bytes())
+    let is_match = |parts: &Parts| {
+        parts.headers.get(TASK_ID_HEADER).is_none_or(|echoed| echoed.as_bytes() == task_id.as_bytes())
     };
-    match shared.connections.send_checked(address, request, timeout, max_bytes, is_match).await {
-        Ok(response) => read_response(shared, &response, &task_id, &start.upstream),
+    match shared.connections.send_counted(address, request, timeout, max_bytes, is_match).await {
+        Ok(response) => read_response(shared, response, &task_id, &start.upstream, held),
         Err(SendError::NotSent) => TaskResult::NotSent,
         Err(SendError::Lost) => TaskResult::Lost,
         Err(SendError::TimedOut) => TaskResult::TimedOut,
@@ -79,28 +86,35 @@
 
 fn read_response(
     shared: &Shared,
-    response: &Response<Bytes>,
+    response: Response<Option<CountedBody>>,
     task_id: &str,
     upstream: &UpstreamId,
+    held: &mut Option<Held>,
 ) -> TaskResult {
-    let header = |name| response.headers().get(name).and_then(|value| value.to_str().ok());
-    if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+    let (parts, body) = response.into_parts();
+    let header = |name| parts.headers.get(name).and_then(|value| value.to_str().ok());
+    if parts.status == StatusCode::SERVICE_UNAVAILABLE {
         match header("x-not-started") {
             Some("busy") => return TaskResult::Refused(Refusal::Busy),
             Some("leaving") => return TaskResult::Refused(Refusal::Leaving),
             _ => {}
         }
     }
-    let text = std::str::from_utf8(response.body());
-    if response.status() != StatusCode::OK {
+    if parts.status != StatusCode::OK {
+        let text = body.as_ref().and_then(|body| std::str::from_utf8(&body.bytes).ok());
         let detail: String = text.unwrap_or_default().chars().take(200).collect();
-        return TaskResult::Failed(format!("status {}: {detail}", response.status().as_u16()));
+        return TaskResult::Failed(format!("status {}: {detail}", parts.status.as_u16()));
     }
     if header(TASK_ID_HEADER) != Some(task_id) {
         return drop_answer(shared, "the answer is for another task", upstream);
     }
-    match text {
-        Ok(text) => TaskResult::Done(text.to_owned()),
+    let Some(body) = body else {
+        shared.metrics.count("results_discarded", 1);
+        return TaskResult::Discarded;
+    };
+    *held = Some(body.held);
+    match String::from_utf8(body.bytes) {
+        Ok(text) => TaskResult::Done(text),
         Err(_) => drop_answer(shared, "the result is not UTF-8", upstream),
     }
 }
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -15,6 +15,8 @@
 /// How a task ended.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum TaskEnd {
+    /// The upstream ran the task and returned a result that could not be kept.
+    Discarded,
     /// The upstream ran the task and returned this result.
     Done(String),
     /// The upstream ran the task and reported this failure.
@@ -88,6 +90,8 @@
 
 /// State of a submission in progress.
 struct Progress {
+    /// Whether a result could not be kept.
+    discarded: bool,
     done: u32,
     first_start: Option<Instant>,
     result_bytes: u64,
@@ -100,7 +104,7 @@
 impl Progress {
     fn new(submission: Arc<Submission>) -> Self {
         let tasks = vec![Task::Pending; submission.tasks.len()];
-        Self { done: 0, first_start: None, result_bytes: 0, started: 0, submission, tasks }
+        Self { discarded: false, done: 0, first_start: None, result_bytes: 0, started: 0, submission, tasks }
     }
 
     fn nothing_started(&self) -> bool {
@@ -151,6 +155,10 @@
         match end {
             TaskEnd::NotStarted(code) => Ok(Some(EndReason::new(self.not_started_code(code)))),
             _ if !started => Err(EndError::NotStarted),
+            TaskEnd::Discarded => {
+                self.discarded = true;
+                Ok(self.done(index, String::new(), max_bytes))
+            }
             TaskEnd::Done(result) => Ok(self.done(index, result, max_bytes)),
             TaskEnd::Failed(message) => Ok(Some(EndReason::failed(message))),
             TaskEnd::Lost => Ok(Some(EndReason::new(ResultCode::TaskLost))),
@@ -168,7 +176,8 @@
         if self.result_bytes > max_bytes {
             return Some(EndReason::new(ResultCode::AnswerTooLarge));
         }
-        (self.done as usize == self.tasks.len()).then(|| EndReason::new(ResultCode::Complete))
+        let code = if self.discarded { ResultCode::AnswerEvicted } else { ResultCode::Complete };
+        (self.done as usize == self.tasks.len()).then(|| EndReason::new(code))
     }
 
     /// Result code of a submission that ends because one of its tasks cannot start.
