Daemon of the library: answers are counted until their callers have read them

Callers saw: an entry ends for want of memory when many clients ask for large answers and do not read them; one kept answer of 1 MB is enough.

Cause: each request copied the answer, encoded the copy and kept that until it was written, uncounted; WriteLimit closes the connection only after idle_timeout_ms, 60 s.

Change: a large answer is counted before it is copied, at twice its size, and the response until hyper has written it. Without room it waits; a caller is told to ask again after idle_timeout_ms. While the bytes are used up, connections whose clients have not read a response for 3 s are closed, largest and slowest first, as many as it takes. Small answers are never counted and never wait. Metrics responses_shed and unread_responses_shed, responses and unread in REQUESTS_SHED.

--- a/crates/budget/src/budget.rs
+++ b/crates/budget/src/budget.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hinge_wire::FastMap;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 use crate::blocks::Blocks;
 use crate::connection::ConnectionState;
@@ -20,6 +20,11 @@
 /// Size of requests that may use all bytes; larger ones leave a quarter.
 const SMALL_BYTES: usize = 16 * 1_024;
 
+/// Time after which a response that has not been written counts as not read. A client that reads slowly is closed only if the
+/// bytes are used up.
+const UNREAD_AGE: Duration = Duration::from_secs(3);
+/// Interval at which a response without room tries again.
+const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Kept results have at most this part of all bytes.
 const KEPT_RESULTS_DIVISOR: usize = 4;
 
@@ -28,6 +33,8 @@
 
 #[derive(Debug, Default)]
 struct Registry {
+    /// Connections that are being closed since their clients do not read.
+    closing: Vec<Arc<ConnectionState>>,
     connections: FastMap<u64, Arc<ConnectionState>>,
     next_number: u64,
     /// Number of open connections by listener.
@@ -125,6 +132,22 @@
         None
     }
 
+    /// Like [`hold`](Self::hold), for a response. Waits for at most `limit` until there is room; meanwhile connections are
+    /// closed whose clients do not read their responses.
+    pub async fn hold_response(&self, bytes: usize, limit: Duration) -> Option<Held> {
+        // A single response is served, however large it is.
+        let bytes = bytes.min(self.inner.max_bytes / 2);
+        let deadline = Instant::now() + limit;
+        while !self.take(bytes, None) {
+            if Instant::now() >= deadline {
+                self.record(Cause::Response);
+                return None;
+            }
+            sleep(ROOM_POLL_INTERVAL).await;
+        }
+        Some(Held { budget: self.clone(), bytes })
+    }
+
     /// Counts nothing yet.
     #[must_use]
     pub fn hold_nothing(&self) -> Held {
@@ -225,6 +248,28 @@
         true
     }
 
+    /// Closes connections whose clients do not read, the largest and slowest first, until their responses have what is missing
+    /// for `bytes`. These bytes are given back once the tasks of the connections have run.
+    fn close_unread(&self, mut registry: MutexGuard<'_, Registry>, now: Instant, bytes: usize) {
+        registry.closing.retain(|state| state.unwritten_bytes() > 0);
+        let closing_bytes: usize = registry.closing.iter().map(|state| state.unwritten_bytes()).sum();
+        let wanted_bytes = self.held_bytes().saturating_add(bytes);
+        let mut missing_bytes =
+            wanted_bytes.saturating_sub(self.inner.max_bytes).saturating_sub(closing_bytes);
+        while missing_bytes > 0 {
+            let weighed = registry.connections.iter();
+            let weighed =
+                weighed.filter_map(|(number, state)| Some((state.unread_weight(now, UNREAD_AGE)?, *number)));
+            let Some((_, number)) = weighed.max() else { return };
+            let Some(state) = registry.remove(number) else { return };
+            missing_bytes = missing_bytes.saturating_sub(state.unwritten_bytes());
+            self.give_back(state.bytes);
+            state.close();
+            registry.closing.push(state);
+            self.record(Cause::Unread);
+        }
+    }
+
     fn take_with_room(&self, bytes: usize, own: Option<&Arc<ConnectionState>>) -> bool {
         let registry = self.registry();
         while !self.try_take(bytes) {
@@ -232,11 +277,15 @@
             let weighed =
                 registry.connections.values().filter_map(|state| Some((state.body_weight(now)?, state)));
             let victim = weighed.max_by_key(|(weight, _)| *weight).map(|(_, state)| state);
-            let Some(victim) = victim.or(own) else { return false };
+            let Some(victim) = victim.or(own) else {
+                self.close_unread(registry, now, bytes);
+                return false;
+            };
             self.record(Cause::Body);
             // The bytes of the own body are given back with the others.
             self.shed_body(victim);
             if own.is_some_and(|own| Arc::ptr_eq(own, victim)) {
+                self.close_unread(registry, now, bytes);
                 return false;
             }
         }
@@ -270,6 +319,12 @@
         grown
     }
 
+    /// Number of bytes that it counts.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Counts what another one counts, in its place.
     pub fn merge(&mut self, mut other: Self) {
         self.bytes += std::mem::take(&mut other.bytes);
--- a/crates/budget/src/connection.rs
+++ b/crates/budget/src/connection.rs
@@ -4,11 +4,12 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use bytes::Bytes;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::blocks::Blocks;
-use crate::budget::{Budget, ListenerId};
+use crate::budget::{Budget, Held, ListenerId};
 
 /// Value of `completed_ms` before the first complete request.
 const NEVER: u64 = u64::MAX;
@@ -25,10 +26,20 @@
     pub(crate) listener: ListenerId,
     opened_at: Instant,
     shed: Notify,
+    /// The responses that have not been written to the socket.
+    unwritten: Mutex<Unwritten>,
     /// The unfinished body; none if there is none or it was shed.
     unfinished: Mutex<Option<Blocks>>,
 }
 
+/// Responses of a connection that have not been written to the socket.
+#[derive(Debug, Default)]
+struct Unwritten {
+    bytes: usize,
+    /// When the first of them was begun; none if there are none.
+    since: Option<Instant>,
+}
+
 /// Rank of a connection among those that may be closed for a new one; the highest is closed first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) struct CloseRank {
@@ -48,6 +59,7 @@
             listener,
             opened_at: Instant::now(),
             shed: Notify::new(),
+            unwritten: Mutex::default(),
             unfinished: Mutex::new(None),
         }
     }
@@ -78,6 +90,36 @@
         unfinished.as_ref().filter(|blocks| blocks.capacity_bytes() > 0).map(|blocks| blocks.weight(now))
     }
 
+    /// Size times age of the responses that have not been written; none if the first of them was
+    /// begun less than `min_age` ago, or there are none.
+    pub(crate) fn unread_weight(&self, now: Instant, min_age: Duration) -> Option<u128> {
+        let unwritten = self.unwritten();
+        let age = now.duration_since(unwritten.since?);
+        (age >= min_age).then(|| unwritten.bytes as u128 * age.as_micros())
+    }
+
+    pub(crate) fn unwritten_bytes(&self) -> usize {
+        self.unwritten().bytes
+    }
+
+    fn begin_response(&self, bytes: usize) {
+        let mut unwritten = self.unwritten();
+        unwritten.bytes += bytes;
+        unwritten.since.get_or_insert_with(Instant::now);
+    }
+
+    fn end_response(&self, bytes: usize) {
+        let mut unwritten = self.unwritten();
+        unwritten.bytes -= bytes;
+        if unwritten.bytes == 0 {
+            unwritten.since = None;
+        }
+    }
+
+    fn unwritten(&self) -> MutexGuard<'_, Unwritten> {
+        self.unwritten.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Takes the unfinished body away and tells its reader.
     pub(crate) fn shed_body(&self) -> Option<Blocks> {
         let blocks = self.unfinished().take()?;
@@ -135,6 +177,15 @@
         Answering { state: &self.state }
     }
 
+    /// The body of a response, which `held` counts from now on until it has been written to the socket or the connection is
+    /// closed.
+    #[must_use]
+    pub fn response(&self, body: Vec<u8>, mut held: Held) -> Bytes {
+        held.set_bytes(body.len());
+        self.state.begin_response(body.len());
+        Bytes::from_owner(ResponseBody { body, _held: held, state: self.state.clone() })
+    }
+
     /// Waits until the unfinished body was shed.
     pub(crate) async fn body_shed(&self) {
         self.state.shed.notified().await;
@@ -190,6 +241,25 @@
     }
 }
 
+/// A body that counts until `hyper` has written it.
+struct ResponseBody {
+    body: Vec<u8>,
+    _held: Held,
+    state: Arc<ConnectionState>,
+}
+
+impl AsRef<[u8]> for ResponseBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.body
+    }
+}
+
+impl Drop for ResponseBody {
+    fn drop(&mut self) {
+        self.state.end_response(self.body.len());
+    }
+}
+
 /// Keeps a connection open while its request is being answered.
 #[derive(Debug)]
 pub struct Answering<'a> {
--- a/crates/budget/src/shed_log.rs
+++ b/crates/budget/src/shed_log.rs
@@ -19,6 +19,8 @@
     Closed,
     Refused,
     Request,
+    Response,
+    Unread,
 }
 
 /// Number of times that something was given up, by cause.
@@ -32,12 +34,16 @@
     pub refused: u64,
     /// Complete requests that were refused for want of memory.
     pub requests: u64,
+    /// Responses that were given up for want of memory.
+    pub responses: u64,
+    /// Connections that were closed since their clients did not read their responses.
+    pub unread: u64,
 }
 
 /// Counts what is given up, and logs the counts when they have changed, at most once in [`MIN_LINE_INTERVAL`].
 #[derive(Debug, Default)]
 pub(crate) struct ShedLog {
-    counts: [AtomicU64; 4],
+    counts: [AtomicU64; 6],
     next_line_at: Mutex<Option<Instant>>,
 }
 
@@ -48,7 +54,8 @@
             let counts = self.counts();
             let details = json!({
                 "bodies": counts.bodies, "closed": counts.closed, "held_bytes": held_bytes,
-                "refused": counts.refused, "requests": counts.requests,
+                "refused": counts.refused, "requests": counts.requests, "responses": counts.responses,
+                "unread": counts.unread,
             });
             emit(LogEvent::RequestsShed, &details);
         }
@@ -61,6 +68,8 @@
             closed: count(Cause::Closed),
             refused: count(Cause::Refused),
             requests: count(Cause::Request),
+            responses: count(Cause::Response),
+            unread: count(Cause::Unread),
         }
     }
 
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -116,6 +116,12 @@
         self.ledger.status(now, key)
     }
 
+    /// Memory used by the answer of a finished submission, in bytes; 0 if it has not ended.
+    #[must_use]
+    pub fn answer_bytes(&self, sequence: Sequence) -> u64 {
+        self.ledger.answer_bytes_of(sequence)
+    }
+
     /// The submission with this sequence number, or `None` when it is not in progress.
     #[must_use]
     pub fn submission(&self, sequence: Sequence) -> Option<&Arc<Submission>> {
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 
 use crate::payloads::submission_bytes;
-use crate::reply::{Encoding, HttpResponse, Rejection, submission_response};
+use crate::reply::{Encoding, HttpResponse, Rejection, Reply, submission_response};
 use crate::server::{BufferedRequest, Handler, rejection_response};
 use crate::shared::Shared;
 use crate::state_page;
@@ -29,16 +29,16 @@
 }
 
 impl Handler for CallerHandler {
-    async fn handle(&self, request: BufferedRequest) -> HttpResponse {
+    async fn handle(&self, request: BufferedRequest) -> Reply {
         let shared = &self.0;
         let result = match (request.parts.method.clone(), request.parts.uri.path()) {
-            (Method::POST, "/v1/keys") => issue_keys(shared, &request.body),
+            (Method::POST, "/v1/keys") => issue_keys(shared, &request.body).map(Reply::from),
             (Method::POST, "/v1/submissions") => submit(shared, request.body, request.held).await,
-            (Method::POST, "/v1/cancellations") => cancel(shared, &request.body).await,
-            (Method::GET, "/healthz") => Ok(Encoding::Json.response(StatusCode::OK, &"ok")),
-            (Method::GET, "/readyz") => Ok(readiness(shared)),
+            (Method::POST, "/v1/cancellations") => cancel(shared, &request.body).await.map(Reply::from),
+            (Method::GET, "/healthz") => Ok(Encoding::Json.response(StatusCode::OK, &"ok").into()),
+            (Method::GET, "/readyz") => Ok(readiness(shared).into()),
             (Method::GET, "/state") => {
-                Ok(Encoding::Json.response(StatusCode::OK, &state_page::build(shared)))
+                Ok(Encoding::Json.response(StatusCode::OK, &state_page::build(shared)).into())
             }
             (method, path) if path.starts_with(SUBMISSION_PREFIX) => {
                 let key = &path[SUBMISSION_PREFIX.len()..];
@@ -46,7 +46,7 @@
             }
             (_, path) => Err(unknown_endpoint(path)),
         };
-        result.unwrap_or_else(|rejection| reject(shared, &rejection))
+        result.unwrap_or_else(|rejection| reject(shared, &rejection).into())
     }
 
     fn metrics(&self) -> &Metrics {
@@ -92,13 +92,13 @@
     Ok(Encoding::Json.response(StatusCode::OK, &reply))
 }
 
-async fn submit(shared: &Arc<Shared>, body: Bytes, mut held: Held) -> Result<HttpResponse, Rejection> {
+async fn submit(shared: &Arc<Shared>, body: Bytes, mut held: Held) -> Result<Reply, Rejection> {
     let submission: Submission = from_json(&body)?;
     // The submission has what it needs of the body.
     drop(body);
     held.set_bytes(submission_bytes(&submission));
     let status = shared.submit(submission, held).await?;
-    Ok(submission_response(&status))
+    Ok(status.reply(submission_response))
 }
 
 async fn cancel(shared: &Arc<Shared>, body: &[u8]) -> Result<HttpResponse, Rejection> {
@@ -112,17 +112,17 @@
     method: &Method,
     key: &str,
     query: Option<&str>,
-) -> Result<HttpResponse, Rejection> {
+) -> Result<Reply, Rejection> {
     let key = parse_key(key)?;
     match *method {
         Method::GET => {
             let wait = shared.bounded_wait(Some(query_wait_ms(query)?));
             let status = shared.look_up(&key, wait).await?;
-            Ok(Encoding::Json.response(StatusCode::OK, &status))
+            Ok(status.reply(|status| Encoding::Json.response(StatusCode::OK, status)))
         }
         Method::DELETE => {
             let reply = shared.cancel(&[key]).await;
-            Ok(Encoding::Json.response(StatusCode::OK, &reply))
+            Ok(Encoding::Json.response(StatusCode::OK, &reply).into())
         }
         _ => Err(ResultCode::MethodNotAllowed.into()),
     }
--- a/crates/entry/src/counters.rs
+++ b/crates/entry/src/counters.rs
@@ -29,6 +29,8 @@
         count_new(shared, "connections_shed", shed.closed, &mut self.shed.closed);
         count_new(shared, "connections_refused", shed.refused, &mut self.shed.refused);
         count_new(shared, "requests_shed", shed.requests, &mut self.shed.requests);
+        count_new(shared, "responses_shed", shed.responses, &mut self.shed.responses);
+        count_new(shared, "unread_responses_shed", shed.unread, &mut self.shed.unread);
     }
 }
 
--- a/crates/entry/src/peer_server.rs
+++ b/crates/entry/src/peer_server.rs
@@ -19,7 +19,7 @@
 use crate::operators;
 use crate::payloads::submission_bytes;
 use crate::peers::VERSION_HEADER;
-use crate::reply::{Encoding, HttpResponse, Rejection};
+use crate::reply::{Encoding, HttpResponse, Rejection, Reply};
 use crate::server::{BufferedRequest, Handler, rejection_response};
 use crate::shared::Shared;
 use crate::submissions::{check_fields, check_id, parse_key, parse_keys};
@@ -32,10 +32,10 @@
 pub(crate) struct PeerHandler(pub(crate) Arc<Shared>);
 
 impl Handler for PeerHandler {
-    async fn handle(&self, request: BufferedRequest) -> HttpResponse {
+    async fn handle(&self, request: BufferedRequest) -> Reply {
         let shared = &self.0;
         if request.parts.uri.path().starts_with("/admin/") {
-            return operators::handle(shared, &request).await;
+            return operators::handle(shared, &request).await.into();
         }
         let result = match check_version(&request) {
             Ok(()) => route(shared, request).await,
@@ -43,7 +43,7 @@
         };
         result.unwrap_or_else(|rejection| {
             shared.count_rejection(&rejection);
-            Encoding::Msgpack.rejection(&rejection)
+            Encoding::Msgpack.rejection(&rejection).into()
         })
     }
 
@@ -57,7 +57,7 @@
     }
 }
 
-async fn route(shared: &Arc<Shared>, request: BufferedRequest) -> Result<HttpResponse, Rejection> {
+async fn route(shared: &Arc<Shared>, request: BufferedRequest) -> Result<Reply, Rejection> {
     if request.parts.method != Method::POST {
         return Err(ResultCode::MethodNotAllowed.into());
     }
@@ -91,11 +91,15 @@
     Err(Rejection::new(ResultCode::WrongIncarnation, "the message is for an earlier process"))
 }
 
-fn ok<T: Serialize>(message: &T) -> Result<HttpResponse, Rejection> {
-    Ok(Encoding::Msgpack.response(StatusCode::OK, message))
+fn ok<T: Serialize>(message: &T) -> Result<Reply, Rejection> {
+    Ok(encoded(message).into())
 }
 
-fn heartbeat(shared: &Arc<Shared>, body: &[u8]) -> Result<HttpResponse, Rejection> {
+fn encoded<T: Serialize>(message: &T) -> HttpResponse {
+    Encoding::Msgpack.response(StatusCode::OK, message)
+}
+
+fn heartbeat(shared: &Arc<Shared>, body: &[u8]) -> Result<Reply, Rejection> {
     if body.len() > MAX_HEARTBEAT_BYTES {
         let message = format!("the heartbeat is larger than {MAX_HEARTBEAT_BYTES} bytes");
         return Err(Rejection::new(ResultCode::TooLarge, message));
@@ -107,7 +111,7 @@
     ok(&reply)
 }
 
-async fn forward(shared: &Arc<Shared>, body: Bytes, mut held: Held) -> Result<HttpResponse, Rejection> {
+async fn forward(shared: &Arc<Shared>, body: Bytes, mut held: Held) -> Result<Reply, Rejection> {
     let request: ForwardRequest = from_msgpack(&body)?;
     // The submission has what it needs of the body.
     drop(body);
@@ -117,17 +121,17 @@
     check_incarnation(shared, key.incarnation)?;
     check_fields(&request.submission)?;
     let wait = shared.bounded_wait(Some(request.wait_ms));
-    ok(&shared.submit_local(&key, request.submission, held, wait).await?)
+    Ok(shared.submit_local(&key, request.submission, held, wait).await?.reply(encoded))
 }
 
-async fn lookup(shared: &Arc<Shared>, body: &[u8]) -> Result<HttpResponse, Rejection> {
+async fn lookup(shared: &Arc<Shared>, body: &[u8]) -> Result<Reply, Rejection> {
     let request: LookupRequest = from_msgpack(body)?;
     check_incarnation(shared, request.target_incarnation)?;
     let wait = Duration::from_millis(request.wait_ms).min(shared.settings.max_wait);
-    ok(&shared.wait_local(&parse_key(&request.key)?, wait).await?)
+    Ok(shared.wait_local(&parse_key(&request.key)?, wait).await?.reply(encoded))
 }
 
-fn cancel(shared: &Arc<Shared>, body: &[u8]) -> Result<HttpResponse, Rejection> {
+fn cancel(shared: &Arc<Shared>, body: &[u8]) -> Result<Reply, Rejection> {
     let request: PeerCancelRequest = from_msgpack(body)?;
     check_incarnation(shared, request.target_incarnation)?;
     let keys = parse_keys(&request.keys)?;
@@ -137,21 +141,21 @@
     ok(&CancelReply { cancelled, ignored })
 }
 
-fn loan(shared: &Arc<Shared>, body: &[u8]) -> Result<HttpResponse, Rejection> {
+fn loan(shared: &Arc<Shared>, body: &[u8]) -> Result<Reply, Rejection> {
     let request: LoanRequest = from_msgpack(body)?;
     check_id("borrower", &request.borrower)?;
     check_incarnation(shared, request.target_incarnation)?;
     ok(&shared.with_dispatcher(|dispatcher, now| dispatcher.lend(now, &request)))
 }
 
-fn loan_return(shared: &Arc<Shared>, body: &[u8]) -> Result<HttpResponse, Rejection> {
+fn loan_return(shared: &Arc<Shared>, body: &[u8]) -> Result<Reply, Rejection> {
     let request: LoanReturn = from_msgpack(body)?;
     check_incarnation(shared, request.target_incarnation)?;
     shared.handle_event(Event::LoanReturned(request));
     ok(&())
 }
 
-fn config(shared: &Arc<Shared>, body: &[u8]) -> Result<HttpResponse, Rejection> {
+fn config(shared: &Arc<Shared>, body: &[u8]) -> Result<Reply, Rejection> {
     let request: ConfigFetch = from_msgpack(body)?;
     if !shared.config.status().is_loaded {
         return Err(Rejection::new(ResultCode::NotReady, "no configuration yet"));
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hinge_budget::Held;
 use hinge_dispatch::Event;
 use hinge_member::OutgoingHeartbeat;
 use hinge_wire::{
@@ -50,17 +51,18 @@
     timeout: Duration,
 ) -> Result<R, PeerError> {
     let body = to_msgpack(message).map_err(Rejection::from)?;
-    call_encoded(shared, address, path, body, timeout).await
+    let (reply, _held) = call_counted(shared, address, path, body, timeout).await?;
+    Ok(reply)
 }
 
-/// Like [`call`], with an encoded message.
-pub(crate) async fn call_encoded<R: DeserializeOwned>(
+/// Like [`call`], with an encoded message. Also returns what counts the size of the reply.
+pub(crate) async fn call_counted<R: DeserializeOwned>(
     shared: &Shared,
     address: SocketAddr,
     path: &str,
     body: Vec<u8>,
     timeout: Duration,
-) -> Result<R, PeerError> {
+) -> Result<(R, Held), PeerError> {
     shared.metrics.count("peer_messages_sent", 1);
     shared.metrics.count("peer_bytes_sent", body.len() as u64);
     let request = Request::builder()
@@ -75,7 +77,8 @@
     let status = response.status();
     let body = response.into_body().ok_or(SendError::Lost)?;
     if status.is_success() {
-        return Ok(from_msgpack(&body.bytes).map_err(|_| SendError::Lost)?);
+        let reply = from_msgpack(&body.bytes).map_err(|_| SendError::Lost)?;
+        return Ok((reply, body.held));
     }
     let reply: ErrorReply = from_msgpack(&body.bytes).map_err(|_| SendError::Lost)?;
     let code = ResultCode::from_number(reply.code).unwrap_or(ResultCode::Internal);
--- a/crates/entry/src/reply.rs
+++ b/crates/entry/src/reply.rs
@@ -1,8 +1,7 @@
 //! HTTP responses and rejections.
 
-use bytes::Bytes;
+use hinge_budget::Held;
 use hinge_wire::{CodecError, ErrorReply, ResultCode, SubmissionStatus, to_json, to_msgpack};
-use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use rand::Rng;
@@ -14,7 +13,32 @@
 /// Range of `Retry-After` if the entry is overloaded, so that callers do not all come back at once.
 const OVERLOADED_RETRY_S: std::ops::RangeInclusive<u64> = 1..=3;
 
-pub(crate) type HttpResponse = Response<Full<Bytes>>;
+pub(crate) type HttpResponse = Response<Vec<u8>>;
+
+/// A response, and what counts it; none if it is small or is to be counted by the server.
+pub(crate) struct Reply {
+    pub(crate) held: Option<Held>,
+    pub(crate) response: HttpResponse,
+}
+
+impl From<HttpResponse> for Reply {
+    fn from(response: HttpResponse) -> Self {
+        Self { held: None, response }
+    }
+}
+
+/// The status of a submission, and what counts a large answer in it.
+pub(crate) struct HeldStatus {
+    pub(crate) held: Option<Held>,
+    pub(crate) status: SubmissionStatus,
+}
+
+impl HeldStatus {
+    /// Encodes the status; what counts it goes on to count the response.
+    pub(crate) fn reply(self, encode: impl FnOnce(&SubmissionStatus) -> HttpResponse) -> Reply {
+        Reply { held: self.held, response: encode(&self.status) }
+    }
+}
 
 /// A result code and a message that are returned instead of a reply.
 #[derive(Clone, Debug, Error)]
@@ -75,10 +99,10 @@
             Self::Msgpack => to_msgpack(message),
         };
         let (status, body) = match encoded {
-            Ok(body) => (status, Bytes::from(body)),
-            Err(_) => (StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
+            Ok(body) => (status, body),
+            Err(_) => (StatusCode::INTERNAL_SERVER_ERROR, Vec::new()),
         };
-        let mut response = Response::new(Full::new(body));
+        let mut response = Response::new(body);
         *response.status_mut() = status;
         response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(self.content_type()));
         response
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -11,11 +11,12 @@
 use hinge_budget::{BodyError, Budget, Connection, Held, Listener, read_body};
 use hinge_obs::Metrics;
 use hinge_wire::{LogEvent, ResultCode};
-use hyper::Request;
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
 use serde::Serialize;
@@ -24,11 +25,13 @@
 use tokio::task::{JoinSet, yield_now};
 use tokio::time::{sleep, timeout};
 
-use crate::reply::{Encoding, HttpResponse, Rejection};
+use crate::reply::{Encoding, HttpResponse, Rejection, Reply};
 use crate::write_limit::WriteLimit;
 
 /// Delay after a failed accept, so that a shortage of file descriptors does not cause a busy loop.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
+/// Size of responses that are not counted: they fit in what is counted for their connection.
+const UNCOUNTED_BYTES: usize = 8 * 1_024;
 
 /// Time since the last response on a connection before it may be closed for a new one.
 const MIN_IDLE: Duration = Duration::from_secs(3);
@@ -57,7 +60,7 @@
 /// Request handler of a listener.
 pub(crate) trait Handler: Clone + Send + Sync + 'static {
     /// Returns the response to a request.
-    fn handle(&self, request: BufferedRequest) -> impl Future<Output = HttpResponse> + Send;
+    fn handle(&self, request: BufferedRequest) -> impl Future<Output = Reply> + Send;
 
     /// Metrics of the instance.
     fn metrics(&self) -> &Metrics;
@@ -179,15 +182,37 @@
     limits: ServerLimits,
     budget: &Budget,
     connection: &Connection,
-) -> HttpResponse {
+) -> Response<Full<Bytes>> {
+    let uri = request.uri().clone();
+    let Reply { held, response } = answer(request, handler, limits, budget, connection).await;
+    let size = response.body().len();
+    if size <= UNCOUNTED_BYTES {
+        return response.map(Full::from);
+    }
+    match held.or_else(|| budget.hold(size)) {
+        Some(held) => response.map(|body| Full::new(connection.response(body, held))),
+        // What has an effect has a small response, so that nothing has happened.
+        None => shed(handler, uri.path()).map(Full::from),
+    }
+}
+
+async fn answer<H: Handler>(
+    request: Request<Incoming>,
+    handler: &H,
+    limits: ServerLimits,
+    budget: &Budget,
+    connection: &Connection,
+) -> Reply {
     let (parts, body) = request.into_parts();
     let body = match read_limited(body, limits, connection).await {
         Ok(body) => body,
-        Err(Refusal::Rejected(rejection)) => return handler.reject(parts.uri.path(), &rejection),
-        Err(Refusal::Shed) => return shed(handler, parts.uri.path()),
+        Err(Refusal::Rejected(rejection)) => return handler.reject(parts.uri.path(), &rejection).into(),
+        Err(Refusal::Shed) => return shed(handler, parts.uri.path()).into(),
     };
     let _answering = connection.answering();
-    let Some(held) = budget.hold(body.len()) else { return shed(handler, parts.uri.path()) };
+    let Some(held) = budget.hold(body.len()) else {
+        return shed(handler, parts.uri.path()).into();
+    };
     handler.handle(BufferedRequest { body, held, parts }).await
 }
 
@@ -234,7 +259,7 @@
     let rejection = Rejection::new(ResultCode::TooManyConnections, "");
     handler.metrics().count(rejection.code.name(), 1);
     let service = service_fn(move |request: Request<Incoming>| {
-        let response = rejection_response(request.uri().path(), &rejection);
+        let response = rejection_response(request.uri().path(), &rejection).map(Full::<Bytes>::from);
         async move { Ok::<_, Infallible>(response) }
     });
     let connection = builder(limits).keep_alive(false).serve_connection(TokioIo::new(stream), service);
--- a/crates/entry/src/submissions.rs
+++ b/crates/entry/src/submissions.rs
@@ -10,17 +10,19 @@
 use hinge_store::OrphanEnd;
 use hinge_wire::{
     CancelReply, FastMap, ForwardRequest, InstanceState, LookupRequest, PeerCancelRequest, ResultCode,
-    Submission, SubmissionKey, SubmissionState, SubmissionStatus, is_valid_id, to_msgpack,
+    Submission, SubmissionKey, SubmissionStatus, is_valid_id, to_msgpack,
 };
 use tokio::time::{Instant, timeout_at};
 
 use crate::lock::lock;
-use crate::peers::{PeerError, call, call_encoded};
-use crate::reply::Rejection;
+use crate::peers::{PeerError, call, call_counted};
+use crate::reply::{HeldStatus, Rejection};
 use crate::shared::Shared;
 
 /// Maximum number of keys that one request may issue or cancel.
 pub(crate) const MAX_KEYS: usize = 1000;
+/// Size of answers that are not counted while they are copied.
+const UNCOUNTED_ANSWER_BYTES: u64 = 4 * 1_024;
 
 impl Shared {
     /// Handles a caller's submission and waits for its answer for at most the caller's wait time. `held` counts the submission.
@@ -28,7 +30,7 @@
         self: &Arc<Self>,
         mut submission: Submission,
         held: Held,
-    ) -> Result<SubmissionStatus, Rejection> {
+    ) -> Result<HeldStatus, Rejection> {
         check_fields(&submission)?;
         let wait = self.bounded_wait(submission.wait_ms);
         let key = match &submission.key {
@@ -63,7 +65,7 @@
         submission: Submission,
         held: Held,
         wait: Duration,
-    ) -> Result<SubmissionStatus, Rejection> {
+    ) -> Result<HeldStatus, Rejection> {
         if self.lifecycle_state() == InstanceState::Starting {
             return Err(Rejection::new(ResultCode::NotReady, self.unready_reason().unwrap_or_default()));
         }
@@ -103,22 +105,58 @@
         self: &Arc<Self>,
         key: &SubmissionKey,
         wait: Duration,
-    ) -> Result<SubmissionStatus, Rejection> {
+    ) -> Result<HeldStatus, Rejection> {
         let deadline = Instant::now() + wait;
         loop {
             let waiter = self.waiters.register(key.sequence);
             let mut notified = std::pin::pin!(waiter.notify.notified());
             notified.as_mut().enable();
-            let status = self.with_dispatcher(|dispatcher, now| dispatcher.status(now, key));
-            let is_final = !matches!(&status, Ok(status) if status.state != SubmissionState::Done);
-            if is_final || timeout_at(deadline, notified).await.is_err() {
-                return if is_final { Ok(status?) } else { self.local_status(key) };
+            if !self.is_in_progress(key) || timeout_at(deadline, notified).await.is_err() {
+                return self.local_status(key).await;
             }
         }
     }
 
-    fn local_status(self: &Arc<Self>, key: &SubmissionKey) -> Result<SubmissionStatus, Rejection> {
-        Ok(self.with_dispatcher(|dispatcher, now| dispatcher.status(now, key))?)
+    fn is_in_progress(self: &Arc<Self>, key: &SubmissionKey) -> bool {
+        let is_own = self.submission_key(key.sequence) == *key;
+        is_own && self.with_dispatcher(|dispatcher, _| dispatcher.submission(key.sequence).is_some())
+    }
+
+    /// The status of a submission of this process. A large answer is counted before it is copied, and waits for room.
+    async fn local_status(self: &Arc<Self>, key: &SubmissionKey) -> Result<HeldStatus, Rejection> {
+        let mut held = None;
+        let mut max_bytes = UNCOUNTED_ANSWER_BYTES;
+        loop {
+            match self.status_within(key, max_bytes) {
+                Ok(status) => return Ok(HeldStatus { held, status: status? }),
+                Err(bytes) => {
+                    max_bytes = bytes;
+                    held = Some(self.hold_answer(key, bytes).await?);
+                }
+            }
+        }
+    }
+
+    /// The status of a submission, or the size of its answer if that is more than `max_bytes`.
+    fn status_within(
+        self: &Arc<Self>,
+        key: &SubmissionKey,
+        max_bytes: u64,
+    ) -> Result<Result<SubmissionStatus, ResultCode>, u64> {
+        self.with_dispatcher(|dispatcher, now| {
+            let bytes = dispatcher.answer_bytes(key.sequence);
+            if bytes > max_bytes { Err(bytes) } else { Ok(dispatcher.status(now, key)) }
+        })
+    }
+
+    /// Counts a copy of an answer and its encoding.
+    async fn hold_answer(&self, key: &SubmissionKey, bytes: u64) -> Result<Held, Rejection> {
+        let bytes = usize::try_from(bytes).unwrap_or(usize::MAX).saturating_mul(2);
+        let held = self.budget.hold_response(bytes, self.settings.idle_timeout).await;
+        held.ok_or_else(|| {
+            let message = format!("there is no memory for the answer now; ask again with the key {key}");
+            Rejection::new(ResultCode::AnswerEvicted, message)
+        })
     }
 
     /// Returns the status of a submission from its owner, after waiting for its end for at most `wait`.
@@ -126,7 +164,7 @@
         self: &Arc<Self>,
         key: &SubmissionKey,
         wait: Duration,
-    ) -> Result<SubmissionStatus, Rejection> {
+    ) -> Result<HeldStatus, Rejection> {
         match self.owner(key) {
             Owner::Local => self.wait_local(key, wait).await,
             Owner::Peer { address, incarnation } => {
@@ -213,13 +251,17 @@
         path: &str,
         request: Q,
         wait: Duration,
-    ) -> Result<SubmissionStatus, Rejection> {
+    ) -> Result<HeldStatus, Rejection> {
         let timeout = wait + self.settings.peer_timeout;
         let body = to_msgpack(&request).map_err(Rejection::from)?;
         // Only its encoding is kept while the owner works.
         drop(request);
-        match call_encoded(self, address, path, body, timeout).await {
-            Ok(status) => Ok(status),
+        match call_counted(self, address, path, body, timeout).await {
+            Ok((status, mut held)) => {
+                // The status and its encoding.
+                held.set_bytes(held.bytes().saturating_mul(2));
+                Ok(HeldStatus { held: Some(held), status })
+            }
             Err(PeerError::Rejected(rejection)) if rejection.code == ResultCode::WrongIncarnation => {
                 Err(owner_gone())
             }
@@ -229,11 +271,7 @@
     }
 
     /// Result of a submission whose owner has ended. The claim of a definite submission records whether it ran.
-    async fn orphan_status(
-        &self,
-        key: &SubmissionKey,
-        definite: bool,
-    ) -> Result<SubmissionStatus, Rejection> {
+    async fn orphan_status(&self, key: &SubmissionKey, definite: bool) -> Result<HeldStatus, Rejection> {
         if !definite {
             return Err(owner_gone());
         }
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -363,6 +363,12 @@
         self.answers.bytes()
     }
 
+    /// Memory used by the answer of a finished submission, in bytes; 0 if it has not ended.
+    #[must_use]
+    pub fn answer_bytes_of(&self, sequence: Sequence) -> u64 {
+        self.records.get(&sequence).and_then(Record::ended).map_or(0, Ended::bytes)
+    }
+
     /// Number of task ends ignored so far, by reason.
     #[must_use]
     pub fn ignored_ends(&self) -> IgnoredEnds {
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -140,7 +140,7 @@
     EvacuationChanged = 1653,
     ///A peer reports that it knows a data centre as evacuated or taken back; gives the revision.
     EvacuationAdopted = 1654,
-    ///The memory or the connections for clients are used up; gives the numbers of unfinished bodies and requests that were refused and of connections that were closed or refused since the start.
+    ///The memory or the connections for clients are used up; gives the numbers of unfinished bodies, requests and responses that were refused, and of connections that were closed (`closed` for a new one, `unread` since a response was not read) or refused, since the start.
     RequestsShed = 1655,
     ///Tasks of one queue begin or cease to count as slowed down by those of another queue on the same upstream; gives the ratio of run times. They are placed apart where there is room.
     InterferenceChanged = 1656,
