Entry: small messages are counted and never refused

Cause, found by reading: with submissions counted until they have ended, the bytes can stay used up for long, and then heartbeats of peers, loans and small results would have been refused or discarded, since each message was counted only if there was room. Peers would have counted the entry as lost, and ordinary callers would have got ANSWER_EVICTED.

Change: a message of at most 16 KB is always counted.

--- a/crates/budget/src/budget.rs
+++ b/crates/budget/src/budget.rs
@@ -17,7 +17,7 @@
 /// Bytes that a connection occupies besides its read buffer: the receive buffer of its socket, and its state.
 const CONNECTION_BYTES: usize = CLIENT_RECEIVE_BYTES + 8 * 1_024;
 
-/// Size of requests that may use all bytes; larger ones leave a quarter.
+/// Largest size of a small message. Submissions of this size may use all bytes; larger ones leave a quarter.
 const SMALL_BYTES: usize = 16 * 1_024;
 
 /// Time after which a response that has not been written counts as not read. A client that reads slowly is closed only if the
@@ -148,10 +148,20 @@
         Some(Held { budget: self.clone(), bytes })
     }
 
-    /// Counts nothing yet.
+    /// Counts `bytes` until the result is dropped, also if that is more than is left: what is counted exists already, or is
+    /// small.
     #[must_use]
-    pub fn hold_nothing(&self) -> Held {
-        Held { budget: self.clone(), bytes: 0 }
+    pub fn count(&self, bytes: usize) -> Held {
+        let mut held = Held { budget: self.clone(), bytes: 0 };
+        held.set_bytes(bytes);
+        held
+    }
+
+    /// Counts a message. One of at most [`SMALL_BYTES`] is always counted, so that small requests and their answers do not
+    /// depend on what a crowd holds; a larger one is as with [`hold`](Self::hold).
+    #[must_use]
+    pub fn hold_message(&self, bytes: usize) -> Option<Held> {
+        if bytes <= SMALL_BYTES { Some(self.count(bytes)) } else { self.hold(bytes) }
     }
 
     /// Largest number of bytes of results that are kept after their submissions have ended.
@@ -160,13 +170,15 @@
         self.inner.max_bytes / KEPT_RESULTS_DIVISOR
     }
 
-    /// Whether a request may be kept that may wait for long. Large ones leave a part of the bytes to small ones, and to bodies
-    /// and responses.
+    /// Whether a submission may be kept that may wait for long. Large ones leave a part of the bytes to small ones, and to
+    /// bodies and responses.
     #[must_use]
     pub fn admits(&self, held: &Held) -> bool {
         let unused_bytes = self.inner.pool.as_ref().map_or(0, Pool::bytes);
         let used_bytes = self.held_bytes().saturating_sub(unused_bytes);
-        let is_admitted = held.bytes <= SMALL_BYTES || used_bytes <= self.inner.max_bytes / 4 * 3;
+        let max_bytes = self.inner.max_bytes;
+        let limit_bytes = if held.bytes <= SMALL_BYTES { max_bytes } else { max_bytes / 4 * 3 };
+        let is_admitted = used_bytes <= limit_bytes;
         if !is_admitted {
             self.record(Cause::Request);
         }
@@ -308,13 +320,17 @@
 }
 
 impl Held {
-    /// Counts further `bytes`. Returns false, and counts nothing more, if that is too much although all unfinished bodies
-    /// were shed.
+    /// Counts a message that has grown to `bytes`, as [`Budget::hold_message`] does. Returns false, and counts nothing more, if
+    /// that is too much.
     #[must_use]
-    pub fn grow(&mut self, bytes: usize) -> bool {
-        let grown = self.budget.take(bytes, None);
+    pub fn grow_to(&mut self, bytes: usize) -> bool {
+        if bytes <= SMALL_BYTES {
+            self.set_bytes(bytes);
+            return true;
+        }
+        let grown = self.budget.take(bytes.saturating_sub(self.bytes), None);
         if grown {
-            self.bytes += bytes;
+            self.bytes = bytes;
         }
         grown
     }
--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -122,14 +122,11 @@
         mut body: Incoming,
         max_bytes: usize,
     ) -> Result<Option<CountedBody>, SendError> {
-        let mut held = self.budget.hold_nothing();
         let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
         if announced > max_bytes {
             return Err(SendError::Lost);
         }
-        if !held.grow(announced) {
-            return Ok(None);
-        }
+        let Some(mut held) = self.budget.hold_message(announced) else { return Ok(None) };
         let mut bytes = Vec::with_capacity(announced);
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame.map_err(|_| SendError::Lost)?.into_data() else { continue };
@@ -137,8 +134,12 @@
             if size > max_bytes {
                 return Err(SendError::Lost);
             }
-            if size > bytes.capacity() && !held.grow(size.max(bytes.capacity() * 2) - bytes.capacity()) {
-                return Ok(None);
+            if size > bytes.capacity() {
+                let capacity = size.max(bytes.capacity() * 2);
+                if !held.grow_to(capacity) {
+                    return Ok(None);
+                }
+                bytes.reserve_exact(capacity - bytes.len());
             }
             bytes.extend_from_slice(&data);
         }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -229,9 +229,7 @@
 
 /// Counts the results that a bounded policy keeps, whether there are so many or not.
 fn kept_results(policy: &Policy, budget: &Budget) -> Held {
-    let mut held = budget.hold_nothing();
-    held.set_bytes(usize::try_from(policy.answer_memory_bytes).unwrap_or(usize::MAX));
-    held
+    budget.count(usize::try_from(policy.answer_memory_bytes).unwrap_or(usize::MAX))
 }
 
 fn local_info(settings: &EntrySettings, incarnation: Incarnation) -> MemberInfo {
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -210,7 +210,7 @@
         Err(Refusal::Shed) => return shed(handler, parts.uri.path()).into(),
     };
     let _answering = connection.answering();
-    let Some(held) = budget.hold(body.len()) else {
+    let Some(held) = budget.hold_message(body.len()) else {
         return shed(handler, parts.uri.path()).into();
     };
     handler.handle(BufferedRequest { body, held, parts }).await
