--- a/crates/budget/src/budget.rs
+++ b/crates/budget/src/budget.rs
@@ -1,4 +1,4 @@
-//! The budget of a process: bytes and connections, and what is given up when they are used up.
+//! The budget of a process: bytes and connections, and what is given up when the bytes are used up.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -11,14 +11,10 @@
 use crate::connection::ConnectionState;
 use crate::pool::Pool;
 use crate::shed_log::{Cause, ShedCounts, ShedLog};
-use crate::socket::CLIENT_RECEIVE_BYTES;
-use crate::{Connection, Grant};
-
-/// Bytes that a connection occupies besides its read buffer: the receive buffer of its socket, and its state.
-const CONNECTION_BYTES: usize = CLIENT_RECEIVE_BYTES + 8 * 1_024;
+use crate::{Grant, Held, Listener};
 
 /// Largest size of a small message. Submissions of this size may use all bytes; larger ones leave a quarter.
-const SMALL_BYTES: usize = 16 * 1_024;
+pub(crate) const SMALL_BYTES: usize = 16 * 1_024;
 
 /// Time after which a response that has not been written counts as not read. A client that reads slowly is closed only if the
 /// bytes are used up.
@@ -32,18 +28,18 @@
 pub(crate) type ListenerId = usize;
 
 #[derive(Debug, Default)]
-struct Registry {
+pub(crate) struct Registry {
     /// Connections that are being closed since their clients do not read.
     closing: Vec<Arc<ConnectionState>>,
-    connections: FastMap<u64, Arc<ConnectionState>>,
+    pub(crate) connections: FastMap<u64, Arc<ConnectionState>>,
     next_number: u64,
     /// Number of open connections by listener.
-    open: Vec<usize>,
+    pub(crate) open: Vec<usize>,
 }
 
 impl Registry {
     /// Returns the number of the connection.
-    fn add(&mut self, state: Arc<ConnectionState>) -> u64 {
+    pub(crate) fn add(&mut self, state: Arc<ConnectionState>) -> u64 {
         let number = self.next_number;
         self.next_number += 1;
         self.open[state.listener] += 1;
@@ -51,7 +47,7 @@
         number
     }
 
-    fn remove(&mut self, number: u64) -> Option<Arc<ConnectionState>> {
+    pub(crate) fn remove(&mut self, number: u64) -> Option<Arc<ConnectionState>> {
         let state = self.connections.remove(&number)?;
         self.open[state.listener] -= 1;
         Some(state)
@@ -157,7 +153,7 @@
         held
     }
 
-    /// Counts a message. One of at most [`SMALL_BYTES`] is always counted, so that small requests and their answers do not
+    /// Counts a message. One of at most 16 KB is always counted, so that small requests and their answers do not
     /// depend on what a crowd holds; a larger one is as with [`hold`](Self::hold).
     #[must_use]
     pub fn hold_message(&self, bytes: usize) -> Option<Held> {
@@ -200,11 +196,11 @@
         self.inner.held_bytes.load(Ordering::Relaxed)
     }
 
-    fn registry(&self) -> MutexGuard<'_, Registry> {
+    pub(crate) fn registry(&self) -> MutexGuard<'_, Registry> {
         self.inner.registry.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn record(&self, cause: Cause) {
+    pub(crate) fn record(&self, cause: Cause) {
         self.inner.shed.record(cause, self.held_bytes());
     }
 
@@ -233,10 +229,15 @@
         }
     }
 
-    fn shed_body(&self, state: &ConnectionState) {
+    pub(crate) fn shed_body(&self, state: &ConnectionState) {
         self.give_back_blocks(state.shed_body().into_iter().flat_map(Blocks::into_blocks));
     }
 
+    /// Counts bytes without a check, and returns what is counted then.
+    pub(crate) fn add(&self, bytes: usize) -> usize {
+        self.inner.held_bytes.fetch_add(bytes, Ordering::Relaxed).saturating_add(bytes)
+    }
+
     pub(crate) fn give_back(&self, bytes: usize) {
         self.inner.held_bytes.fetch_sub(bytes, Ordering::Relaxed);
     }
@@ -252,8 +253,7 @@
     }
 
     fn try_take_unused(&self, bytes: usize) -> bool {
-        let held = self.inner.held_bytes.fetch_add(bytes, Ordering::Relaxed).saturating_add(bytes);
-        if held > self.inner.max_bytes {
+        if self.add(bytes) > self.inner.max_bytes {
             self.give_back(bytes);
             return false;
         }
@@ -311,103 +311,3 @@
         }
     }
 }
-
-/// Bytes that are counted until this is dropped.
-#[derive(Debug)]
-pub struct Held {
-    budget: Budget,
-    bytes: usize,
-}
-
-impl Held {
-    /// Counts a message that has grown to `bytes`, as [`Budget::hold_message`] does. Returns false, and counts nothing more, if
-    /// that is too much.
-    #[must_use]
-    pub fn grow_to(&mut self, bytes: usize) -> bool {
-        if bytes <= SMALL_BYTES {
-            self.set_bytes(bytes);
-            return true;
-        }
-        let grown = self.budget.take(bytes.saturating_sub(self.bytes), None);
-        if grown {
-            self.bytes = bytes;
-        }
-        grown
-    }
-
-    /// Number of bytes that it counts.
-    #[must_use]
-    pub fn bytes(&self) -> usize {
-        self.bytes
-    }
-
-    /// Counts what another one counts, in its place.
-    pub fn merge(&mut self, mut other: Self) {
-        self.bytes += std::mem::take(&mut other.bytes);
-    }
-
-    /// Counts `bytes` from now on, also if that is more than is left: what is counted exists already.
-    pub fn set_bytes(&mut self, bytes: usize) {
-        self.budget.inner.held_bytes.fetch_add(bytes, Ordering::Relaxed);
-        self.budget.give_back(self.bytes);
-        self.bytes = bytes;
-    }
-}
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        self.budget.give_back(self.bytes);
-    }
-}
-
-/// A listener whose connections count towards the budget.
-#[derive(Clone, Debug)]
-pub struct Listener {
-    budget: Budget,
-    id: ListenerId,
-    max_connections: usize,
-    min_idle: Duration,
-}
-
-impl Listener {
-    /// Admits a new connection, of a socket from [`listen`](crate::listen) with [`CLIENT_RECEIVE_BYTES`], whose read buffer has at
-    /// most `buffer_bytes`. If there are too many, another one is closed: one
-    /// that has never sent a complete request, opened first, or else the one without a complete request for longest. None if
-    /// no connection can be closed; the new one is to be refused.
-    #[must_use]
-    pub fn admit(&self, buffer_bytes: usize) -> Option<Connection> {
-        let bytes = buffer_bytes + CONNECTION_BYTES;
-        let mut replaces_another = false;
-        while self.is_full() || !self.budget.take(bytes, None) {
-            if !self.close_one() {
-                self.budget.record(Cause::Refused);
-                return None;
-            }
-            replaces_another = true;
-        }
-        let state = Arc::new(ConnectionState::new(self.id, bytes));
-        let number = self.budget.registry().add(state.clone());
-        Some(Connection::new(self.budget.clone(), number, replaces_another, state))
-    }
-
-    fn is_full(&self) -> bool {
-        self.budget.registry().open[self.id] >= self.max_connections
-    }
-
-    fn close_one(&self) -> bool {
-        let now = Instant::now();
-        let mut registry = self.budget.registry();
-        let own = registry.connections.iter().filter(|(_, state)| state.listener == self.id);
-        let ranked = own.filter_map(|(number, state)| Some((state.close_rank(now, self.min_idle)?, *number)));
-        let Some((_, number)) = ranked.max() else { return false };
-        let closed = registry.remove(number);
-        drop(registry);
-        if let Some(state) = closed {
-            self.budget.give_back(state.bytes);
-            self.budget.shed_body(&state);
-            state.close();
-        }
-        self.budget.record(Cause::Closed);
-        true
-    }
-}
--- a/crates/budget/src/connection.rs
+++ b/crates/budget/src/connection.rs
@@ -8,8 +8,9 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::Held;
 use crate::blocks::Blocks;
-use crate::budget::{Budget, Held, ListenerId};
+use crate::budget::{Budget, ListenerId};
 
 /// Value of `completed_ms` before the first complete request.
 const NEVER: u64 = u64::MAX;
@@ -90,8 +91,8 @@
         unfinished.as_ref().filter(|blocks| blocks.capacity_bytes() > 0).map(|blocks| blocks.weight(now))
     }
 
-    /// Size times age of the responses that have not been written; none if the first of them was
-    /// begun less than `min_age` ago, or there are none.
+    /// Size times age of the responses that have not been written; none if there are none, or the first of them was begun less
+    /// than `min_age` ago.
     pub(crate) fn unread_weight(&self, now: Instant, min_age: Duration) -> Option<u128> {
         let unwritten = self.unwritten();
         let age = now.duration_since(unwritten.since?);
--- a/crates/budget/src/lib.rs
+++ b/crates/budget/src/lib.rs
@@ -6,7 +6,10 @@
 //! - [`Listener::admit`] admits a connection, and closes another one if there are too many;
 //! - [`read_body`] reads a body, piece by piece against the budget; if it is used up, the largest and slowest unfinished body
 //!   of the process is shed;
-//! - [`Budget::hold`] counts what a request occupies until it is answered.
+//! - [`Budget::hold`] counts what a request occupies until it is answered, and [`Budget::hold_message`] a message that may be
+//!   small;
+//! - [`Budget::admits`] decides on a submission that outlives its request;
+//! - [`Connection::response`] counts a response until it is written.
 //!
 //! [`listen`] and [`connect`] open the sockets, and bound what they receive before the process reads it.
 //!
@@ -17,14 +20,18 @@
 mod budget;
 mod connection;
 mod grant;
+mod held;
+mod listener;
 mod pool;
 mod shed_log;
 mod socket;
 
 pub use body::{BodyError, read_body};
-pub use budget::{Budget, Held, Listener, Usage};
+pub use budget::{Budget, Usage};
 pub use connection::{Answering, Connection};
 pub use grant::Grant;
+pub use held::Held;
+pub use listener::Listener;
 pub use shed_log::ShedCounts;
 pub use socket::{
     CALLER_BACKLOG, CLIENT_RECEIVE_BYTES, LINK_BACKLOG, LINK_RECEIVE_BYTES, PAGE_BACKLOG,
