--- a/crates/ledger/tests/ledger.rs
+++ b/crates/ledger/tests/ledger.rs
@@ -121,12 +121,13 @@
 #[test]
 fn an_answer_without_all_results_says_that_its_tasks_ran() {
     let (mut ledger, now) = ledger(&small_policy(), 1);
-    ledger.admit(now, &key(1), body(2, false));
-    for index in 0..2 {
+    ledger.admit(now, &key(1), body(1, false));
+    for index in 0..3 {
         assert!(ledger.start(now, task(1, index), false));
     }
     assert_eq!(ledger.end(now, task(1, 0), TaskEnd::Discarded), None);
-    let answer = ledger.end(now, task(1, 1), TaskEnd::Done("kept".into())).unwrap().answer;
+    assert_eq!(ledger.end(now, task(1, 1), TaskEnd::Done("kept".into())), None);
+    let answer = ledger.end(now, task(1, 2), TaskEnd::Done("kept".into())).unwrap().answer;
     assert_eq!(answer.code, ResultCode::AnswerEvicted.number());
     assert_eq!((answer.outcome, answer.results.len()), (Outcome::FailedRan, 0));
 }
