Entry: the status of a submission is never refused for want of memory

Cause, found by reading: an answer of up to 4 KB is not counted, but control characters take six times as much in JSON; such a response of more than 8 KB was refused with OVERLOADED while the memory was used up, whose outcome says that nothing has run. Every status now carries what counts its response. Not shown by a test.

--- a/crates/entry/src/reply.rs
+++ b/crates/entry/src/reply.rs
@@ -27,16 +27,17 @@
     }
 }
 
-/// The status of a submission, and what counts a large answer in it.
+/// The status of a submission, and what counts a large answer in it. It is never refused for want of memory: the submission
+/// may have run.
 pub(crate) struct HeldStatus {
-    pub(crate) held: Option<Held>,
+    pub(crate) held: Held,
     pub(crate) status: SubmissionStatus,
 }
 
 impl HeldStatus {
     /// Encodes the status; what counts it goes on to count the response.
     pub(crate) fn reply(self, encode: impl FnOnce(&SubmissionStatus) -> HttpResponse) -> Reply {
-        Reply { held: self.held, response: encode(&self.status) }
+        Reply { held: Some(self.held), response: encode(&self.status) }
     }
 }
 
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -191,7 +191,7 @@
     }
     match held.or_else(|| budget.hold(size)) {
         Some(held) => response.map(|body| Full::new(connection.response(body, held))),
-        // What has an effect has a small response, so that nothing has happened.
+        // A large response that is not counted is to a question, or names issued keys, which expire: nothing has run.
         None => shed(handler, uri.path()).map(Full::from),
     }
 }
--- a/crates/entry/src/submissions.rs
+++ b/crates/entry/src/submissions.rs
@@ -124,14 +124,14 @@
 
     /// The status of a submission of this process. A large answer is counted before it is copied, and waits for room.
     async fn local_status(self: &Arc<Self>, key: &SubmissionKey) -> Result<HeldStatus, Rejection> {
-        let mut held = None;
+        let mut held = self.budget.count(0);
         let mut max_bytes = UNCOUNTED_ANSWER_BYTES;
         loop {
             match self.status_within(key, max_bytes) {
                 Ok(status) => return Ok(HeldStatus { held, status: status? }),
                 Err(bytes) => {
                     max_bytes = bytes;
-                    held = Some(self.hold_answer(key, bytes).await?);
+                    held = self.hold_answer(key, bytes).await?;
                 }
             }
         }
@@ -260,7 +260,7 @@
             Ok((status, mut held)) => {
                 // The status and its encoding.
                 held.set_bytes(held.bytes().saturating_mul(2));
-                Ok(HeldStatus { held: Some(held), status })
+                Ok(HeldStatus { held, status })
             }
             Err(PeerError::Rejected(rejection)) if rejection.code == ResultCode::WrongIncarnation => {
                 Err(owner_gone())
