--- a/crates/entry/tests/random_input.rs
+++ b/crates/entry/tests/random_input.rs
@@ -229,7 +229,8 @@
     .await;
     for _ in 0..count {
         let response = submit(&entry, &submission(Class::Booking, 1, 1)).await;
-        let answer: hinge_wire::Answer = hinge_wire::from_json(&response.body).unwrap();
+        let answer = hinge_wire::from_json::<hinge_wire::Answer>(&response.body);
+        let answer = answer.unwrap_or_else(|error| panic!("{error}: {}", response.text()));
         assert!([170, 171, 172].contains(&answer.code), "{}", response.text());
     }
     assert_no_panics();
